feat(core): kernel, settings, revision store and peer links

Cause: nothing existed; every program needs these four parts. Change: services started in order and stopped in reverse; declarations and process settings validated whole; versions accepted only when newer and valid; multiplexed framed links with heartbeats while a stream is open and a window per stream.

--- /dev/null
+++ b/core/clock/clock.go
@@ -0,0 +1,31 @@
+package clock
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Instant is the time since the machine started, suspension included.
+type Instant time.Duration
+
+// Boot reads CLOCK_BOOTTIME of the machine; its zero value is ready to use.
+type Boot struct{}
+
+// Now returns the current instant.
+func (Boot) Now() Instant {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		return Instant(time.Duration(time.Now().UnixNano()))
+	}
+	return Instant(ts.Nano())
+}
+
+// Add returns the instant d later.
+func (i Instant) Add(d time.Duration) Instant { return i + Instant(d) }
+
+// Sub returns the time from earlier to i.
+func (i Instant) Sub(earlier Instant) time.Duration { return time.Duration(i - earlier) }
+
+// Before reports whether i comes before other.
+func (i Instant) Before(other Instant) bool { return i < other }
--- /dev/null
+++ b/core/peer/link.go
@@ -0,0 +1,287 @@
+package peer
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Times of the link's own heartbeat, which runs only while a stream is open.
+const (
+	heartbeatInterval = 500 * time.Millisecond
+	silenceLimit      = 2 * time.Second
+	writeLimit        = 2 * time.Second
+	helloLimit        = 2 * time.Second
+)
+
+// Sizes of a link's buffers.
+const (
+	readBufferBytes  = 4 << 10
+	writeBatchBytes  = 64 << 10
+	writeQueueLength = 64
+	// maxInboundStreams bounds the streams that the other end may have open.
+	maxInboundStreams = 4096
+)
+
+// LinkClosedError reports a link that can carry nothing more.
+type LinkClosedError struct {
+	Cause error
+}
+
+func (e *LinkClosedError) Error() string {
+	if e.Cause == nil {
+		return "link closed"
+	}
+	return "link closed: " + e.Cause.Error()
+}
+
+// Unwrap returns what ended the link.
+func (e *LinkClosedError) Unwrap() error { return e.Cause }
+
+// SilentError reports a link on which nothing arrived for too long.
+type SilentError struct {
+	For time.Duration
+}
+
+func (e *SilentError) Error() string { return "nothing received for " + e.For.String() }
+
+// Handler serves the streams that the other end opens.
+type Handler interface {
+	Serve(ctx context.Context, s *Stream, m Message)
+}
+
+// outgoing is one encoded frame on its way to the writer.
+type outgoing struct {
+	id StreamID
+	m  Message
+}
+
+// Link is one multiplexed connection to another process.
+type Link struct {
+	conn   net.Conn
+	local  Hello
+	remote Hello
+	queue  chan outgoing
+	closed chan struct{}
+	// lastReceived is the time of the last bytes, in nanoseconds of the process's monotonic clock.
+	lastReceived atomic.Int64
+	open         atomic.Int64
+	inbound      atomic.Int64
+	bytesOut     atomic.Int64
+	bytesIn      atomic.Int64
+
+	mu      sync.Mutex
+	cause   error
+	streams map[StreamID]*Stream
+	nextID  StreamID
+	beating bool
+	// handlers hands the handler to the reader once.
+	handlers chan Handler
+	// hooks run once, when the link has ended.
+	hooks []func()
+}
+
+var processStart = time.Now()
+
+func monotonic() time.Duration { return time.Since(processStart) }
+
+// newLink exchanges hellos on conn and returns the link; the dialler numbers its streams oddly.
+func newLink(ctx context.Context, conn net.Conn, local Hello, dialler bool) (*Link, error) {
+	l := &Link{
+		conn:    conn,
+		local:   local,
+		queue:   make(chan outgoing, writeQueueLength),
+		closed:  make(chan struct{}),
+		streams: make(map[StreamID]*Stream),
+		nextID:  2,
+	}
+	if dialler {
+		l.nextID = 1
+	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	if err := conn.SetDeadline(time.Now().Add(helloLimit)); err != nil {
+		return nil, errors.Wrap(err, "setting deadline")
+	}
+	r := bufio.NewReaderSize(conn, readBufferBytes)
+	if err := l.greet(r); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	if err := conn.SetDeadline(time.Time{}); err != nil {
+		return nil, errors.Wrap(err, "clearing deadline")
+	}
+	l.received()
+	l.start(r)
+	return l, nil
+}
+
+func (l *Link) greet(r *bufio.Reader) error {
+	var buf bytes.Buffer
+	if err := appendFrame(&buf, 0, &l.local); err != nil {
+		return err
+	}
+	if _, err := l.conn.Write(buf.Bytes()); err != nil {
+		return errors.Wrap(err, "sending hello")
+	}
+	_, m, err := readFrame(r)
+	if err != nil {
+		return errors.Wrap(err, "reading hello")
+	}
+	hello, ok := m.(*Hello)
+	if !ok {
+		return &FrameError{Reason: "first message is no hello"}
+	}
+	if hello.Protocol != ProtocolVersion {
+		return &FrameError{Reason: "other protocol version"}
+	}
+	l.remote = *hello
+	return nil
+}
+
+// Remote returns what the other end said of itself.
+func (l *Link) Remote() Hello { return l.remote }
+
+// Done is closed when the link has ended.
+func (l *Link) Done() <-chan struct{} { return l.closed }
+
+// OpenStreams returns the number of streams open on the link.
+func (l *Link) OpenStreams() int64 { return l.open.Load() }
+
+// Bytes returns the bytes sent and received so far.
+func (l *Link) Bytes() (out, in int64) { return l.bytesOut.Load(), l.bytesIn.Load() }
+
+// IdleFor returns how long nothing has arrived.
+func (l *Link) IdleFor() time.Duration {
+	return monotonic() - time.Duration(l.lastReceived.Load())
+}
+
+func (l *Link) received() { l.lastReceived.Store(int64(monotonic())) }
+
+// Err returns why the link ended, as a LinkClosedError.
+func (l *Link) Err() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return &LinkClosedError{Cause: l.cause}
+}
+
+// Close ends the link and every stream on it.
+func (l *Link) Close(cause error) {
+	for _, hook := range l.end(cause) {
+		hook()
+	}
+}
+
+// end closes the connection once and returns the hooks to run.
+func (l *Link) end(cause error) []func() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ended() {
+		return nil
+	}
+	l.cause = cause
+	close(l.closed)
+	_ = l.conn.Close()
+	return l.hooks
+}
+
+func (l *Link) ended() bool {
+	select {
+	case <-l.closed:
+		return true
+	default:
+		return false
+	}
+}
+
+// onEnd runs hook when the link ends, at once if it has.
+func (l *Link) onEnd(hook func()) {
+	l.mu.Lock()
+	ended := l.ended()
+	if !ended {
+		l.hooks = append(l.hooks, hook)
+	}
+	l.mu.Unlock()
+	if ended {
+		hook()
+	}
+}
+
+// send queues a message for the writer.
+func (l *Link) send(ctx context.Context, id StreamID, m Message) error {
+	if l.ended() {
+		return l.Err()
+	}
+	select {
+	case l.queue <- outgoing{id: id, m: m}:
+		return nil
+	case <-l.closed:
+		return l.Err()
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// start runs the writer; the reader needs a handler and runs in Serve.
+func (l *Link) start(r *bufio.Reader) {
+	go l.write()
+	l.reader(r)
+}
+
+// write encodes queued messages and flushes whenever the queue is empty.
+func (l *Link) write() {
+	var buf bytes.Buffer
+	for {
+		select {
+		case <-l.closed:
+			return
+		case o := <-l.queue:
+			buf.Reset()
+			l.encode(&buf, o)
+		}
+		l.batch(&buf)
+		if err := l.flush(&buf); err != nil {
+			l.Close(errors.Wrap(err, "writing"))
+			return
+		}
+	}
+}
+
+// batch adds what is queued already, so that one write carries many small frames.
+func (l *Link) batch(buf *bytes.Buffer) {
+	for buf.Len() < writeBatchBytes {
+		select {
+		case o := <-l.queue:
+			l.encode(buf, o)
+		default:
+			return
+		}
+	}
+}
+
+func (l *Link) encode(buf *bytes.Buffer, o outgoing) {
+	err := appendFrame(buf, o.id, o.m)
+	if err == nil {
+		return
+	}
+	// The message cannot be sent, so the other end must not wait for it.
+	_ = appendFrame(buf, o.id, &Reset{Reason: err.Error()})
+}
+
+func (l *Link) flush(buf *bytes.Buffer) error {
+	if err := l.conn.SetWriteDeadline(time.Now().Add(writeLimit)); err != nil {
+		return err
+	}
+	n, err := l.conn.Write(buf.Bytes())
+	l.bytesOut.Add(int64(n))
+	if buf.Cap() > writeBatchBytes {
+		*buf = bytes.Buffer{}
+	}
+	return err
+}
--- /dev/null
+++ b/core/peer/link_test.go
@@ -0,0 +1,180 @@
+package peer
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/goleak"
+)
+
+// serveFunc adapts a function to Handler.
+type serveFunc func(ctx context.Context, s *Stream, m Message)
+
+func (f serveFunc) Serve(ctx context.Context, s *Stream, m Message) { f(ctx, s, m) }
+
+// listen serves h on loopback until the test ends and returns the address.
+func listen(t *testing.T, h Handler, allow string) string {
+	t.Helper()
+	c := qt.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	e := endpoint(t, h, allow)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = e.Listen(ctx, ln)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		e.Close()
+		<-done
+	})
+	return ln.Addr().String()
+}
+
+func endpoint(t *testing.T, h Handler, allow string) *Endpoint {
+	t.Helper()
+	n, err := ParseNetworks([]string{allow})
+	qt.Assert(t, err, qt.IsNil)
+	e := &Endpoint{Local: func() Hello { return Hello{Protocol: ProtocolVersion, ID: "test"} }, Handler: h, Allow: n}
+	t.Cleanup(e.Close)
+	return e
+}
+
+// verifyNoLeak checks after every other clean-up that no goroutine is left.
+func verifyNoLeak(t *testing.T) {
+	t.Helper()
+	before := goleak.IgnoreCurrent()
+	t.Cleanup(func() { goleak.VerifyNone(t, before) })
+}
+
+const loopback = "127.0.0.0/8"
+
+// counting answers a Submit with as many chunks as its offset says.
+func counting(ctx context.Context, s *Stream, m Message) {
+	submit, ok := m.(*Submit)
+	if !ok {
+		return
+	}
+	for i := uint32(1); i <= submit.Offset; i++ {
+		if s.Send(ctx, &Chunk{Seq: i, Data: []byte("x")}) != nil {
+			return
+		}
+	}
+	_ = s.Send(ctx, &End{Chunks: submit.Offset})
+}
+
+func TestStreamCarriesManyChunksInOrder(t *testing.T) {
+	verifyNoLeak(t)
+	c := qt.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	e := endpoint(t, nil, loopback)
+	l, err := e.Dial(ctx, listen(t, serveFunc(counting), loopback))
+	c.Assert(err, qt.IsNil)
+	s, err := l.Open(ctx, &Submit{Offset: 1000})
+	c.Assert(err, qt.IsNil)
+	defer s.Close()
+	for want := uint32(1); want <= 1000; want++ {
+		m, err := s.Receive(ctx)
+		c.Assert(err, qt.IsNil)
+		c.Assert(m.(*Chunk).Seq, qt.Equals, want)
+	}
+	m, err := s.Receive(ctx)
+	c.Assert(err, qt.IsNil)
+	c.Assert(m.(*End).Chunks, qt.Equals, uint32(1000))
+}
+
+func TestSlowReaderDoesNotHoldUpOtherStreams(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	e := endpoint(t, nil, loopback)
+	l, err := e.Dial(ctx, listen(t, serveFunc(counting), loopback))
+	c.Assert(err, qt.IsNil)
+	slow, err := l.Open(ctx, &Submit{Offset: 100_000})
+	c.Assert(err, qt.IsNil)
+	defer slow.Close()
+	fast, err := l.Open(ctx, &Submit{Offset: 500})
+	c.Assert(err, qt.IsNil)
+	defer fast.Close()
+	for range 501 {
+		_, err := fast.Receive(ctx)
+		c.Assert(err, qt.IsNil)
+	}
+	c.Assert(len(slow.inbox) <= inboxLength, qt.IsTrue)
+}
+
+func TestUnknownPeerIsTurnedAway(t *testing.T) {
+	c := qt.New(t)
+	e := endpoint(t, nil, loopback)
+	_, err := e.Dial(context.Background(), listen(t, serveFunc(counting), "10.0.0.0/8"))
+	c.Assert(err, qt.IsNotNil)
+}
+
+func TestSilentLinkEndsWithinThreeSeconds(t *testing.T) {
+	c := qt.New(t)
+	relay := newRelay(t, listen(t, serveFunc(func(ctx context.Context, _ *Stream, _ Message) { <-ctx.Done() }), loopback))
+	e := endpoint(t, nil, loopback)
+	l, err := e.Dial(context.Background(), relay.address)
+	c.Assert(err, qt.IsNil)
+	s, err := l.Open(context.Background(), &Submit{})
+	c.Assert(err, qt.IsNil)
+	relay.silence()
+	_, err = s.Receive(context.Background())
+	var silent *SilentError
+	c.Assert(errors.As(err, &silent), qt.IsTrue)
+	c.Assert(silent.For < 3*time.Second, qt.IsTrue)
+	fresh, err := e.Dial(context.Background(), relay.address)
+	c.Assert(err, qt.IsNil)
+	c.Assert(fresh != l, qt.IsTrue)
+}
+
+func TestMalformedFrameEndsOnlyItsLink(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	address := listen(t, serveFunc(counting), loopback)
+	e := endpoint(t, nil, loopback)
+	good, err := e.Dial(ctx, address)
+	c.Assert(err, qt.IsNil)
+	conn, err := net.Dial("tcp", address)
+	c.Assert(err, qt.IsNil)
+	defer conn.Close()
+	_, err = conn.Write(bytes.Repeat([]byte{0xff}, 64))
+	c.Assert(err, qt.IsNil)
+	_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+	_, err = bufio.NewReader(conn).ReadBytes(0)
+	var timeout net.Error
+	c.Assert(errors.As(err, &timeout) && timeout.Timeout(), qt.IsFalse)
+	end, err := Ask[*End](ctx, good, &Submit{}, time.Second)
+	c.Assert(err, qt.IsNil)
+	c.Assert(end.Chunks, qt.Equals, uint32(0))
+}
+
+func FuzzReadFrame(f *testing.F) {
+	var buf bytes.Buffer
+	for _, m := range []Message{&Hello{ID: "a"}, &Submit{Body: []byte("b")}, &Chunk{Seq: 1, Data: []byte("c")}, &DeltaReply{}} {
+		buf.Reset()
+		if err := appendFrame(&buf, 3, m); err != nil {
+			f.Fatal(err)
+		}
+		f.Add(bytes.Clone(buf.Bytes()))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		_, m, err := readFrame(bufio.NewReader(bytes.NewReader(data)))
+		if err != nil {
+			return
+		}
+		var again bytes.Buffer
+		if err := appendFrame(&again, 1, m); err != nil {
+			t.Fatalf("decoded message does not encode: %v", err)
+		}
+	})
+}
--- /dev/null
+++ b/core/settings/defaults.go
@@ -0,0 +1,61 @@
+package settings
+
+import "time"
+
+// Defaults of the declarations.
+const (
+	DefaultDeadline       = 60 * time.Second
+	DefaultExpectedTokens = Tokens(200)
+	DefaultMultiple       = 1.25
+	DefaultMaxRunning     = 16
+	DefaultMaxQueued      = 64
+	DefaultKeyLifetime    = 10 * time.Minute
+	DefaultPrefillRate    = Tokens(4000)
+	DefaultDecodeRate     = Tokens(30)
+	DefaultShare          = 1
+	DefaultMaxOpen        = 1024
+)
+
+// Default fills every declaration that the operators left out.
+func (f *Fleet) Default() {
+	for name, p := range f.Profiles {
+		f.Profiles[name] = defaultProfile(p)
+	}
+	for name, s := range f.Services {
+		f.Services[name] = defaultService(s)
+	}
+	for id, t := range f.Teams {
+		f.Teams[id] = defaultTeam(t)
+	}
+}
+
+func defaultProfile(p Profile) Profile {
+	setDefault(&p.Priority, PriorityNormal)
+	setDefault(&p.Deadline, DefaultDeadline)
+	setDefault(&p.ExpectedTokens, DefaultExpectedTokens)
+	return p
+}
+
+func defaultService(s Service) Service {
+	setDefault(&s.Multiple, DefaultMultiple)
+	setDefault(&s.MaxRunning, DefaultMaxRunning)
+	setDefault(&s.MaxQueued, DefaultMaxQueued)
+	setDefault(&s.KeyLifetime, DefaultKeyLifetime)
+	setDefault(&s.PrefillRate, DefaultPrefillRate)
+	setDefault(&s.DecodeRate, DefaultDecodeRate)
+	return s
+}
+
+func defaultTeam(t Team) Team {
+	setDefault(&t.Share, DefaultShare)
+	setDefault(&t.MaxOpen, DefaultMaxOpen)
+	return t
+}
+
+// setDefault assigns value to a setting that still has its zero value.
+func setDefault[T comparable](setting *T, value T) {
+	var zero T
+	if *setting == zero {
+		*setting = value
+	}
+}
--- /dev/null
+++ b/core/settings/document.go
@@ -0,0 +1,121 @@
+package settings
+
+import (
+	"bytes"
+	"sort"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"go.yaml.in/yaml/v3"
+)
+
+// Revision numbers the versions of the declarations, as the configuration service counts them.
+type Revision uint64
+
+// DocumentKey names a declaration as kind/name, such as profiles/answer.
+type DocumentKey string
+
+// Document is one declaration as the configuration service publishes it.
+type Document struct {
+	_msgpack struct{}    `msgpack:",as_array"`
+	Key      DocumentKey `json:"key"`
+	Value    string      `json:"value"`
+	Revision Revision    `json:"revision"`
+	Deleted  bool        `json:"deleted"`
+}
+
+// The kinds of declaration, which are also the names of the files that hold them.
+const (
+	kindProfiles  = "profiles"
+	kindServices  = "services"
+	kindUpstreams = "upstreams"
+	kindTeams     = "teams"
+)
+
+// Documents splits a set of declarations into its documents, sorted by key.
+func (f *Fleet) Documents() ([]Document, error) {
+	var docs []Document
+	var err error
+	add := func(kind, name string, value any) {
+		text, marshalErr := yaml.Marshal(value)
+		err = errors.CombineErrors(err, marshalErr)
+		docs = append(docs, Document{Key: DocumentKey(kind + "/" + name), Value: string(text)})
+	}
+	for name, p := range f.Profiles {
+		add(kindProfiles, string(name), p)
+	}
+	for name, s := range f.Services {
+		add(kindServices, string(name), s)
+	}
+	for id, u := range f.Upstreams {
+		add(kindUpstreams, string(id), u)
+	}
+	for id, t := range f.Teams {
+		add(kindTeams, string(id), t)
+	}
+	sort.Slice(docs, func(i, j int) bool { return docs[i].Key < docs[j].Key })
+	return docs, err
+}
+
+// FromDocuments assembles, defaults and validates a set of declarations.
+func FromDocuments(docs []Document) (*Fleet, error) {
+	f := newFleet()
+	var problems Problems
+	for _, d := range docs {
+		if d.Deleted {
+			continue
+		}
+		if err := f.add(d); err != nil {
+			problems = append(problems, Problem{File: string(d.Key), Found: err.Error(), Allowed: "a valid declaration"})
+		}
+	}
+	f.Default()
+	problems = append(problems, f.Validate()...)
+	if len(problems) > 0 {
+		return nil, problems
+	}
+	return f, nil
+}
+
+func newFleet() *Fleet {
+	return &Fleet{
+		Profiles:  make(map[ProfileName]Profile),
+		Services:  make(map[ServiceName]Service),
+		Upstreams: make(map[UpstreamID]Upstream),
+		Teams:     make(map[TeamID]Team),
+	}
+}
+
+func (f *Fleet) add(d Document) error {
+	kind, name, ok := strings.Cut(string(d.Key), "/")
+	if !ok || name == "" {
+		return errors.Newf("key %q is not kind/name", string(d.Key))
+	}
+	switch kind {
+	case kindProfiles:
+		return decodeInto(f.Profiles, ProfileName(name), d.Value)
+	case kindServices:
+		return decodeInto(f.Services, ServiceName(name), d.Value)
+	case kindUpstreams:
+		return decodeInto(f.Upstreams, UpstreamID(name), d.Value)
+	case kindTeams:
+		return decodeInto(f.Teams, TeamID(name), d.Value)
+	}
+	return errors.Newf("unknown kind of declaration %q", kind)
+}
+
+func decodeInto[K comparable, V any](m map[K]V, key K, text string) error {
+	var v V
+	if err := decodeStrict([]byte(text), &v); err != nil {
+		return err
+	}
+	m[key] = v
+	return nil
+}
+
+// decodeStrict decodes YAML and refuses unknown fields.
+func decodeStrict(text []byte, v any) error {
+	dec := yaml.NewDecoder(bytes.NewReader(text))
+	dec.KnownFields(true)
+	return dec.Decode(v)
+}
--- /dev/null
+++ b/core/settings/fleet.go
@@ -0,0 +1,93 @@
+package settings
+
+import "time"
+
+// ServiceKind tells model engines from plain services.
+type ServiceKind string
+
+// The kinds of service.
+const (
+	KindModel ServiceKind = "model"
+	KindPlain ServiceKind = "plain"
+)
+
+// Priority is the class in which a request waits for an engine.
+type Priority string
+
+// The classes, most urgent first.
+const (
+	PriorityUrgent  Priority = "urgent"
+	PriorityNormal  Priority = "normal"
+	PriorityPatient Priority = "patient"
+)
+
+// Priorities lists the classes, most urgent first.
+var Priorities = []Priority{PriorityUrgent, PriorityNormal, PriorityPatient}
+
+// Profile describes how one kind of request is treated.
+type Profile struct {
+	Description string        `yaml:"description"`
+	Service     ServiceName   `yaml:"service"`
+	Priority    Priority      `yaml:"priority"`
+	Deadline    time.Duration `yaml:"deadline"`
+	Idempotent  bool          `yaml:"idempotent"`
+	Retries     int           `yaml:"retries"`
+	// ExpectedTokens is the answer length assumed until the profile's own answers have taught better.
+	ExpectedTokens Tokens `yaml:"expected_tokens"`
+}
+
+// Service describes a model or a plain service.
+type Service struct {
+	Description string      `yaml:"description"`
+	Kind        ServiceKind `yaml:"kind"`
+	Model       string      `yaml:"model"`
+	// Multiple bounds the load that one engine carries, as a multiple of the mean.
+	Multiple float64 `yaml:"multiple"`
+	// MaxRunning is the number of requests one upstream runs at a time.
+	MaxRunning int `yaml:"max_running"`
+	// MaxQueued is the number of requests one side keeps waiting.
+	MaxQueued int `yaml:"max_queued"`
+	// KeyLifetime is how long a side remembers the outcome of an idempotency key or ticket.
+	KeyLifetime time.Duration `yaml:"key_lifetime"`
+	// PrefillRate is the prompt tokens one engine processes a second.
+	PrefillRate Tokens `yaml:"prefill_rate"`
+	// DecodeRate is the answer tokens one stream gets a second.
+	DecodeRate Tokens `yaml:"decode_rate"`
+}
+
+// Upstream declares one upstream and the address of its side process.
+type Upstream struct {
+	Service    ServiceName `yaml:"service"`
+	DataCentre DataCentre  `yaml:"data_centre"`
+	Side       string      `yaml:"side"`
+	// Destroyed is the operators' word that the VM no longer exists and cannot wake again.
+	Destroyed bool `yaml:"destroyed"`
+}
+
+// Team declares a team of callers.
+type Team struct {
+	Description string `yaml:"description"`
+	// Share weighs the team's part of a busy engine.
+	Share int `yaml:"share"`
+	// MaxOpen is the number of requests the team may have open at one router.
+	MaxOpen int `yaml:"max_open"`
+}
+
+// Fleet is one whole set of declarations.
+type Fleet struct {
+	Profiles  map[ProfileName]Profile `yaml:"profiles"`
+	Services  map[ServiceName]Service `yaml:"services"`
+	Upstreams map[UpstreamID]Upstream `yaml:"upstreams"`
+	Teams     map[TeamID]Team         `yaml:"teams"`
+}
+
+// UpstreamsOf returns the declared upstreams of a service, in no particular order.
+func (f *Fleet) UpstreamsOf(name ServiceName) []UpstreamID {
+	var ids []UpstreamID
+	for id, u := range f.Upstreams {
+		if u.Service == name {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
--- /dev/null
+++ b/core/settings/process.go
@@ -0,0 +1,169 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"time"
+)
+
+// Router is the settings file of one router process.
+type Router struct {
+	ID         string     `yaml:"id"`
+	DataCentre DataCentre `yaml:"data_centre"`
+	// Caller is the address that callers reach, Operator the one for operators, Peer the one for other processes.
+	Caller   string `yaml:"caller"`
+	Operator string `yaml:"operator"`
+	Peer     string `yaml:"peer"`
+	// Advertise is the address that other processes dial; it defaults to Peer.
+	Advertise string `yaml:"advertise"`
+	// Configuration and VMList are the base URLs of the platform's services.
+	Configuration string        `yaml:"configuration"`
+	VMList        string        `yaml:"vm_list"`
+	Peers         []string      `yaml:"peers"`
+	Allow         []string      `yaml:"allow"`
+	DrainTime     time.Duration `yaml:"drain_time"`
+	Limits        Limits        `yaml:"limits"`
+}
+
+// Limits bounds what one router takes from outside.
+type Limits struct {
+	HeaderBytes int           `yaml:"header_bytes"`
+	BodyBytes   int64         `yaml:"body_bytes"`
+	HeaderTime  time.Duration `yaml:"header_time"`
+	IdleTime    time.Duration `yaml:"idle_time"`
+	OpenCalls   int           `yaml:"open_calls"`
+}
+
+// Side is the settings file of one side process.
+type Side struct {
+	Upstream   UpstreamID `yaml:"upstream"`
+	DataCentre DataCentre `yaml:"data_centre"`
+	Peer       string     `yaml:"peer"`
+	Operator   string     `yaml:"operator"`
+	// URL is the base URL of the upstream beside this process.
+	URL       string        `yaml:"url"`
+	Peers     []string      `yaml:"peers"`
+	Allow     []string      `yaml:"allow"`
+	DrainTime time.Duration `yaml:"drain_time"`
+}
+
+// Defaults of the process settings.
+const (
+	DefaultDrainTime   = 30 * time.Second
+	DefaultHeaderBytes = 16 << 10
+	DefaultBodyBytes   = 4 << 20
+	DefaultHeaderTime  = 5 * time.Second
+	DefaultIdleTime    = 60 * time.Second
+	DefaultOpenCalls   = 4096
+)
+
+// DefaultAllow admits processes of the same machine only.
+var DefaultAllow = []string{"127.0.0.0/8"}
+
+// Default fills what the file left out.
+func (r *Router) Default() {
+	setDefault(&r.DrainTime, DefaultDrainTime)
+	setDefault(&r.Advertise, r.Peer)
+	setDefault(&r.Limits.HeaderBytes, DefaultHeaderBytes)
+	setDefault(&r.Limits.BodyBytes, DefaultBodyBytes)
+	setDefault(&r.Limits.HeaderTime, DefaultHeaderTime)
+	setDefault(&r.Limits.IdleTime, DefaultIdleTime)
+	setDefault(&r.Limits.OpenCalls, DefaultOpenCalls)
+	if len(r.Allow) == 0 {
+		r.Allow = DefaultAllow
+	}
+}
+
+// Default fills what the file left out.
+func (s *Side) Default() {
+	setDefault(&s.DrainTime, DefaultDrainTime)
+	if len(s.Allow) == 0 {
+		s.Allow = DefaultAllow
+	}
+}
+
+// Validate returns every fault of the router's settings.
+func (r *Router) Validate(file string) Problems {
+	c := &processChecker{file: file}
+	c.name("id", r.ID)
+	c.name("data_centre", string(r.DataCentre))
+	c.address("caller", r.Caller)
+	c.address("operator", r.Operator)
+	c.address("peer", r.Peer)
+	c.address("advertise", r.Advertise)
+	c.url("configuration", r.Configuration)
+	c.url("vm_list", r.VMList)
+	c.peers(r.Peers)
+	c.networks(r.Allow)
+	c.positive("drain_time", r.DrainTime > 0, r.DrainTime)
+	c.positive("limits.header_bytes", r.Limits.HeaderBytes > 0, r.Limits.HeaderBytes)
+	c.positive("limits.body_bytes", r.Limits.BodyBytes > 0, r.Limits.BodyBytes)
+	c.positive("limits.header_time", r.Limits.HeaderTime > 0, r.Limits.HeaderTime)
+	c.positive("limits.idle_time", r.Limits.IdleTime > 0, r.Limits.IdleTime)
+	c.positive("limits.open_calls", r.Limits.OpenCalls > 0, r.Limits.OpenCalls)
+	return c.problems
+}
+
+// Validate returns every fault of the side's settings.
+func (s *Side) Validate(file string) Problems {
+	c := &processChecker{file: file}
+	c.name("upstream", string(s.Upstream))
+	c.name("data_centre", string(s.DataCentre))
+	c.address("peer", s.Peer)
+	c.address("operator", s.Operator)
+	c.url("url", s.URL)
+	c.peers(s.Peers)
+	c.networks(s.Allow)
+	c.positive("drain_time", s.DrainTime > 0, s.DrainTime)
+	return c.problems
+}
+
+// processChecker gathers the problems of one process's settings file.
+type processChecker struct {
+	file     string
+	problems Problems
+}
+
+func (c *processChecker) add(field, found, allowed string) {
+	c.problems = append(c.problems, Problem{File: c.file, Field: field, Found: found, Allowed: allowed})
+}
+
+func (c *processChecker) name(field, value string) {
+	if !namePattern.MatchString(value) {
+		c.add(field, quote(value), nameRule)
+	}
+}
+
+func (c *processChecker) address(field, value string) {
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		c.add(field, quote(value), "an IP number and port, such as 10.0.0.7:7400")
+	}
+}
+
+func (c *processChecker) url(field, value string) {
+	u, err := url.Parse(value)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+		c.add(field, quote(value), "an http or https URL")
+	}
+}
+
+func (c *processChecker) peers(values []string) {
+	for i, v := range values {
+		c.address(fmt.Sprintf("peers[%d]", i), v)
+	}
+}
+
+func (c *processChecker) networks(values []string) {
+	for i, v := range values {
+		if _, err := netip.ParsePrefix(v); err != nil {
+			c.add(fmt.Sprintf("allow[%d]", i), quote(v), "a network, such as 10.0.0.0/8")
+		}
+	}
+}
+
+func (c *processChecker) positive(field string, ok bool, value any) {
+	if !ok {
+		c.add(field, fmt.Sprintf("%v", value), "more than 0")
+	}
+}
--- /dev/null
+++ b/core/settings/validate.go
@@ -0,0 +1,126 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"regexp"
+	"slices"
+	"sort"
+	"time"
+)
+
+// Bounds of the declarations.
+const (
+	maxDeadline   = time.Hour
+	maxMultiple   = 10.0
+	maxRetries    = 10
+	maxRunning    = 100_000
+	maxShare      = 1_000_000
+	maxLifetime   = 24 * time.Hour
+	maxTokenCount = Tokens(10_000_000)
+)
+
+var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
+
+const nameRule = "1 to 63 of a-z, 0-9, '.', '_' and '-', beginning with a letter or digit"
+
+// checker gathers the problems of a set of declarations.
+type checker struct {
+	problems Problems
+}
+
+func (c *checker) check(ok bool, kind, name, field string, found any, allowed string) {
+	if ok {
+		return
+	}
+	path := kind + "." + name
+	if field != "" {
+		path += "." + field
+	}
+	c.problems = append(c.problems, Problem{
+		File:    kind + ".yaml",
+		Field:   path,
+		Found:   fmt.Sprintf("%v", found),
+		Allowed: allowed,
+	})
+}
+
+// Validate returns every fault of the declarations, in a steady order.
+func (f *Fleet) Validate() Problems {
+	c := &checker{}
+	for name, p := range f.Profiles {
+		f.validateProfile(c, string(name), p)
+	}
+	for name, s := range f.Services {
+		validateService(c, string(name), s)
+	}
+	for id, u := range f.Upstreams {
+		f.validateUpstream(c, string(id), u)
+	}
+	for id, t := range f.Teams {
+		c.check(namePattern.MatchString(string(id)), kindTeams, string(id), "", id, nameRule)
+		c.check(t.Share >= 1 && t.Share <= maxShare, kindTeams, string(id), "share", t.Share, "1 to 1000000")
+		c.check(t.MaxOpen >= 1, kindTeams, string(id), "max_open", t.MaxOpen, "at least 1")
+	}
+	f.validateAddresses(c)
+	sort.Slice(c.problems, func(i, j int) bool { return c.problems[i].String() < c.problems[j].String() })
+	return c.problems
+}
+
+func (f *Fleet) validateProfile(c *checker, name string, p Profile) {
+	const kind = kindProfiles
+	c.check(namePattern.MatchString(name), kind, name, "", name, nameRule)
+	_, known := f.Services[p.Service]
+	c.check(known, kind, name, "service", quote(p.Service), "the name of a declared service")
+	c.check(slices.Contains(Priorities, p.Priority), kind, name, "priority", quote(p.Priority), "urgent, normal or patient")
+	c.check(p.Deadline > 0 && p.Deadline <= maxDeadline, kind, name, "deadline", p.Deadline, "more than 0s, at most 1h")
+	c.check(p.Retries >= 0 && p.Retries <= maxRetries, kind, name, "retries", p.Retries, "0 to 10")
+	c.check(p.Idempotent || p.Retries == 0, kind, name, "retries", p.Retries, "0 where idempotent is false")
+	c.check(p.ExpectedTokens > 0 && p.ExpectedTokens <= maxTokenCount, kind, name, "expected_tokens", p.ExpectedTokens, "1 to 10000000")
+}
+
+func validateService(c *checker, name string, s Service) {
+	const kind = kindServices
+	c.check(namePattern.MatchString(name), kind, name, "", name, nameRule)
+	c.check(s.Kind == KindModel || s.Kind == KindPlain, kind, name, "kind", quote(s.Kind), "model or plain")
+	c.check(s.Kind != KindModel || s.Model != "", kind, name, "model", quote(s.Model), "the engines' name of the model")
+	c.check(s.Multiple > 1 && s.Multiple <= maxMultiple, kind, name, "multiple", s.Multiple, "more than 1, at most 10")
+	c.check(s.MaxRunning >= 1 && s.MaxRunning <= maxRunning, kind, name, "max_running", s.MaxRunning, "1 to 100000")
+	c.check(s.MaxQueued >= 1 && s.MaxQueued <= maxRunning, kind, name, "max_queued", s.MaxQueued, "1 to 100000")
+	c.check(s.KeyLifetime > 0 && s.KeyLifetime <= maxLifetime, kind, name, "key_lifetime", s.KeyLifetime, "more than 0s, at most 24h")
+	c.check(s.PrefillRate > 0, kind, name, "prefill_rate", s.PrefillRate, "more than 0")
+	c.check(s.DecodeRate > 0, kind, name, "decode_rate", s.DecodeRate, "more than 0")
+}
+
+func (f *Fleet) validateUpstream(c *checker, id string, u Upstream) {
+	const kind = kindUpstreams
+	c.check(namePattern.MatchString(id), kind, id, "", id, nameRule)
+	_, known := f.Services[u.Service]
+	c.check(known, kind, id, "service", quote(u.Service), "the name of a declared service")
+	_, err := netip.ParseAddrPort(u.Side)
+	c.check(err == nil, kind, id, "side", quote(u.Side), "an IP number and port, such as 10.0.0.7:7400")
+	c.check(namePattern.MatchString(string(u.DataCentre)), kind, id, "data_centre", quote(u.DataCentre), nameRule)
+}
+
+// validateAddresses refuses two upstreams behind one side address.
+func (f *Fleet) validateAddresses(c *checker) {
+	first := make(map[string]UpstreamID)
+	ids := make([]UpstreamID, 0, len(f.Upstreams))
+	for id := range f.Upstreams {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		u := f.Upstreams[id]
+		if u.Destroyed {
+			continue
+		}
+		other, taken := first[u.Side]
+		c.check(!taken, kindUpstreams, string(id), "side", quote(u.Side), "an address of its own; "+string(other)+" has this one")
+		first[u.Side] = id
+	}
+}
+
+func quote[T ~string](v T) string {
+	return fmt.Sprintf("%q", string(v))
+}
