--- /dev/null
+++ b/core/holder/doc.go
@@ -0,0 +1,2 @@
+// Package holder remembers, for the chats whose home is here, which sides hold their prefix.
+package holder
--- /dev/null
+++ b/core/mean/mean_test.go
@@ -0,0 +1,116 @@
+package mean
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"rattantrack.dev/core/clock"
+	"rattantrack.dev/core/settings"
+)
+
+// fleet is a set of estimators that exchange with random others.
+type fleet struct {
+	estimators []*Estimator
+	loads      []settings.Tokens
+	now        clock.Instant
+	rng        *rand.Rand
+}
+
+func newFleet(n int, seed uint64) *fleet {
+	f := &fleet{rng: rand.New(rand.NewPCG(seed, 1)), now: clock.Instant(time.Hour)}
+	for range n {
+		f.estimators = append(f.estimators, &Estimator{})
+		f.loads = append(f.loads, settings.Tokens(1500+f.rng.Float64()*1000))
+	}
+	return f
+}
+
+func id(i int) settings.UpstreamID { return settings.UpstreamID(fmt.Sprintf("s%d", i)) }
+
+func (f *fleet) round() {
+	for i := range f.estimators {
+		j := f.rng.IntN(len(f.estimators))
+		if i == j {
+			continue
+		}
+		a := f.estimators[i].Sample(f.now, id(i), f.loads[i])
+		b := f.estimators[j].Sample(f.now, id(j), f.loads[j])
+		f.estimators[i].Merge(f.now, f.loads[i], b, id(i))
+		f.estimators[j].Merge(f.now, f.loads[j], a, id(j))
+	}
+	f.now = f.now.Add(Round)
+}
+
+func (f *fleet) worstError() float64 {
+	var sum settings.Tokens
+	for _, l := range f.loads {
+		sum += l
+	}
+	truth := float64(sum) / float64(len(f.loads))
+	worst := 0.0
+	for _, e := range f.estimators {
+		m, _ := e.Mean(f.now)
+		worst = math.Max(worst, math.Abs(float64(m)-truth)/truth)
+	}
+	return worst
+}
+
+func TestEstimatesComeWithinTenPercent(t *testing.T) {
+	for _, n := range []int{20, 200, 1015} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			c := qt.New(t)
+			f := newFleet(n, 1)
+			for range 20 {
+				f.round()
+			}
+			c.Assert(f.worstError() < 0.10, qt.IsTrue, qt.Commentf("worst error %.3f", f.worstError()))
+		})
+	}
+}
+
+func TestEstimatesFollowALostShare(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(40, 2)
+	for range 20 {
+		f.round()
+	}
+	f.estimators = f.estimators[:20]
+	f.loads = f.loads[:20]
+	for i := range f.loads {
+		f.loads[i] *= 2
+	}
+	for range 20 {
+		f.round()
+	}
+	c.Assert(f.worstError() < 0.10, qt.IsTrue, qt.Commentf("worst error %.3f", f.worstError()))
+}
+
+func TestOldEstimateIsNotUsed(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(4, 3)
+	f.round()
+	f.round()
+	_, known := f.estimators[0].Mean(f.now)
+	c.Assert(known, qt.IsTrue)
+	woken := f.now.Add(30 * time.Second)
+	_, known = f.estimators[0].Mean(woken)
+	c.Assert(known, qt.IsFalse)
+	_, found := f.estimators[0].PickLight(woken, 1, 1e9, func(int) int { return 0 })
+	c.Assert(found, qt.IsFalse)
+}
+
+func TestSampleSizeDoesNotGrowWithTheFleet(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(400, 4)
+	for range 30 {
+		f.round()
+	}
+	for i, e := range f.estimators {
+		c.Assert(len(e.Sample(f.now, id(i), 0).Light) <= sharedLight, qt.IsTrue)
+	}
+}
--- /dev/null
+++ b/core/operator/main.go
@@ -0,0 +1,52 @@
+package operator
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+
+	"rattantrack.dev/core/settings"
+)
+
+// Exit codes of the programs.
+const (
+	ExitOK       = 0
+	ExitFailure  = 1
+	ExitSettings = 2
+)
+
+// flags is the command line of a server program.
+type flags struct {
+	Config string `required:"" type:"existingfile" help:"Settings file in YAML."`
+}
+
+// Main runs a server program until it is told to stop, and returns its exit code.
+func Main(name, description string, start func(ctx context.Context, file string, l *log.Logger) error) int {
+	var f flags
+	kong.Parse(&f, kong.Name(name), kong.Description(description))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	l := NewLog(os.Stderr, name)
+	return ExitCode(l, start(ctx, f.Config, l))
+}
+
+// ExitCode logs what ended a program and returns its exit code; faults in settings are logged one by one.
+func ExitCode(l *log.Logger, err error) int {
+	if err == nil {
+		return ExitOK
+	}
+	var problems settings.Problems
+	if !errors.As(err, &problems) {
+		l.Error("stopped", "error", err)
+		return ExitFailure
+	}
+	for _, p := range problems {
+		l.Error("bad setting", "file", p.File, "line", p.Line, "field", p.Field, "found", p.Found, "allowed", p.Allowed)
+	}
+	return ExitSettings
+}
--- /dev/null
+++ b/core/operator/metrics.go
@@ -0,0 +1,36 @@
+package operator
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+)
+
+// metricsInterval is how often counters are handed to the reporter.
+const metricsInterval = time.Second
+
+// Metrics is the metrics of one process with the handler that scrapers read.
+type Metrics struct {
+	Scope   tally.Scope
+	Handler http.Handler
+	closer  io.Closer
+}
+
+// NewMetrics returns metrics with the given prefix.
+func NewMetrics(prefix string) *Metrics {
+	reporter := prometheus.NewReporter(prometheus.Options{})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 prefix,
+		CachedReporter:         reporter,
+		Separator:              prometheus.DefaultSeparator,
+		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
+		OmitCardinalityMetrics: true,
+	}, metricsInterval)
+	return &Metrics{Scope: scope, Handler: reporter.HTTPHandler(), closer: closer}
+}
+
+// Close ends reporting.
+func (m *Metrics) Close() error { return m.closer.Close() }
--- /dev/null
+++ b/core/outcome/homes.go
@@ -0,0 +1,285 @@
+package outcome
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"rattantrack.dev/core/clock"
+	"rattantrack.dev/core/rank"
+	"rattantrack.dev/core/settings"
+)
+
+// Vouch says whether a side may run a key that it has no record of.
+type Vouch int
+
+// The answers of Homes.Vouch.
+const (
+	// VouchYes means that no earlier run of the key can have been started.
+	VouchYes Vouch = iota
+	// VouchNotHome means that another side is the key's home.
+	VouchNotHome
+	// VouchUnsure means that an earlier run cannot be ruled out yet.
+	VouchUnsure
+)
+
+// maxEpochs bounds the changes of the declared upstreams that are remembered; more of them within a key's
+// lifetime leave the side unsure until the lifetime has passed.
+const maxEpochs = 32
+
+// epoch is a set of declared upstreams that was in force until the revision ended.
+type epoch struct {
+	set   *rank.Set
+	ended settings.Revision
+	// everyone lists the sides that may have been home of any key, where versions in between were not seen.
+	everyone []settings.UpstreamID
+}
+
+// formerHomes returns the sides that may have been home of a key in the epoch.
+func (e epoch) formerHomes(hash uint64, buf []settings.UpstreamID) []settings.UpstreamID {
+	if e.everyone != nil {
+		return e.everyone
+	}
+	home, _ := e.set.Home(hash)
+	return append(buf, home)
+}
+
+// all returns every side that may have been home of some key in the epoch.
+func (e epoch) all() []settings.UpstreamID {
+	if e.everyone != nil {
+		return e.everyone
+	}
+	return e.set.IDs()
+}
+
+// Change is a new set of declared upstreams of one service.
+type Change struct {
+	Revision  settings.Revision
+	Set       *rank.Set
+	Destroyed []settings.UpstreamID
+	// Exact says that no version lies between this one and the one before it here.
+	Exact bool
+	// Touched lists the upstreams whose declarations changed on the way, where Exact is false.
+	Touched []settings.UpstreamID
+	// Blind says that an upstream of an unknown service came and went on the way.
+	Blind bool
+}
+
+// release is another side's word that it has given up the keys that are no longer its own.
+type release struct {
+	revision settings.Revision
+	covered  bool
+	at       clock.Instant
+}
+
+// Homes decides which keys of one service a side is home of and can vouch for. The home of a key follows from
+// the declared upstreams alone, never from the list of live VMs.
+type Homes struct {
+	Self     settings.UpstreamID
+	Lifetime time.Duration
+	// Started is when this incarnation began; earlier runs of its predecessor are unknown to it.
+	Started clock.Instant
+
+	reclaimed bool
+	set       *rank.Set
+	revision  settings.Revision
+	past      []epoch
+	releases  map[settings.UpstreamID]release
+	destroyed map[settings.UpstreamID]clock.Instant
+	// unsureUntil covers changes that were too many to remember.
+	unsureUntil clock.Instant
+}
+
+// HashKey returns the number by which a key is ranked.
+func HashKey(key string) uint64 { return xxhash.Sum64String(key) }
+
+// Reclaim notes that the records of the predecessor, which could vouch for its keys, have been taken over whole.
+func (h *Homes) Reclaim() { h.reclaimed = true }
+
+// Change puts a new set of declared upstreams in force.
+func (h *Homes) Change(now clock.Instant, c Change) {
+	h.noteDestroyed(now, c.Destroyed)
+	if c.Blind {
+		h.unsureUntil = now.Add(h.Lifetime)
+	}
+	if h.set == nil {
+		// What was in force before this process began is unknown, so every other side must be heard.
+		h.past = append(h.past, epoch{set: c.Set, ended: c.Revision, everyone: union(c.Set.IDs(), c.Destroyed)})
+	} else if e, changed := h.ended(c); changed {
+		h.past = append(h.past, e)
+	}
+	h.set = c.Set
+	h.revision = c.Revision
+	h.prune(now)
+}
+
+// ended returns the epoch that a change closes, if the set can have changed.
+func (h *Homes) ended(c Change) (epoch, bool) {
+	e := epoch{set: h.set, ended: c.Revision}
+	if c.Exact {
+		return e, !slices.Equal(h.set.IDs(), c.Set.IDs())
+	}
+	e.everyone = union(h.set.IDs(), c.Set.IDs(), c.Touched)
+	return e, len(c.Touched) > 0 || !slices.Equal(h.set.IDs(), c.Set.IDs())
+}
+
+func union(lists ...[]settings.UpstreamID) []settings.UpstreamID {
+	all := slices.Concat(lists...)
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
+func (h *Homes) noteDestroyed(now clock.Instant, ids []settings.UpstreamID) {
+	for _, id := range ids {
+		if _, known := h.destroyed[id]; known {
+			continue
+		}
+		if h.destroyed == nil {
+			h.destroyed = make(map[settings.UpstreamID]clock.Instant)
+		}
+		h.destroyed[id] = now
+	}
+}
+
+// prune forgets epochs whose former homes have all let go for a key's lifetime.
+func (h *Homes) prune(now clock.Instant) {
+	kept := h.past[:0]
+	for _, e := range h.past {
+		if !h.over(now, e) {
+			kept = append(kept, e)
+		}
+	}
+	h.past = kept
+	if len(h.past) <= maxEpochs {
+		return
+	}
+	h.past = h.past[len(h.past)-maxEpochs:]
+	h.unsureUntil = now.Add(h.Lifetime)
+}
+
+func (h *Homes) over(now clock.Instant, e epoch) bool {
+	for _, id := range e.all() {
+		if id != h.Self && !h.lapsed(now, id, e.ended) {
+			return false
+		}
+	}
+	return true
+}
+
+// lapsed reports whether every key that a former home may have run has outlived its lifetime.
+func (h *Homes) lapsed(now clock.Instant, id settings.UpstreamID, ended settings.Revision) bool {
+	if r, ok := h.releases[id]; ok && r.revision >= ended {
+		return now.Sub(r.at) >= h.Lifetime
+	}
+	at, gone := h.destroyed[id]
+	return gone && now.Sub(at) >= h.Lifetime
+}
+
+// Released notes another side's handover: it runs none of the keys that revision gave to others.
+func (h *Homes) Released(now clock.Instant, from settings.UpstreamID, revision settings.Revision, covered bool) {
+	have, ok := h.releases[from]
+	if ok && have.revision >= revision {
+		return
+	}
+	if h.releases == nil {
+		h.releases = make(map[settings.UpstreamID]release)
+	}
+	// A side that could not vouch for its keys before has not learned to by giving them up.
+	if ok && !have.covered && now.Sub(have.at) < h.Lifetime {
+		covered = false
+	}
+	h.releases[from] = release{revision: revision, covered: covered, at: now}
+}
+
+// Covered reports whether this side can vouch for every key that is or was its own.
+func (h *Homes) Covered(now clock.Instant) bool {
+	if !h.reclaimed && now.Sub(h.Started) < h.Lifetime {
+		return false
+	}
+	if now.Before(h.unsureUntil) {
+		return false
+	}
+	for _, e := range h.past {
+		if !h.allSettled(now, e.all(), e.ended) {
+			return false
+		}
+	}
+	return true
+}
+
+func (h *Homes) allSettled(now clock.Instant, ids []settings.UpstreamID, ended settings.Revision) bool {
+	for _, id := range ids {
+		if id != h.Self && !h.settled(now, id, ended) {
+			return false
+		}
+	}
+	return true
+}
+
+// Waiting returns the other sides whose word is still missing.
+func (h *Homes) Waiting(now clock.Instant) []settings.UpstreamID {
+	var ids []settings.UpstreamID
+	for _, e := range h.past {
+		for _, id := range e.all() {
+			if id != h.Self && !h.heard(now, id, e.ended) {
+				ids = append(ids, id)
+			}
+		}
+	}
+	return union(ids)
+}
+
+// heard reports whether a former home has let go, whether or not it could vouch.
+func (h *Homes) heard(now clock.Instant, id settings.UpstreamID, ended settings.Revision) bool {
+	r, ok := h.releases[id]
+	return ok && r.revision >= ended || h.lapsed(now, id, ended)
+}
+
+// settled reports whether a former home has let go and its records are here or have lapsed.
+func (h *Homes) settled(now clock.Instant, id settings.UpstreamID, ended settings.Revision) bool {
+	if r, ok := h.releases[id]; ok && r.revision >= ended && r.covered {
+		return true
+	}
+	return h.lapsed(now, id, ended)
+}
+
+// Home returns the home of a key.
+func (h *Homes) Home(key string) (settings.UpstreamID, bool) {
+	if h.set == nil {
+		return "", false
+	}
+	return h.set.Home(HashKey(key))
+}
+
+// Vouch says whether this side may run a key that it has no record of.
+func (h *Homes) Vouch(now clock.Instant, key string) Vouch {
+	home, ok := h.Home(key)
+	if !ok || home != h.Self {
+		return VouchNotHome
+	}
+	if !h.reclaimed && now.Sub(h.Started) < h.Lifetime {
+		return VouchUnsure
+	}
+	if now.Before(h.unsureUntil) {
+		return VouchUnsure
+	}
+	var buf [1]settings.UpstreamID
+	for _, e := range h.past {
+		if !h.allSettled(now, e.formerHomes(HashKey(key), buf[:0]), e.ended) {
+			return VouchUnsure
+		}
+	}
+	return VouchYes
+}
+
+// UnsureFor returns how long it may take until this side can vouch for all its keys.
+func (h *Homes) UnsureFor(now clock.Instant) time.Duration {
+	if h.reclaimed {
+		return time.Second
+	}
+	return max(time.Second, h.Lifetime-now.Sub(h.Started))
+}
+
+// Revision returns the revision of the set in force.
+func (h *Homes) Revision() settings.Revision { return h.revision }
--- a/core/peer/link.go
+++ b/core/peer/link.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"rattantrack.dev/core/clock"
 )
 
 // Times of the link's own heartbeat, which runs only while a stream is open.
@@ -83,6 +85,9 @@
 	beating bool
 	// handlers hands the handler to the reader once.
 	handlers chan Handler
+	// quickest is the smallest difference of clocks seen on a stamped message.
+	quickest time.Duration
+	measured bool
 	// hooks run once, when the link has ended.
 	hooks []func()
 }
@@ -142,9 +147,23 @@
 		return &FrameError{Reason: "other protocol version"}
 	}
 	l.remote = *hello
+	l.Lateness(hello.Sent)
 	return nil
 }
 
+// Lateness returns how much longer than the quickest message of the link a message with this stamp took.
+// A message that waited in a paused process or a broken network shows so, though the clocks are not compared.
+func (l *Link) Lateness(sent clock.Instant) time.Duration {
+	offset := clock.Boot{}.Now().Sub(sent)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.measured || offset < l.quickest {
+		l.quickest = offset
+		l.measured = true
+	}
+	return offset - l.quickest
+}
+
 // Remote returns what the other end said of itself.
 func (l *Link) Remote() Hello { return l.remote }
 
--- /dev/null
+++ b/core/peer/listener.go
@@ -0,0 +1,52 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Listener is the service that accepts links for an endpoint and closes those that are not used.
+type Listener struct {
+	Address  string
+	Endpoint *Endpoint
+	// IdleTime is how long an unused link is kept.
+	IdleTime time.Duration
+}
+
+// String returns the service's name.
+func (l *Listener) String() string { return "listener" }
+
+// Run accepts links until ctx ends, and then ends them all.
+func (l *Listener) Run(ctx context.Context, ready func()) error {
+	ln, err := net.Listen("tcp", l.Address)
+	if err != nil {
+		return errors.Wrapf(err, "listening on %s", l.Address)
+	}
+	defer l.Endpoint.Close()
+	stop := l.closeIdle(ctx)
+	defer stop()
+	ready()
+	return l.Endpoint.Listen(ctx, ln)
+}
+
+// closeIdle looks for idle links until ctx ends; the function it returns waits for that.
+func (l *Listener) closeIdle(ctx context.Context) (wait func()) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		t := time.NewTicker(l.IdleTime / 2)
+		defer t.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-t.C:
+				l.Endpoint.CloseIdle(l.IdleTime)
+			}
+		}
+	}()
+	return func() { <-done }
+}
--- a/core/peer/message.go
+++ b/core/peer/message.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"rattantrack.dev/core/clock"
 	"rattantrack.dev/core/revision"
 	"rattantrack.dev/core/settings"
 )
@@ -26,6 +27,7 @@
 	KindSubmit
 	KindAccept
 	KindRefuse
+	KindHead
 	KindChunk
 	KindEnd
 	KindCancel
@@ -39,7 +41,8 @@
 	KindPull
 	KindDelta
 	KindHandover
-	KindHandoverAck
+	KindKept
+	KindClaim
 	KindLeaving
 )
 
@@ -82,6 +85,8 @@
 	DataCentre  settings.DataCentre
 	Incarnation Incarnation
 	Revision    settings.Revision
+	// Sent is the sender's clock, against which later stamps on the link are compared.
+	Sent clock.Instant
 }
 
 // Ping asks for a Pong, to show that the link still carries bytes.
@@ -125,8 +130,9 @@
 	// Key is the caller's idempotency key, Ticket a ticket issued by the side.
 	Key    string
 	Ticket string
-	// Left is the time until the request's deadline.
+	// Left is the time until the request's deadline, counted from Sent on the sender's clock.
 	Left     time.Duration
+	Sent     clock.Instant
 	Revision settings.Revision
 	Method   string
 	Path     string
@@ -137,8 +143,10 @@
 	// Resume is the text that the caller already has, Offset the number of chunks that carried it.
 	Resume string
 	Offset uint32
-	// Forced asks the side not to redirect again.
-	Forced bool
+	// Redirected says that another side sent the request here.
+	Redirected bool
+	// Last says that there is no further side to ask.
+	Last bool
 	// Holder is a side that may export the chat's prefix.
 	Holder settings.UpstreamID
 }
@@ -181,6 +189,8 @@
 	Next []settings.UpstreamID
 	// RetryAfter is when the caller should come back.
 	RetryAfter time.Duration
+	// Holder is a side that may export the chat's prefix.
+	Holder settings.UpstreamID
 }
 
 // Chunk is one piece of an answer.
@@ -191,7 +201,7 @@
 	Data     []byte
 }
 
-// Head is the status and header of the upstream's answer, sent in the first chunk's place when Seq is zero.
+// Head is the status and header of the upstream's answer, sent before its chunks.
 type Head struct {
 	_msgpack struct{} `msgpack:",as_array"`
 	Status   int
@@ -213,8 +223,6 @@
 	_msgpack struct{} `msgpack:",as_array"`
 	Attempt  AttemptID
 	Outcome  Outcome
-	Status   int
-	Headers  []Header
 	// Chunks is the number of the last chunk.
 	Chunks uint32
 	// Moved names the side that should go on with the answer after Chunks.
@@ -222,18 +230,18 @@
 	Reason string
 }
 
-// Cancel withdraws an attempt: a side that has not started it never will.
+// Cancel stops an attempt on the stream that submitted it; whoever gave it wants no answer.
 type Cancel struct {
 	_msgpack struct{} `msgpack:",as_array"`
-	Request  RequestID
-	Attempt  AttemptID
 }
 
-// State answers Cancel and Query.
+// State answers Query.
 type State struct {
 	_msgpack struct{} `msgpack:",as_array"`
 	// Started says that the attempt was handed to the upstream.
 	Started bool
+	// Certain is false when the side cannot tell or cannot forbid the start.
+	Certain bool
 }
 
 // Query asks whether an attempt was started, and forbids its start if it was not.
@@ -241,6 +249,8 @@
 	_msgpack struct{} `msgpack:",as_array"`
 	Request  RequestID
 	Attempt  AttemptID
+	// Left is the time until the request's deadline.
+	Left time.Duration
 }
 
 // Issue asks a side for a ticket.
@@ -278,8 +288,8 @@
 	Service  settings.ServiceName
 	Load     float32
 	Mean     float32
-	// MeanAge is how old the estimate is.
-	MeanAge time.Duration
+	// Known says that Mean can be used.
+	Known bool
 	// Light lists lightly loaded sides.
 	Light []PeerLoad
 }
@@ -314,21 +324,35 @@
 	Left     time.Duration
 }
 
-// Handover moves the records of the keys that a side is no longer home of.
+// Claim asks another side for the records of the keys that are now the asking side's own.
+type Claim struct {
+	_msgpack struct{} `msgpack:",as_array"`
+	From     settings.UpstreamID
+	Service  settings.ServiceName
+	Revision settings.Revision
+	// Fresh says that the asking process has just begun and wants what its predecessor left.
+	Fresh bool
+}
+
+// Handover answers a Claim, or leaves a stopping side's records with another side.
 type Handover struct {
 	_msgpack struct{} `msgpack:",as_array"`
 	From     settings.UpstreamID
 	Service  settings.ServiceName
+	// Revision is the version in force at the sender; it runs no key that this version gives to others.
 	Revision settings.Revision
-	// Covered says that From itself could vouch for all its keys.
+	// Covered says that the sender can itself vouch for all its keys.
 	Covered bool
+	// Estate says that the records are those of the asking side's predecessor, whole.
+	Estate bool
+	// Age is how long the estate has been kept.
+	Age     time.Duration
 	Records []KeyRecord
 }
 
-// HandoverAck confirms a Handover.
-type HandoverAck struct {
+// Kept confirms that an estate is kept.
+type Kept struct {
 	_msgpack struct{} `msgpack:",as_array"`
-	Revision settings.Revision
 }
 
 // Leaving says that the sender takes no more work.
@@ -360,6 +384,9 @@
 // Kind returns KindRefuse.
 func (*Refuse) Kind() Kind { return KindRefuse }
 
+// Kind returns KindHead.
+func (*Head) Kind() Kind { return KindHead }
+
 // Kind returns KindChunk.
 func (*Chunk) Kind() Kind { return KindChunk }
 
@@ -399,8 +426,11 @@
 // Kind returns KindHandover.
 func (*Handover) Kind() Kind { return KindHandover }
 
-// Kind returns KindHandoverAck.
-func (*HandoverAck) Kind() Kind { return KindHandoverAck }
+// Kind returns KindKept.
+func (*Kept) Kind() Kind { return KindKept }
+
+// Kind returns KindClaim.
+func (*Claim) Kind() Kind { return KindClaim }
 
 // Kind returns KindLeaving.
 func (*Leaving) Kind() Kind { return KindLeaving }
@@ -424,6 +454,8 @@
 		return &Accept{}
 	case KindRefuse:
 		return &Refuse{}
+	case KindHead:
+		return &Head{}
 	case KindChunk:
 		return &Chunk{}
 	case KindEnd:
@@ -450,8 +482,10 @@
 		return &DeltaReply{}
 	case KindHandover:
 		return &Handover{}
-	case KindHandoverAck:
-		return &HandoverAck{}
+	case KindKept:
+		return &Kept{}
+	case KindClaim:
+		return &Claim{}
 	case KindLeaving:
 		return &Leaving{}
 	}
--- a/core/peer/stream.go
+++ b/core/peer/stream.go
@@ -33,6 +33,9 @@
 	once   sync.Once
 }
 
+// Pending returns the number of messages that have arrived and were not received yet.
+func (s *Stream) Pending() int { return len(s.inbox) }
+
 // Link returns the link that carries the stream.
 func (s *Stream) Link() *Link { return s.link }
 
--- /dev/null
+++ b/core/platform/doc.go
@@ -0,0 +1,2 @@
+// Package platform reads the platform's configuration service and VM list.
+package platform
--- a/core/revision/store.go
+++ b/core/revision/store.go
@@ -77,16 +77,26 @@
 	refused   Version
 	reason    string
 	diverged  bool
-	watchers  []func(Version, *settings.Fleet)
+	watchers  []func(Change)
 }
 
-// Watch calls f for the version in force, if any, and for each one accepted later, in order.
-func (s *Store) Watch(f func(Version, *settings.Fleet)) {
+// Change is an accepted version and the way to it from the one before.
+type Change struct {
+	Version Version
+	Fleet   *settings.Fleet
+	// Exact says that no version lies between this one and the one before it here.
+	Exact bool
+	// Documents are those that changed on the way.
+	Documents []settings.Document
+}
+
+// Watch calls f for the version in force, if any, and for each one accepted later, in order; f must not call the store.
+func (s *Store) Watch(f func(Change)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.watchers = append(s.watchers, f)
 	if s.fleet != nil {
-		f(s.version, s.fleet)
+		f(Change{Version: s.version, Fleet: s.fleet})
 	}
 }
 
@@ -210,6 +220,12 @@
 		s.tombstones = nil
 		s.compacted = d.To.Revision
 	}
+	change := Change{
+		Version:   d.To,
+		Fleet:     fleet,
+		Exact:     d.From > 0 && d.To.Revision == s.version.Revision+1,
+		Documents: d.Documents,
+	}
 	s.documents = candidate
 	s.fleet = fleet
 	s.version = d.To
@@ -219,7 +235,7 @@
 		s.reason = ""
 	}
 	for _, f := range s.watchers {
-		f(s.version, s.fleet)
+		f(change)
 	}
 }
 
--- a/core/settings/defaults.go
+++ b/core/settings/defaults.go
@@ -12,6 +12,7 @@
 	DefaultKeyLifetime    = 10 * time.Minute
 	DefaultPrefillRate    = Tokens(4000)
 	DefaultDecodeRate     = Tokens(30)
+	DefaultCacheTokens    = Tokens(600_000)
 	DefaultShare          = 1
 	DefaultMaxOpen        = 1024
 )
@@ -43,6 +44,7 @@
 	setDefault(&s.KeyLifetime, DefaultKeyLifetime)
 	setDefault(&s.PrefillRate, DefaultPrefillRate)
 	setDefault(&s.DecodeRate, DefaultDecodeRate)
+	setDefault(&s.CacheTokens, DefaultCacheTokens)
 	return s
 }
 
--- a/core/settings/document.go
+++ b/core/settings/document.go
@@ -32,6 +32,12 @@
 	kindTeams     = "teams"
 )
 
+// UpstreamOf returns the upstream that a document declares, if it declares one.
+func UpstreamOf(key DocumentKey) (UpstreamID, bool) {
+	name, ok := strings.CutPrefix(string(key), kindUpstreams+"/")
+	return UpstreamID(name), ok
+}
+
 // Documents splits a set of declarations into its documents, sorted by key.
 func (f *Fleet) Documents() ([]Document, error) {
 	var docs []Document
--- a/core/settings/fleet.go
+++ b/core/settings/fleet.go
@@ -53,6 +53,8 @@
 	PrefillRate Tokens `yaml:"prefill_rate"`
 	// DecodeRate is the answer tokens one stream gets a second.
 	DecodeRate Tokens `yaml:"decode_rate"`
+	// CacheTokens is the size of one engine's prefix cache.
+	CacheTokens Tokens `yaml:"cache_tokens"`
 }
 
 // Upstream declares one upstream and the address of its side process.
@@ -81,11 +83,20 @@
 	Teams     map[TeamID]Team         `yaml:"teams"`
 }
 
-// UpstreamsOf returns the declared upstreams of a service, in no particular order.
+// UpstreamsOf returns the declared upstreams of a service that are not destroyed, in no particular order.
 func (f *Fleet) UpstreamsOf(name ServiceName) []UpstreamID {
+	return f.upstreamsOf(name, false)
+}
+
+// DestroyedOf returns the declared upstreams of a service whose VMs no longer exist.
+func (f *Fleet) DestroyedOf(name ServiceName) []UpstreamID {
+	return f.upstreamsOf(name, true)
+}
+
+func (f *Fleet) upstreamsOf(name ServiceName, destroyed bool) []UpstreamID {
 	var ids []UpstreamID
 	for id, u := range f.Upstreams {
-		if u.Service == name {
+		if u.Service == name && u.Destroyed == destroyed {
 			ids = append(ids, id)
 		}
 	}
--- a/core/settings/process.go
+++ b/core/settings/process.go
@@ -18,12 +18,14 @@
 	// Advertise is the address that other processes dial; it defaults to Peer.
 	Advertise string `yaml:"advertise"`
 	// Configuration and VMList are the base URLs of the platform's services.
-	Configuration string        `yaml:"configuration"`
-	VMList        string        `yaml:"vm_list"`
-	Peers         []string      `yaml:"peers"`
-	Allow         []string      `yaml:"allow"`
-	DrainTime     time.Duration `yaml:"drain_time"`
-	Limits        Limits        `yaml:"limits"`
+	Configuration string   `yaml:"configuration"`
+	VMList        string   `yaml:"vm_list"`
+	Peers         []string `yaml:"peers"`
+	Allow         []string `yaml:"allow"`
+	// NoticeTime is how long a stopping router still takes calls, so that the balancer can see it leave.
+	NoticeTime time.Duration `yaml:"notice_time"`
+	DrainTime  time.Duration `yaml:"drain_time"`
+	Limits     Limits        `yaml:"limits"`
 }
 
 // Limits bounds what one router takes from outside.
@@ -50,6 +52,7 @@
 
 // Defaults of the process settings.
 const (
+	DefaultNoticeTime  = 2 * time.Second
 	DefaultDrainTime   = 30 * time.Second
 	DefaultHeaderBytes = 16 << 10
 	DefaultBodyBytes   = 4 << 20
@@ -63,6 +66,7 @@
 
 // Default fills what the file left out.
 func (r *Router) Default() {
+	setDefault(&r.NoticeTime, DefaultNoticeTime)
 	setDefault(&r.DrainTime, DefaultDrainTime)
 	setDefault(&r.Advertise, r.Peer)
 	setDefault(&r.Limits.HeaderBytes, DefaultHeaderBytes)
@@ -96,6 +100,7 @@
 	c.url("vm_list", r.VMList)
 	c.peers(r.Peers)
 	c.networks(r.Allow)
+	c.positive("notice_time", r.NoticeTime > 0, r.NoticeTime)
 	c.positive("drain_time", r.DrainTime > 0, r.DrainTime)
 	c.positive("limits.header_bytes", r.Limits.HeaderBytes > 0, r.Limits.HeaderBytes)
 	c.positive("limits.body_bytes", r.Limits.BodyBytes > 0, r.Limits.BodyBytes)
--- a/core/settings/validate.go
+++ b/core/settings/validate.go
@@ -90,6 +90,7 @@
 	c.check(s.KeyLifetime > 0 && s.KeyLifetime <= maxLifetime, kind, name, "key_lifetime", s.KeyLifetime, "more than 0s, at most 24h")
 	c.check(s.PrefillRate > 0, kind, name, "prefill_rate", s.PrefillRate, "more than 0")
 	c.check(s.DecodeRate > 0, kind, name, "decode_rate", s.DecodeRate, "more than 0")
+	c.check(s.CacheTokens > 0, kind, name, "cache_tokens", s.CacheTokens, "more than 0")
 }
 
 func (f *Fleet) validateUpstream(c *checker, id string, u Upstream) {
--- /dev/null
+++ b/core/spread/spread.go
@@ -0,0 +1,216 @@
+package spread
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"rattantrack.dev/core/overlay"
+	"rattantrack.dev/core/peer"
+	"rattantrack.dev/core/revision"
+	"rattantrack.dev/core/settings"
+)
+
+// Shape of the overlay between processes.
+const (
+	// reshuffle is how often one neighbour is exchanged for another.
+	reshuffle = 30 * time.Second
+	// compareInterval is how often versions are compared with one neighbour.
+	compareInterval = 2 * time.Second
+	askLimit        = time.Second
+	startupRetry    = 200 * time.Millisecond
+)
+
+// Dialer gives links to addresses.
+type Dialer interface {
+	Dial(ctx context.Context, address string) (*peer.Link, error)
+}
+
+// Service keeps the version in force equal to the newest that any neighbour has.
+type Service struct {
+	Store  *revision.Store
+	Dialer Dialer
+	Log    *log.Logger
+	// Candidates returns the addresses of processes that may be neighbours.
+	Candidates func() []string
+
+	neighbours overlay.Neighbours
+	wake       chan struct{}
+	once       sync.Once
+}
+
+// Status is what the service shows of itself.
+type Status struct {
+	revision.Status
+	Neighbours []string `json:"neighbours"`
+}
+
+// String returns the service's name.
+func (s *Service) String() string { return "spread" }
+
+// Dump returns the version in force and the present neighbours.
+func (s *Service) Dump() any {
+	return Status{Status: s.Store.Status(), Neighbours: s.neighbours.List()}
+}
+
+// Run asks neighbours for their version until there is one, and then keeps up with them.
+func (s *Service) Run(ctx context.Context, ready func()) error {
+	wake := s.waker()
+	for !s.started() {
+		s.compareWithAll(ctx)
+		if s.started() {
+			break
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-wake:
+		case <-time.After(startupRetry):
+		}
+	}
+	ready()
+	s.keepUp(ctx, wake)
+	return nil
+}
+
+func (s *Service) waker() chan struct{} {
+	s.once.Do(func() { s.wake = make(chan struct{}, 1) })
+	return s.wake
+}
+
+func (s *Service) started() bool {
+	_, fleet := s.Store.Current()
+	return fleet != nil
+}
+
+func (s *Service) keepUp(ctx context.Context, wake <-chan struct{}) {
+	compare := time.NewTicker(jitter(compareInterval))
+	defer compare.Stop()
+	shuffle := time.NewTicker(jitter(reshuffle))
+	defer shuffle.Stop()
+	s.compareWithAll(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-wake:
+			s.compareWithAll(ctx)
+		case <-shuffle.C:
+			s.neighbours.Rotate()
+		case <-compare.C:
+			if address, ok := s.neighbours.Pick(s.Candidates()); ok {
+				s.compare(ctx, address)
+			}
+		}
+	}
+}
+
+// jitter spreads intervals so that processes started together do not act together.
+func jitter(d time.Duration) time.Duration {
+	return d*3/4 + rand.N(d/2)
+}
+
+func (s *Service) compareWithAll(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, address := range s.neighbours.Choose(s.Candidates()) {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			s.compare(ctx, address)
+		}()
+	}
+	wg.Wait()
+}
+
+// compare tells one neighbour the version here and catches up if its own is newer.
+func (s *Service) compare(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, askLimit)
+	defer cancel()
+	l, err := s.Dialer.Dial(ctx, address)
+	if err != nil {
+		s.neighbours.Drop(address)
+		return
+	}
+	theirs, err := peer.Ask[*peer.Announce](ctx, l, s.announcement(), askLimit)
+	if err != nil {
+		s.neighbours.Drop(address)
+		return
+	}
+	s.catchUp(ctx, l, theirs.Version)
+}
+
+func (s *Service) announcement() *peer.Announce {
+	v, _ := s.Store.Current()
+	return &peer.Announce{Version: v}
+}
+
+// catchUp pulls what a neighbour has and this process has not.
+func (s *Service) catchUp(ctx context.Context, l *peer.Link, theirs revision.Version) {
+	mine, _ := s.Store.Current()
+	if theirs.Revision <= mine.Revision || s.Store.Refused(theirs.Revision) {
+		return
+	}
+	since := mine.Revision
+	for range 2 {
+		answer, err := peer.Ask[*peer.DeltaReply](ctx, l, &peer.Pull{Since: since}, askLimit)
+		if err != nil {
+			return
+		}
+		if s.Offer(answer.Delta) != revision.Gap {
+			return
+		}
+		// The changes do not lead from here to there, so the whole version is needed.
+		since = 0
+	}
+}
+
+// Offer gives a version to the store and tells the neighbours when it was accepted.
+func (s *Service) Offer(d revision.Delta) revision.Result {
+	result, err := s.Store.Offer(d)
+	switch result {
+	case revision.Accepted:
+		s.Log.Info("declarations accepted", "revision", d.To.Revision)
+		select {
+		case s.waker() <- struct{}{}:
+		default:
+		}
+	case revision.Invalid:
+		s.Log.Error("declarations refused", "revision", d.To.Revision, "error", err)
+	case revision.Diverged:
+		s.Log.Error("declarations differ within one revision", "revision", d.To.Revision)
+	}
+	return result
+}
+
+// Serve answers a neighbour's message; it reports false for messages of other services.
+func (s *Service) Serve(ctx context.Context, st *peer.Stream, m peer.Message) bool {
+	switch v := m.(type) {
+	case *peer.Announce:
+		_ = st.Send(ctx, s.announcement())
+		ctx, cancel := context.WithTimeout(ctx, askLimit)
+		defer cancel()
+		s.catchUp(ctx, st.Link(), v.Version)
+	case *peer.Pull:
+		_ = st.Send(ctx, &peer.DeltaReply{Delta: s.Store.Since(v.Since)})
+	default:
+		return false
+	}
+	return true
+}
+
+// SideAddresses returns the peer addresses of the declared sides.
+func SideAddresses(f *settings.Fleet) []string {
+	if f == nil {
+		return nil
+	}
+	var addresses []string
+	for _, u := range f.Upstreams {
+		if !u.Destroyed {
+			addresses = append(addresses, u.Side)
+		}
+	}
+	return addresses
+}
--- /dev/null
+++ b/router/internal/app/app.go
@@ -0,0 +1,130 @@
+package app
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/google/uuid"
+
+	"rattantrack.dev/core/clock"
+	"rattantrack.dev/core/kernel"
+	"rattantrack.dev/core/operator"
+	"rattantrack.dev/core/peer"
+	coreplatform "rattantrack.dev/core/platform"
+	"rattantrack.dev/core/revision"
+	"rattantrack.dev/core/settings"
+	"rattantrack.dev/core/spread"
+	"rattantrack.dev/router/internal/caller"
+	"rattantrack.dev/router/internal/platform"
+	"rattantrack.dev/router/internal/sides"
+)
+
+// idleLinkTime is how long a link to a side is kept without use.
+const idleLinkTime = 60 * time.Second
+
+// Router is one router process.
+type Router struct {
+	cfg        settings.Router
+	log        *log.Logger
+	metrics    *operator.Metrics
+	store      *revision.Store
+	view       *sides.View
+	endpoint   *peer.Endpoint
+	dispatcher *sides.Dispatcher
+	spread     *spread.Service
+	caller     *caller.Server
+	watch      *platform.Watch
+}
+
+// New returns a router process with the given settings.
+func New(cfg settings.Router, l *log.Logger) (*Router, error) {
+	allow, err := peer.ParseNetworks(cfg.Allow)
+	if err != nil {
+		return nil, err
+	}
+	r := &Router{cfg: cfg, log: l, metrics: operator.NewMetrics("router"), store: &revision.Store{}}
+	r.view = &sides.View{Clock: clock.Boot{}}
+	incarnation := peer.Incarnation(uuid.NewString())
+	r.endpoint = &peer.Endpoint{
+		Local:    func() peer.Hello { return r.hello(incarnation) },
+		Handler:  r,
+		Allow:    allow,
+		OnReject: func(err error) { l.Warn("peer turned away", "error", err) },
+	}
+	scope := r.metrics.Scope
+	r.dispatcher = &sides.Dispatcher{View: r.view, Endpoint: r.endpoint, Clock: clock.Boot{}, Log: l, Scope: scope}
+	r.spread = &spread.Service{Store: r.store, Dialer: r.endpoint, Log: l, Candidates: r.candidates}
+	r.caller = &caller.Server{
+		Config:       cfg,
+		Dispatcher:   r.dispatcher,
+		Declarations: r.view,
+		Clock:        clock.Boot{},
+		Log:          l,
+		Scope:        scope,
+	}
+	client := &coreplatform.Client{Configuration: cfg.Configuration, VMList: cfg.VMList, HTTP: &http.Client{}}
+	r.watch = &platform.Watch{Reader: client, Store: r.store, Offer: r.spread, View: r.view, Log: l, Scope: scope}
+	return r, nil
+}
+
+func (r *Router) hello(incarnation peer.Incarnation) peer.Hello {
+	v, _ := r.store.Current()
+	return peer.Hello{
+		Protocol:    peer.ProtocolVersion,
+		Role:        peer.RoleRouter,
+		ID:          r.cfg.ID,
+		DataCentre:  r.cfg.DataCentre,
+		Incarnation: incarnation,
+		Revision:    v.Revision,
+		Sent:        clock.Boot{}.Now(),
+	}
+}
+
+// candidates returns the processes that this one may exchange declarations with.
+func (r *Router) candidates() []string {
+	fleet, _ := r.view.Fleet()
+	all := append(spread.SideAddresses(fleet), r.view.Routers()...)
+	var list []string
+	for _, address := range append(all, r.cfg.Peers...) {
+		if address != r.cfg.Advertise {
+			list = append(list, address)
+		}
+	}
+	return list
+}
+
+// Serve gives a peer's message to the service that answers it.
+func (r *Router) Serve(ctx context.Context, st *peer.Stream, m peer.Message) {
+	if r.dispatcher.Serve(ctx, st, m) || r.spread.Serve(ctx, st, m) {
+		return
+	}
+	r.log.Warn("unexpected message", "kind", m.Kind(), "peer", st.Link().Remote().ID)
+}
+
+// Run runs the process until ctx ends and all its calls are answered.
+func (r *Router) Run(ctx context.Context) error {
+	defer func() { _ = r.metrics.Close() }()
+	r.store.Watch(r.view.Declare)
+	k := &kernel.Kernel{}
+	k.Add(
+		&operator.Server{
+			Address: r.cfg.Operator,
+			Metrics: r.metrics,
+			Ready:   r.ready,
+			Dumpers: []operator.Dumper{r.caller, r.view, r.spread, &operator.Links{Endpoint: r.endpoint}},
+		},
+		&peer.Listener{Address: r.cfg.Peer, Endpoint: r.endpoint, IdleTime: idleLinkTime},
+		r.watch,
+		r.spread,
+		r.caller,
+		&operator.Announcer{Log: r.log, Message: "router ready"},
+	)
+	return k.Run(ctx)
+}
+
+func (r *Router) ready() bool {
+	fleet, _ := r.view.Fleet()
+	return fleet != nil && !r.caller.Leaving()
+}
--- /dev/null
+++ b/router/internal/caller/doc.go
@@ -0,0 +1,2 @@
+// Package caller speaks HTTP to callers: chats in the shape that chat clients know, plain services, and tickets.
+package caller
--- /dev/null
+++ b/router/internal/platform/watch.go
@@ -0,0 +1,126 @@
+package platform
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
+
+	"rattantrack.dev/core/platform"
+	"rattantrack.dev/core/revision"
+	"rattantrack.dev/core/settings"
+)
+
+// Rates of reading. All routers together read the configuration service at most readsPerSecond times a second,
+// however many they are, and tell each other what they find.
+const (
+	readsPerSecond = 20
+	minInterval    = 500 * time.Millisecond
+	vmInterval     = time.Second
+	readLimit      = 2 * time.Second
+)
+
+// Reader reads the platform.
+type Reader interface {
+	Changes(ctx context.Context, since settings.Revision, wait time.Duration) (revision.Delta, error)
+	VMs(ctx context.Context) ([]platform.VM, error)
+}
+
+// Offerer takes versions that were read.
+type Offerer interface {
+	Offer(d revision.Delta) revision.Result
+}
+
+// View takes the VM list and knows the other routers.
+type View interface {
+	Listed(vms []platform.VM)
+	Routers() []string
+}
+
+// Watch reads the platform at intervals.
+type Watch struct {
+	Reader Reader
+	Store  *revision.Store
+	Offer  Offerer
+	View   View
+	Log    *log.Logger
+	Scope  tally.Scope
+}
+
+// String returns the service's name.
+func (w *Watch) String() string { return "platform" }
+
+// Run reads until ctx ends; it is ready at once, since the platform may be down for long.
+func (w *Watch) Run(ctx context.Context, ready func()) error {
+	w.readVMs(ctx)
+	w.readChanges(ctx)
+	ready()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	wg.Add(1)
+	go func() {
+		defer wg.Done()
+		repeat(ctx, func() time.Duration { return vmInterval }, func() { w.readVMs(ctx) })
+	}()
+	repeat(ctx, w.interval, func() { w.readChanges(ctx) })
+	return nil
+}
+
+// interval spreads the reads of all routers over the allowance.
+func (w *Watch) interval() time.Duration {
+	n := time.Duration(len(w.View.Routers()))
+	return max(minInterval, n*time.Second/readsPerSecond)
+}
+
+// repeat calls f at intervals with a jitter of a quarter each way.
+func repeat(ctx context.Context, interval func() time.Duration, f func()) {
+	for {
+		d := interval()
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(d*3/4 + rand.N(d/2)):
+			f()
+		}
+	}
+}
+
+func (w *Watch) readVMs(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, readLimit)
+	defer cancel()
+	vms, err := w.Reader.VMs(ctx)
+	if err != nil {
+		w.failed("vm_list", err)
+		return
+	}
+	w.View.Listed(vms)
+}
+
+func (w *Watch) readChanges(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, readLimit)
+	defer cancel()
+	have, _ := w.Store.Current()
+	d, err := w.Reader.Changes(ctx, have.Revision, 0)
+	if err != nil {
+		w.failed("configuration", err)
+		return
+	}
+	w.Scope.Counter("configuration_reads").Inc(1)
+	if d.To.Revision <= have.Revision || w.Store.Refused(d.To.Revision) {
+		return
+	}
+	if w.Offer.Offer(d) != revision.Gap {
+		return
+	}
+	if d, err = w.Reader.Changes(ctx, 0, 0); err == nil {
+		w.Offer.Offer(d)
+	}
+}
+
+func (w *Watch) failed(what string, err error) {
+	w.Scope.Tagged(map[string]string{"source": what}).Counter("platform_failures").Inc(1)
+	w.Log.Debug("reading the platform", "source", what, "error", err)
+}
--- /dev/null
+++ b/router/internal/sides/dispatch.go
@@ -0,0 +1,290 @@
+package sides
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
+
+	"rattantrack.dev/core/outcome"
+	"rattantrack.dev/core/peer"
+	"rattantrack.dev/core/rank"
+	"rattantrack.dev/core/retry"
+	"rattantrack.dev/core/route"
+	"rattantrack.dev/core/settings"
+	"rattantrack.dev/core/ticket"
+)
+
+// Times between attempts.
+const (
+	firstPause = 20 * time.Millisecond
+	maxPause   = time.Second
+	homeTries  = 3
+	// verdictGrace lets a side's own refusal at the deadline arrive, which proves that nothing was run.
+	verdictGrace = 100 * time.Millisecond
+	defaultRetry = time.Second
+)
+
+// Dispatcher takes calls to sides.
+type Dispatcher struct {
+	View     *View
+	Endpoint *peer.Endpoint
+	Clock    Clock
+	Log      *log.Logger
+	Scope    tally.Scope
+
+	budget retry.Budget
+}
+
+// Do runs one call and returns its one outcome.
+func (d *Dispatcher) Do(ctx context.Context, c *Call, sink Sink) Result {
+	ctx, cancel := context.WithTimeout(ctx, c.Deadline.Sub(d.Clock.Now())+verdictGrace)
+	defer cancel()
+	d.budget.First()
+	p := &progress{sink: sink, stream: c.Stream}
+	r := d.dispatch(ctx, c, p)
+	if r.Outcome == peer.OutcomeDone {
+		if err := p.finish(); err != nil {
+			r.Code = CodeCallerGone
+		}
+	}
+	r.Attempts = int(p.attempt)
+	if r.Outcome != peer.OutcomeDone && r.RetryAfter <= 0 {
+		r.RetryAfter = defaultRetry
+	}
+	d.Scope.Tagged(map[string]string{"outcome": string(r.Outcome)}).Counter("calls").Inc(1)
+	return r
+}
+
+func (d *Dispatcher) dispatch(ctx context.Context, c *Call, p *progress) Result {
+	if c.Key != "" || c.Ticket != "" {
+		return d.atHome(ctx, c, p)
+	}
+	return d.anywhere(ctx, c, p)
+}
+
+// anywhere runs a call at whichever side takes it.
+func (d *Dispatcher) anywhere(ctx context.Context, c *Call, p *progress) Result {
+	walk := d.walk(c, c.Hint)
+	retries := 0
+	var lastRefusal *peer.Refuse
+	for {
+		step, ok := walk.Next()
+		if !ok {
+			return notRun(p, lastRefusal, walk.Asks())
+		}
+		r := d.attempt(ctx, c, p, step)
+		switch r.ending {
+		case endDone:
+			d.tellHome(ctx, c, walk.Home(), step.Side)
+			return Result{Outcome: peer.OutcomeDone, Side: step.Side, Asks: walk.Asks()}
+		case endCaller:
+			return callerGone(ctx)
+		case endRefused:
+			lastRefusal = r.refuse
+			if r.refuse.Holder != "" {
+				p.holder = r.refuse.Holder
+			}
+			d.note(step.Side, r.refuse)
+			walk.Refused(r.refuse.Next)
+			continue
+		case endMoved:
+			// The side that moved the answer still holds the prefix.
+			p.holder = step.Side
+			p.restart()
+			walk = d.walk(c, r.moved)
+			continue
+		case endNotSent:
+			// Nothing was run, so going on is safe for every call; the budget still holds.
+		case endCut, endUnsure:
+			if !c.Profile.Idempotent || !p.resumable() {
+				return Result{Outcome: peer.OutcomeUnknown, Code: CodeLost, Asks: walk.Asks()}
+			}
+		}
+		if stop, result := d.mayRetry(ctx, c, p, r, &retries); stop {
+			return result
+		}
+		p.restart()
+		walk = d.walkWithout(c, step.Side)
+	}
+}
+
+func (d *Dispatcher) walk(c *Call, hint settings.UpstreamID) route.Walk {
+	return route.New(d.View.Usable(c.Profile.Service), c.Chat, hint)
+}
+
+// walkWithout begins again without the side that has just failed, if there is another.
+func (d *Dispatcher) walkWithout(c *Call, failed settings.UpstreamID) route.Walk {
+	set := d.View.Usable(c.Profile.Service)
+	var ids []settings.UpstreamID
+	for _, id := range set.IDs() {
+		if id != failed {
+			ids = append(ids, id)
+		}
+	}
+	if len(ids) > 0 {
+		set = rank.New(ids)
+	}
+	return route.New(set, c.Chat, "")
+}
+
+// mayRetry reports whether to give up, and waits before another attempt otherwise.
+func (d *Dispatcher) mayRetry(ctx context.Context, c *Call, p *progress, r report, retries *int) (bool, Result) {
+	given := Result{Outcome: peer.OutcomeNotRun, Code: CodeUnreachable}
+	if r.ending != endNotSent || p.written {
+		given = Result{Outcome: peer.OutcomeUnknown, Code: CodeLost}
+	}
+	limit := max(1, c.Profile.Retries)
+	if *retries >= limit {
+		return true, given
+	}
+	if !d.budget.Take() {
+		given.Code = CodeBudget
+		return true, given
+	}
+	pause := rand.N(min(maxPause, firstPause<<*retries))
+	*retries++
+	d.Scope.Counter("retries").Inc(1)
+	select {
+	case <-time.After(pause):
+		return false, Result{}
+	case <-ctx.Done():
+		given.Code = CodeDeadline
+		return true, given
+	}
+}
+
+// notRun is the result of a call that every side asked has refused.
+func notRun(p *progress, last *peer.Refuse, asks int) Result {
+	r := Result{Outcome: peer.OutcomeNotRun, Code: CodeNoUpstream, Asks: asks}
+	if p.written {
+		r.Outcome = peer.OutcomeUnknown
+	}
+	if last != nil {
+		r.Code = string(last.Code)
+		r.RetryAfter = last.RetryAfter
+	}
+	return r
+}
+
+// callerGone is the result of a call whose caller left or whose deadline passed while it ran.
+func callerGone(ctx context.Context) Result {
+	code := CodeCallerGone
+	if ctx.Err() == context.DeadlineExceeded {
+		code = CodeDeadline
+	}
+	return Result{Outcome: peer.OutcomeUnknown, Code: code}
+}
+
+// note remembers what a refusal says about the side itself.
+func (d *Dispatcher) note(side settings.UpstreamID, r *peer.Refuse) {
+	switch r.Code {
+	case peer.RefuseLeaving:
+		d.View.Left(side)
+	case peer.RefuseUpstream:
+		d.View.Failed(side)
+	}
+}
+
+// tellHome tells a chat's home which side served it.
+func (d *Dispatcher) tellHome(ctx context.Context, c *Call, home, served settings.UpstreamID) {
+	if c.Chat == 0 || home == "" || home == served {
+		return
+	}
+	address, ok := d.View.Address(home)
+	if !ok {
+		return
+	}
+	l, err := d.Endpoint.Dial(ctx, address)
+	if err != nil {
+		return
+	}
+	_ = peer.Tell(ctx, l, &peer.Placed{Chat: c.Chat, Side: served})
+}
+
+// atHome runs a call that must run at most once at the one side that can vouch for it.
+func (d *Dispatcher) atHome(ctx context.Context, c *Call, p *progress) Result {
+	retries := 0
+	for {
+		home, ok := d.home(c)
+		if !ok {
+			return Result{Outcome: peer.OutcomeUnknown, Code: CodeNoUpstream}
+		}
+		r := d.attempt(ctx, c, p, route.Step{Side: home})
+		switch r.ending {
+		case endDone:
+			return Result{Outcome: peer.OutcomeDone, Side: home, Asks: 1}
+		case endCaller:
+			return callerGone(ctx)
+		case endRefused:
+			if r.refuse.Code != peer.RefuseNotHome || retries >= homeTries {
+				return refusedAtHome(r.refuse)
+			}
+		}
+		// Asking the same side again is safe: it runs a key once and repeats its recorded answer.
+		limit := max(homeTries, c.Profile.Retries)
+		if retries >= limit || !d.budget.Take() {
+			return Result{Outcome: peer.OutcomeUnknown, Code: CodeUnreachable}
+		}
+		select {
+		case <-time.After(rand.N(min(maxPause, firstPause<<retries)) + firstPause):
+		case <-ctx.Done():
+			return Result{Outcome: peer.OutcomeUnknown, Code: CodeDeadline}
+		}
+		retries++
+		p.restart()
+	}
+}
+
+// home returns the side that a key or ticket belongs to.
+func (d *Dispatcher) home(c *Call) (settings.UpstreamID, bool) {
+	if c.Ticket != "" {
+		claims, err := ticket.Read(c.Ticket)
+		return claims.Upstream, err == nil
+	}
+	return d.View.Declared(c.Profile.Service).Home(outcome.HashKey(c.Key))
+}
+
+// refusedAtHome is the result of a refused key: only the home's own word makes it not run.
+func refusedAtHome(r *peer.Refuse) Result {
+	result := Result{Outcome: peer.OutcomeUnknown, Code: string(r.Code), RetryAfter: r.RetryAfter, Asks: 1}
+	if r.KeyNotRun {
+		result.Outcome = peer.OutcomeNotRun
+	}
+	return result
+}
+
+// Issue gets a ticket from a side of the profile's service.
+func (d *Dispatcher) Issue(ctx context.Context, name settings.ProfileName, p settings.Profile) (*peer.Issued, error) {
+	walk := route.New(d.View.Usable(p.Service), rand.Uint64(), "")
+	var last error
+	for {
+		step, ok := walk.Next()
+		if !ok {
+			return nil, last
+		}
+		address, _ := d.View.Address(step.Side)
+		l, err := d.Endpoint.Dial(ctx, address)
+		if err != nil {
+			d.View.Failed(step.Side)
+			last = err
+			continue
+		}
+		issued, err := peer.Ask[*peer.Issued](ctx, l, &peer.Issue{Profile: name}, queryLimit)
+		if err == nil {
+			return issued, nil
+		}
+		last = err
+	}
+}
+
+// Serve takes a side's word that it leaves; it reports false for messages of other services.
+func (d *Dispatcher) Serve(_ context.Context, st *peer.Stream, m peer.Message) bool {
+	if _, ok := m.(*peer.Leaving); !ok {
+		return false
+	}
+	d.View.Left(settings.UpstreamID(st.Link().Remote().ID))
+	return true
+}
--- /dev/null
+++ b/side/internal/app/app.go
@@ -0,0 +1,162 @@
+package app
+
+import (
+	"context"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/google/uuid"
+
+	"rattantrack.dev/core/clock"
+	"rattantrack.dev/core/kernel"
+	"rattantrack.dev/core/operator"
+	"rattantrack.dev/core/peer"
+	"rattantrack.dev/core/revision"
+	"rattantrack.dev/core/settings"
+	"rattantrack.dev/core/spread"
+	"rattantrack.dev/core/ticket"
+	"rattantrack.dev/side/internal/router"
+	"rattantrack.dev/side/internal/sides"
+	"rattantrack.dev/side/internal/upstream"
+)
+
+// idleLinkTime is how long an unused link is kept; routers end theirs earlier.
+const idleLinkTime = 2 * time.Minute
+
+// Side is one side process.
+type Side struct {
+	cfg      settings.Side
+	log      *log.Logger
+	metrics  *operator.Metrics
+	store    *revision.Store
+	endpoint *peer.Endpoint
+	door     *router.Door
+	sides    *sides.Service
+	spread   *spread.Service
+	client   *upstream.Client
+}
+
+// New returns a side process with the given settings.
+func New(cfg settings.Side, l *log.Logger) (*Side, error) {
+	allow, err := peer.ParseNetworks(cfg.Allow)
+	if err != nil {
+		return nil, err
+	}
+	incarnation := peer.Incarnation(uuid.NewString())
+	issuer, err := ticket.NewIssuer(cfg.Upstream, incarnation)
+	if err != nil {
+		return nil, err
+	}
+	s := &Side{cfg: cfg, log: l, metrics: operator.NewMetrics("side"), store: &revision.Store{}}
+	s.client = upstream.New(cfg.URL)
+	s.door = &router.Door{
+		Self:     cfg.Upstream,
+		Clock:    clock.Boot{},
+		Upstream: s.client,
+		Issuer:   issuer,
+		Log:      l,
+		Scope:    s.metrics.Scope,
+		Started:  clock.Boot{}.Now(),
+	}
+	s.endpoint = &peer.Endpoint{
+		Local:    func() peer.Hello { return s.hello(incarnation) },
+		Handler:  s,
+		Allow:    allow,
+		OnReject: func(err error) { l.Warn("peer turned away", "error", err) },
+	}
+	s.sides = &sides.Service{Door: s.door, Dialer: s.endpoint}
+	s.spread = &spread.Service{Store: s.store, Dialer: s.endpoint, Log: l, Candidates: s.candidates}
+	return s, nil
+}
+
+func (s *Side) hello(incarnation peer.Incarnation) peer.Hello {
+	v, _ := s.store.Current()
+	return peer.Hello{
+		Protocol:    peer.ProtocolVersion,
+		Role:        peer.RoleSide,
+		ID:          string(s.cfg.Upstream),
+		DataCentre:  s.cfg.DataCentre,
+		Incarnation: incarnation,
+		Revision:    v.Revision,
+		Sent:        clock.Boot{}.Now(),
+	}
+}
+
+// candidates returns the processes that this one may get declarations from.
+func (s *Side) candidates() []string {
+	_, fleet := s.store.Current()
+	var list []string
+	for _, address := range append(spread.SideAddresses(fleet), s.cfg.Peers...) {
+		if address != s.cfg.Peer {
+			list = append(list, address)
+		}
+	}
+	return list
+}
+
+// Serve gives a peer's message to the service that answers it.
+func (s *Side) Serve(ctx context.Context, st *peer.Stream, m peer.Message) {
+	if s.door.Serve(ctx, st, m) || s.sides.Serve(ctx, st, m) || s.spread.Serve(ctx, st, m) {
+		return
+	}
+	s.log.Warn("unexpected message", "kind", m.Kind(), "peer", st.Link().Remote().ID)
+}
+
+// Run runs the process until ctx ends and all its work is done.
+func (s *Side) Run(ctx context.Context) error {
+	defer func() { _ = s.metrics.Close() }()
+	defer s.client.Close()
+	s.store.Watch(s.door.Declare)
+	k := &kernel.Kernel{}
+	k.Add(
+		&operator.Server{
+			Address: s.cfg.Operator,
+			Metrics: s.metrics,
+			Ready:   func() bool { return s.ready() },
+			Dumpers: []operator.Dumper{s.door, s.spread, &operator.Links{Endpoint: s.endpoint}},
+		},
+		&peer.Listener{Address: s.cfg.Peer, Endpoint: s.endpoint, IdleTime: idleLinkTime},
+		s.spread,
+		s.sides,
+		&drain{side: s},
+	)
+	return k.Run(ctx)
+}
+
+func (s *Side) ready() bool {
+	_, fleet := s.store.Current()
+	return fleet != nil && !s.door.Leaving()
+}
+
+// drain is the last service to start and so the first to stop: it lets the work end before the rest goes.
+type drain struct {
+	side *Side
+}
+
+// String returns the service's name.
+func (d *drain) String() string { return "drain" }
+
+// leavingTime bounds the notices and the estate of a stopping side.
+const leavingTime = 2 * time.Second
+
+// Run waits for ctx and then takes the side out of service.
+func (d *drain) Run(ctx context.Context, ready func()) error {
+	ready()
+	d.side.log.Info("side ready", "peer", d.side.cfg.Peer)
+	<-ctx.Done()
+	d.side.log.Info("side leaving")
+	d.side.door.Leave()
+	notice, cancelNotice := context.WithTimeout(context.Background(), leavingTime)
+	defer cancelNotice()
+	for _, l := range d.side.endpoint.Links() {
+		_ = peer.Tell(notice, l, &peer.Leaving{})
+	}
+	work, cancelWork := context.WithTimeout(context.Background(), d.side.cfg.DrainTime)
+	defer cancelWork()
+	d.side.door.Drain(work)
+	last, cancelLast := context.WithTimeout(context.Background(), leavingTime)
+	defer cancelLast()
+	d.side.sides.Bequeath(last)
+	d.side.log.Info("side drained")
+	return nil
+}
--- /dev/null
+++ b/side/internal/router/door.go
@@ -0,0 +1,243 @@
+package router
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
+
+	"rattantrack.dev/core/admit"
+	"rattantrack.dev/core/clock"
+	"rattantrack.dev/core/mean"
+	"rattantrack.dev/core/outcome"
+	"rattantrack.dev/core/rank"
+	"rattantrack.dev/core/revision"
+	"rattantrack.dev/core/settings"
+	"rattantrack.dev/core/share"
+	"rattantrack.dev/core/ticket"
+	"rattantrack.dev/side/internal/upstream"
+)
+
+// answerMemory is the weight of the latest answer's length in a profile's running mean.
+const answerMemory = 0.02
+
+// Clock gives the present instant.
+type Clock interface {
+	Now() clock.Instant
+}
+
+// Runner makes calls to the upstream.
+type Runner interface {
+	Run(ctx context.Context, call upstream.Call, sink upstream.Sink) (upstream.Usage, error)
+}
+
+// Door is the one way to an upstream: every request for it passes here.
+type Door struct {
+	Self     settings.UpstreamID
+	Clock    Clock
+	Upstream Runner
+	Issuer   *ticket.Issuer
+	Log      *log.Logger
+	Scope    tally.Scope
+	Started  clock.Instant
+
+	mu        sync.Mutex
+	fleet     *settings.Fleet
+	service   settings.Service
+	name      settings.ServiceName
+	revision  settings.Revision
+	set       *rank.Set
+	admission admit.Controller
+	scheduler share.Scheduler
+	attempts  outcome.Attempts
+	keys      outcome.Keys
+	homes     outcome.Homes
+	answers   map[settings.ProfileName]settings.Tokens
+	jobs      map[*job]struct{}
+	leaving   bool
+	estates   map[settings.UpstreamID]estate
+	work      sync.WaitGroup
+}
+
+// Declare puts an accepted version of the declarations in force.
+func (d *Door) Declare(c revision.Change) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	before := d.fleet
+	d.fleet = c.Fleet
+	d.revision = c.Version.Revision
+	self, declared := c.Fleet.Upstreams[d.Self]
+	if declared {
+		d.name = self.Service
+	}
+	d.service = c.Fleet.Services[d.name]
+	d.set = rank.New(c.Fleet.UpstreamsOf(d.name))
+	d.scheduler.Slots = d.service.MaxRunning
+	d.scheduler.MaxQueued = d.service.MaxQueued
+	d.admission.Self = d.Self
+	d.admission.Policy = PolicyOf(d.service)
+	d.admission.Prefixes.Limit = d.service.CacheTokens
+	d.homes.Self = d.Self
+	d.homes.Started = d.Started
+	d.homes.Lifetime = d.service.KeyLifetime
+	d.homes.Change(d.Clock.Now(), d.homesChange(before, c))
+	d.startNext()
+}
+
+// PolicyOf derives the load policy of a service from its declaration.
+func PolicyOf(s settings.Service) admit.Policy {
+	// One engine decodes MaxRunning streams while it could prefill PrefillRate tokens.
+	weight := float64(s.DecodeRate) * float64(s.MaxRunning) / float64(s.PrefillRate)
+	return admit.Policy{Multiple: s.Multiple, PrefillWeight: weight, CacheTokens: s.CacheTokens}
+}
+
+// homesChange tells the homes what changed of this service's declared upstreams.
+func (d *Door) homesChange(before *settings.Fleet, c revision.Change) outcome.Change {
+	change := outcome.Change{
+		Revision:  c.Version.Revision,
+		Set:       d.set,
+		Destroyed: c.Fleet.DestroyedOf(d.name),
+		Exact:     c.Exact,
+	}
+	for _, doc := range c.Documents {
+		id, ok := settings.UpstreamOf(doc.Key)
+		if !ok {
+			continue
+		}
+		switch d.serviceOf(id, before, c.Fleet) {
+		case d.name:
+			change.Touched = append(change.Touched, id)
+		case "":
+			change.Blind = true
+		}
+	}
+	return change
+}
+
+// serviceOf returns the service that an upstream belongs or belonged to, or "" when that is not known.
+func (d *Door) serviceOf(id settings.UpstreamID, before, now *settings.Fleet) settings.ServiceName {
+	if u, ok := now.Upstreams[id]; ok && u.Service == d.name {
+		return d.name
+	}
+	if before != nil {
+		if u, ok := before.Upstreams[id]; ok {
+			return u.Service
+		}
+	}
+	return now.Upstreams[id].Service
+}
+
+// Exchange merges another side's sample into the estimate and returns the sample from here.
+func (d *Door) Exchange(other *mean.Sample) mean.Sample {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.Clock.Now()
+	own := d.admission.Load()
+	mine := d.admission.Estimator.Sample(now, d.Self, own)
+	if other != nil {
+		d.admission.Estimator.Merge(now, own, *other, d.Self)
+	}
+	return mine
+}
+
+// Merge takes in the answer to an exchange that was begun here.
+func (d *Door) Merge(other mean.Sample) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.admission.Estimator.Merge(d.Clock.Now(), d.admission.Load(), other, d.Self)
+}
+
+// Siblings returns the addresses of the other declared sides of the same service, and the service.
+func (d *Door) Siblings() (settings.ServiceName, []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.fleet == nil {
+		return "", nil
+	}
+	var addresses []string
+	for _, id := range d.set.IDs() {
+		if id != d.Self {
+			addresses = append(addresses, d.fleet.Upstreams[id].Side)
+		}
+	}
+	return d.name, addresses
+}
+
+// Forget drops what is known of a side that is leaving.
+func (d *Door) Forget(side settings.UpstreamID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.admission.Estimator.Forget(side)
+}
+
+// Leave refuses new work from now on.
+func (d *Door) Leave() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.leaving = true
+}
+
+// Leaving reports whether new work is refused.
+func (d *Door) Leaving() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.leaving
+}
+
+// Drain waits until all work has ended, and cuts what has not when ctx ends.
+func (d *Door) Drain(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		d.work.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return
+	case <-ctx.Done():
+	}
+	d.mu.Lock()
+	for j := range d.jobs {
+		j.cut()
+	}
+	d.mu.Unlock()
+	<-done
+}
+
+// startNext gives free slots to waiting jobs; the caller holds the lock.
+func (d *Door) startNext() {
+	for {
+		it := d.scheduler.Pop(d.Clock.Now())
+		if it == nil {
+			return
+		}
+		it.Start()
+	}
+}
+
+// decodeGuess returns the expected length of an answer; the caller holds the lock.
+func (d *Door) decodeGuess(name settings.ProfileName, p settings.Profile) settings.Tokens {
+	if learned, ok := d.answers[name]; ok {
+		return learned
+	}
+	return p.ExpectedTokens
+}
+
+// learn takes the length of an answer into the profile's mean; the caller holds the lock.
+func (d *Door) learn(name settings.ProfileName, p settings.Profile, answer settings.Tokens) {
+	if d.answers == nil {
+		d.answers = make(map[settings.ProfileName]settings.Tokens)
+	}
+	have := d.decodeGuess(name, p)
+	d.answers[name] = have + answerMemory*(answer-have)
+}
+
+func (d *Door) random(n int) int { return rand.IntN(n) }
+
+// retryAfter tells a refused caller when to come back, from the present queue; the caller holds the lock.
+func (d *Door) retryAfter() time.Duration {
+	return max(time.Second, d.scheduler.Wait())
+}
--- /dev/null
+++ b/side/internal/router/estate.go
@@ -0,0 +1,134 @@
+package router
+
+import (
+	"strings"
+	"time"
+
+	"rattantrack.dev/core/clock"
+	"rattantrack.dev/core/outcome"
+	"rattantrack.dev/core/peer"
+	"rattantrack.dev/core/settings"
+)
+
+// ticketMark tells tickets from callers' own keys: it ends a ticket's first part and stands in no key.
+const ticketMark = "."
+
+// Bounds of what is kept for successors.
+const (
+	// maxEstates bounds the stopped sides whose records are kept here.
+	maxEstates = 16
+	// freshTime is how long a new process asks for what its predecessor left.
+	freshTime = 30 * time.Second
+)
+
+// estate is what a stopped side left, and when it came.
+type estate struct {
+	handover *peer.Handover
+	at       clock.Instant
+}
+
+// Claims returns what to ask other sides for: the sides and their addresses whose word is missing.
+func (d *Door) Claims() (*peer.Claim, map[settings.UpstreamID]string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.fleet == nil || d.service.Kind != settings.KindPlain {
+		return nil, nil
+	}
+	addresses := make(map[settings.UpstreamID]string)
+	for _, id := range d.homes.Waiting(d.Clock.Now()) {
+		if u, ok := d.fleet.Upstreams[id]; ok && !u.Destroyed {
+			addresses[id] = u.Side
+		}
+	}
+	fresh := d.Clock.Now().Sub(d.Started) < freshTime
+	return &peer.Claim{From: d.Self, Service: d.name, Revision: d.revision, Fresh: fresh}, addresses
+}
+
+// Claimed takes in another side's answer to a claim.
+func (d *Door) Claimed(h *peer.Handover) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.Clock.Now()
+	for _, r := range h.Records {
+		d.keys.Adopt(now, r)
+	}
+	if !h.Estate {
+		d.homes.Released(now, h.From, h.Revision, h.Covered)
+		return
+	}
+	// Nobody between the predecessor and this process can have run a key: that takes an estate, and this is
+	// the only copy, or a key's lifetime.
+	if h.Covered && h.Age < d.service.KeyLifetime {
+		d.homes.Reclaim()
+	}
+}
+
+// Answer hands over the records that a claiming side is now home of; it is nil while that cannot be done yet.
+func (d *Door) Answer(c *peer.Claim) []*peer.Handover {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if c.Service != d.name || d.revision < c.Revision {
+		return nil
+	}
+	now := d.Clock.Now()
+	records := d.keys.Export(now, func(key string) bool { return d.belongsTo(key, c.From) })
+	for _, r := range records {
+		if outcome.State(r.State) == outcome.StateRunning {
+			// The claim comes again, and then the result is known.
+			return nil
+		}
+	}
+	answers := []*peer.Handover{{
+		From:     d.Self,
+		Service:  d.name,
+		Revision: d.revision,
+		Covered:  d.homes.Covered(now),
+		Records:  records,
+	}}
+	if kept, ok := d.estates[c.From]; ok && c.Fresh {
+		delete(d.estates, c.From)
+		kept.handover.Age = now.Sub(kept.at)
+		answers = append(answers, kept.handover)
+	}
+	return answers
+}
+
+// belongsTo reports whether a caller's key has the given home; the caller holds the lock.
+func (d *Door) belongsTo(key string, side settings.UpstreamID) bool {
+	if strings.Contains(key, ticketMark) {
+		return false
+	}
+	home, ok := d.homes.Home(key)
+	return ok && home == side
+}
+
+// Estate returns what to leave with another side when this one has stopped all work.
+func (d *Door) Estate() *peer.Handover {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.service.Kind != settings.KindPlain {
+		return nil
+	}
+	now := d.Clock.Now()
+	return &peer.Handover{
+		From:     d.Self,
+		Service:  d.name,
+		Revision: d.revision,
+		Covered:  d.homes.Covered(now),
+		Estate:   true,
+		Records:  d.keys.Export(now, func(key string) bool { return !strings.Contains(key, ticketMark) }),
+	}
+}
+
+// Keep holds another side's estate until its successor claims it.
+func (d *Door) Keep(h *peer.Handover) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !h.Estate || h.Service != d.name || len(d.estates) >= maxEstates {
+		return
+	}
+	if d.estates == nil {
+		d.estates = make(map[settings.UpstreamID]estate)
+	}
+	d.estates[h.From] = estate{handover: h, at: d.Clock.Now()}
+}
--- /dev/null
+++ b/side/internal/router/serve.go
@@ -0,0 +1,58 @@
+package router
+
+import (
+	"context"
+
+	"rattantrack.dev/core/outcome"
+	"rattantrack.dev/core/peer"
+)
+
+// Serve answers a router's message; it reports false for messages of other services.
+func (d *Door) Serve(ctx context.Context, st *peer.Stream, m peer.Message) bool {
+	switch v := m.(type) {
+	case *peer.Submit:
+		d.submit(ctx, st, v)
+	case *peer.Query:
+		_ = st.Send(ctx, d.query(v))
+	case *peer.Issue:
+		d.issue(ctx, st)
+	case *peer.Placed:
+		d.placed(v)
+	default:
+		return false
+	}
+	return true
+}
+
+// query tells whether an attempt has started, and withdraws it if not.
+func (d *Door) query(q *peer.Query) *peer.State {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	key := outcome.AttemptKey{Request: q.Request, Attempt: q.Attempt}
+	started, certain := d.attempts.Withdraw(d.Clock.Now(), key, q.Left)
+	return &peer.State{Started: started, Certain: certain}
+}
+
+func (d *Door) issue(ctx context.Context, st *peer.Stream) {
+	d.mu.Lock()
+	lifetime := d.service.KeyLifetime
+	leaving := d.leaving
+	d.mu.Unlock()
+	if leaving {
+		_ = st.Send(ctx, &peer.Refuse{Code: peer.RefuseLeaving})
+		return
+	}
+	text, err := d.Issuer.Issue(d.Clock.Now())
+	if err != nil {
+		d.Log.Error("issuing a ticket", "error", err)
+		_ = st.Send(ctx, &peer.Refuse{Code: peer.RefuseTicket})
+		return
+	}
+	_ = st.Send(ctx, &peer.Issued{Ticket: text, Lifetime: lifetime})
+}
+
+func (d *Door) placed(p *peer.Placed) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.admission.Directory.Served(p.Chat, p.Side)
+}
--- /dev/null
+++ b/side/internal/router/submit.go
@@ -0,0 +1,251 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"rattantrack.dev/core/admit"
+	"rattantrack.dev/core/outcome"
+	"rattantrack.dev/core/peer"
+	"rattantrack.dev/core/settings"
+	"rattantrack.dev/core/share"
+)
+
+// submit takes one attempt through the door.
+func (d *Door) submit(ctx context.Context, st *peer.Stream, m *peer.Submit) {
+	j := &job{submit: m, slot: make(chan struct{})}
+	left := m.Left - st.Link().Lateness(m.Sent)
+	j.deadline = d.Clock.Now().Add(left)
+	j.ctx, j.cancel = context.WithTimeout(context.WithoutCancel(ctx), left)
+	defer j.cancel()
+
+	step, refused := d.enter(j)
+	if refused != nil {
+		_ = st.Send(ctx, refused.message())
+		return
+	}
+	if step != outcome.StepRun {
+		d.repeat(ctx, st, j, step)
+		return
+	}
+	defer d.leave(j)
+	if st.Send(ctx, &peer.Accept{}) != nil {
+		d.abandon(j)
+		return
+	}
+	go d.watch(ctx, st, j)
+	if !d.waitForSlot(j) {
+		d.abandon(j)
+		_ = st.Send(ctx, j.notStarted())
+		return
+	}
+	d.run(ctx, st, j)
+}
+
+// notStarted refuses a job that left the queue without a slot.
+func (j *job) notStarted() *peer.Refuse {
+	r := &peer.Refuse{Code: peer.RefuseDeadline, KeyNotRun: true, RetryAfter: time.Second}
+	if j.moveTo != "" {
+		r.Code = peer.RefuseElsewhere
+		r.Next = []settings.UpstreamID{j.moveTo}
+	}
+	return r
+}
+
+// enter decides on a submission; it takes the load, a place in the queue and the key for one that may run.
+func (d *Door) enter(j *job) (outcome.Step, *refusal) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.Clock.Now()
+	if !now.Before(j.deadline) {
+		return 0, &refusal{code: peer.RefuseDeadline}
+	}
+	if d.attempts.Seen(j.attempt()) {
+		return 0, &refusal{code: peer.RefuseNever}
+	}
+	profile, ok := d.profile(j.submit.Profile)
+	if !ok {
+		return 0, &refusal{code: peer.RefuseProfile, retryAfter: time.Second}
+	}
+	j.profile = profile
+	if j.key() != "" {
+		if step, refused := d.enterKey(j); refused != nil || step != outcome.StepRun {
+			return step, refused
+		}
+	}
+	if refused := d.enterQueue(j); refused != nil {
+		if j.record != nil {
+			d.keys.Undo(j.record)
+			refused.keyNotRun = true
+		}
+		return 0, refused
+	}
+	if d.jobs == nil {
+		d.jobs = make(map[*job]struct{})
+	}
+	d.jobs[j] = struct{}{}
+	d.work.Add(1)
+	d.startNext()
+	return outcome.StepRun, nil
+}
+
+// profile returns the profile of a submission if it is served here; the caller holds the lock.
+func (d *Door) profile(name settings.ProfileName) (settings.Profile, bool) {
+	if d.fleet == nil {
+		return settings.Profile{}, false
+	}
+	p, ok := d.fleet.Profiles[name]
+	return p, ok && p.Service == d.name
+}
+
+// enterQueue admits a job to the load and the queue; the caller holds the lock.
+func (d *Door) enterQueue(j *job) *refusal {
+	now := d.Clock.Now()
+	if d.leaving {
+		return &refusal{code: peer.RefuseLeaving, retryAfter: time.Second}
+	}
+	if d.service.Kind == settings.KindModel {
+		if refused := d.admit(j); refused != nil {
+			return refused
+		}
+	}
+	j.item = &share.Item{
+		Team:     j.submit.Team,
+		Share:    d.fleet.Teams[j.submit.Team].Share,
+		Priority: j.profile.Priority,
+		Work:     max(1, j.verdict.Charge),
+		Deadline: j.deadline,
+		Start:    func() { close(j.slot) },
+	}
+	if !d.scheduler.Push(now, j.item) {
+		d.admission.Release(&j.verdict)
+		return &refusal{code: peer.RefuseOverloaded, retryAfter: d.retryAfter()}
+	}
+	return nil
+}
+
+// admit asks the admission controller; the caller holds the lock.
+func (d *Door) admit(j *job) *refusal {
+	m := j.submit
+	home, _ := d.set.Home(m.Chat)
+	ask := admit.Ask{
+		Chat:   m.Chat,
+		Prompt: m.PromptTokens,
+		Decode: d.decodeGuess(m.Profile, j.profile),
+		Home:   home == d.Self,
+		Sent:   m.Redirected,
+		Last:   m.Last,
+		Holder: m.Holder,
+	}
+	j.verdict = d.admission.Decide(d.Clock.Now(), ask, d.random)
+	if j.verdict.Admit {
+		return nil
+	}
+	r := &refusal{code: peer.RefuseOverloaded, retryAfter: d.retryAfter()}
+	for _, side := range j.verdict.Next {
+		if side != "" {
+			r.next = append(r.next, side)
+		}
+	}
+	return r
+}
+
+// enterKey looks a key or ticket up and claims its one run; the caller holds the lock.
+func (d *Door) enterKey(j *job) (outcome.Step, *refusal) {
+	now := d.Clock.Now()
+	if refused := d.checkHome(j); refused != nil {
+		return 0, refused
+	}
+	body := xxhash.Sum64(append([]byte(j.submit.Method+" "+j.submit.Path+"\n"), j.submit.Body...))
+	r, step := d.keys.Look(j.key(), body)
+	if step != outcome.StepRun {
+		j.record = r
+		return step, nil
+	}
+	if refused := d.vouch(j); refused != nil {
+		return 0, refused
+	}
+	j.record, step = d.keys.Begin(now, j.key(), body, d.service.KeyLifetime)
+	if step == outcome.StepTableFull {
+		return 0, &refusal{code: peer.RefuseTableFull, keyNotRun: true, retryAfter: time.Second}
+	}
+	return step, nil
+}
+
+// checkHome refuses keys and tickets that belong elsewhere; the caller holds the lock.
+func (d *Door) checkHome(j *job) *refusal {
+	if j.submit.Ticket != "" {
+		err := d.Issuer.Check(d.Clock.Now(), j.submit.Ticket, d.service.KeyLifetime)
+		if err != nil {
+			return &refusal{code: peer.RefuseTicket}
+		}
+		return nil
+	}
+	if home, ok := d.homes.Home(j.submit.Key); !ok || home != d.Self {
+		return &refusal{code: peer.RefuseNotHome, retryAfter: time.Second}
+	}
+	return nil
+}
+
+// vouch refuses a key whose earlier run cannot be ruled out; the caller holds the lock.
+func (d *Door) vouch(j *job) *refusal {
+	if j.submit.Ticket != "" {
+		return nil
+	}
+	now := d.Clock.Now()
+	if d.homes.Vouch(now, j.submit.Key) != outcome.VouchYes {
+		return &refusal{code: peer.RefuseHomeUnsure, retryAfter: d.homes.UnsureFor(now)}
+	}
+	return nil
+}
+
+// watch ends the job when the router withdraws it or goes away.
+func (d *Door) watch(ctx context.Context, st *peer.Stream, j *job) {
+	_, err := st.Receive(j.ctx)
+	if j.ctx.Err() != nil {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err != nil && ctx.Err() == nil && !j.profile.Idempotent {
+		// The router is gone, but what runs only once runs to its end.
+		return
+	}
+	if !j.profile.Idempotent && j.item.Started() {
+		return
+	}
+	j.cut()
+}
+
+// waitForSlot reports whether the job got a slot before its deadline or withdrawal.
+func (d *Door) waitForSlot(j *job) bool {
+	select {
+	case <-j.slot:
+		return true
+	case <-j.ctx.Done():
+		return false
+	}
+}
+
+// abandon forgets the key of a job that was never handed over.
+func (d *Door) abandon(j *job) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if j.record != nil {
+		d.keys.Undo(j.record)
+		j.record = nil
+	}
+}
+
+// leave gives back what a job holds.
+func (d *Door) leave(j *job) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.admission.Release(&j.verdict)
+	d.scheduler.Done(d.Clock.Now(), j.item)
+	delete(d.jobs, j)
+	d.startNext()
+	d.work.Done()
+}
--- /dev/null
+++ b/side/internal/sides/service.go
@@ -0,0 +1,209 @@
+package sides
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"rattantrack.dev/core/mean"
+	"rattantrack.dev/core/overlay"
+	"rattantrack.dev/core/peer"
+	"rattantrack.dev/core/settings"
+)
+
+// Times of the exchanges.
+const (
+	askLimit      = 500 * time.Millisecond
+	claimInterval = 500 * time.Millisecond
+	reshuffle     = 10 * time.Second
+)
+
+// Door is what the exchanges tell and ask.
+type Door interface {
+	Exchange(other *mean.Sample) mean.Sample
+	Merge(other mean.Sample)
+	Shed()
+	Siblings() (settings.ServiceName, []string)
+	Forget(side settings.UpstreamID)
+	Claims() (*peer.Claim, map[settings.UpstreamID]string)
+	Claimed(h *peer.Handover)
+	Answer(c *peer.Claim) []*peer.Handover
+	Keep(h *peer.Handover)
+	Estate() *peer.Handover
+}
+
+// Dialer gives links to addresses.
+type Dialer interface {
+	Dial(ctx context.Context, address string) (*peer.Link, error)
+}
+
+// Service exchanges loads with other sides in rounds and claims the records of keys that have moved here.
+type Service struct {
+	Door   Door
+	Dialer Dialer
+
+	neighbours overlay.Neighbours
+}
+
+// String returns the service's name.
+func (s *Service) String() string { return "sides" }
+
+// Run exchanges until ctx ends.
+func (s *Service) Run(ctx context.Context, ready func()) error {
+	ready()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	wg.Add(1)
+	go func() {
+		defer wg.Done()
+		every(ctx, claimInterval, func() { s.claim(ctx) })
+	}()
+	shuffled := time.Now()
+	every(ctx, mean.Round, func() {
+		if time.Since(shuffled) > reshuffle {
+			s.neighbours.Rotate()
+			shuffled = time.Now()
+		}
+		s.exchange(ctx)
+		s.Door.Shed()
+	})
+	return nil
+}
+
+func every(ctx context.Context, interval time.Duration, f func()) {
+	t := time.NewTicker(interval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			f()
+		}
+	}
+}
+
+// exchange swaps samples with one neighbour.
+func (s *Service) exchange(ctx context.Context) {
+	name, addresses := s.Door.Siblings()
+	address, ok := s.neighbours.Pick(addresses)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, askLimit)
+	defer cancel()
+	l, err := s.Dialer.Dial(ctx, address)
+	if err != nil {
+		s.neighbours.Drop(address)
+		return
+	}
+	answer, err := peer.Ask[*peer.Exchange](ctx, l, message(name, s.Door.Exchange(nil)), askLimit)
+	if err != nil {
+		s.neighbours.Drop(address)
+		return
+	}
+	s.Door.Merge(sample(answer))
+}
+
+// Serve answers another side's message; it reports false for messages of other services.
+func (s *Service) Serve(ctx context.Context, st *peer.Stream, m peer.Message) bool {
+	switch v := m.(type) {
+	case *peer.Exchange:
+		s.answerExchange(ctx, st, v)
+	case *peer.Claim:
+		for _, h := range s.Door.Answer(v) {
+			_ = st.Send(ctx, h)
+		}
+		_ = st.Send(ctx, &peer.Reset{Reason: "no more records"})
+	case *peer.Handover:
+		s.Door.Keep(v)
+		_ = st.Send(ctx, &peer.Kept{})
+	case *peer.Leaving:
+		s.Door.Forget(settings.UpstreamID(st.Link().Remote().ID))
+	default:
+		return false
+	}
+	return true
+}
+
+func (s *Service) answerExchange(ctx context.Context, st *peer.Stream, v *peer.Exchange) {
+	name, _ := s.Door.Siblings()
+	if v.Service != name {
+		_ = st.Send(ctx, &peer.Reset{Reason: "other service"})
+		return
+	}
+	theirs := sample(v)
+	mine := s.Door.Exchange(&theirs)
+	_ = st.Send(ctx, message(name, mine))
+}
+
+func message(name settings.ServiceName, s mean.Sample) *peer.Exchange {
+	e := &peer.Exchange{Side: s.Side, Service: name, Load: float32(s.Load), Mean: float32(s.Mean), Known: s.Known}
+	for _, l := range s.Light {
+		e.Light = append(e.Light, peer.PeerLoad{Side: l.Side, Load: float32(l.Load), Age: l.Age})
+	}
+	return e
+}
+
+func sample(e *peer.Exchange) mean.Sample {
+	s := mean.Sample{Side: e.Side, Load: settings.Tokens(e.Load), Mean: settings.Tokens(e.Mean), Known: e.Known}
+	for _, l := range e.Light {
+		s.Light = append(s.Light, mean.Light{Side: l.Side, Load: settings.Tokens(l.Load), Age: l.Age})
+	}
+	return s
+}
+
+// claim asks every side whose word is missing for the records that belong here now.
+func (s *Service) claim(ctx context.Context) {
+	question, addresses := s.Door.Claims()
+	if question == nil {
+		return
+	}
+	for _, address := range addresses {
+		s.claimFrom(ctx, question, address)
+	}
+}
+
+func (s *Service) claimFrom(ctx context.Context, question *peer.Claim, address string) {
+	ctx, cancel := context.WithTimeout(ctx, askLimit)
+	defer cancel()
+	l, err := s.Dialer.Dial(ctx, address)
+	if err != nil {
+		return
+	}
+	st, err := l.Open(ctx, question)
+	if err != nil {
+		return
+	}
+	defer st.Close()
+	for {
+		m, err := st.Receive(ctx)
+		if err != nil {
+			return
+		}
+		h, ok := m.(*peer.Handover)
+		if !ok {
+			return
+		}
+		s.Door.Claimed(h)
+	}
+}
+
+// Bequeath leaves this side's records with one other side. A second copy could outlive the first and mislead a
+// later successor, so another side is tried only where nothing was sent.
+func (s *Service) Bequeath(ctx context.Context) {
+	estate := s.Door.Estate()
+	if estate == nil {
+		return
+	}
+	_, addresses := s.Door.Siblings()
+	for _, address := range addresses {
+		l, err := s.Dialer.Dial(ctx, address)
+		if err != nil {
+			continue
+		}
+		// Without an answer the successor waits until the keys have outlived their lifetime.
+		_, _ = peer.Ask[*peer.Kept](ctx, l, estate, askLimit)
+		return
+	}
+}
--- /dev/null
+++ b/side/main.go
@@ -0,0 +1,13 @@
+// Command side runs beside one upstream and is the one door to it.
+package main
+
+import (
+	"os"
+
+	"rattantrack.dev/core/operator"
+	"rattantrack.dev/side/internal/app"
+)
+
+func main() {
+	os.Exit(operator.Main("side", "Runs beside one upstream and is the one door to it.", app.Start))
+}
--- /dev/null
+++ b/standin/internal/cmd/configuration.go
@@ -0,0 +1,30 @@
+package cmd
+
+import (
+	"context"
+
+	"rattantrack.dev/core/settings"
+	"rattantrack.dev/standin/internal/configuration"
+)
+
+type configurationCmd struct {
+	Listen       string `required:"" help:"Address to serve on."`
+	Declarations string `help:"Directory whose declarations are the first revision."`
+}
+
+// Run serves until ctx ends.
+func (c *configurationCmd) Run(ctx context.Context) error {
+	s := &configuration.Service{}
+	if c.Declarations != "" {
+		fleet, err := settings.LoadFleet(c.Declarations)
+		if err != nil {
+			return err
+		}
+		docs, err := fleet.Documents()
+		if err != nil {
+			return err
+		}
+		s.Publish(docs)
+	}
+	return serve(ctx, c.Listen, s.Handler())
+}
--- /dev/null
+++ b/standin/internal/cmd/root.go
@@ -0,0 +1,44 @@
+package cmd
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"rattantrack.dev/core/operator"
+)
+
+// root is the command line.
+type root struct {
+	Engine        engineCmd        `cmd:"" help:"Run a stand-in model engine."`
+	Plain         plainCmd         `cmd:"" help:"Run a stand-in plain service."`
+	Configuration configurationCmd `cmd:"" help:"Run a stand-in configuration service."`
+	VMList        vmListCmd        `cmd:"" name:"vm-list" help:"Run a stand-in VM list."`
+	Demo          demoCmd          `cmd:"" help:"Start a small fleet and show what it does."`
+}
+
+// Main runs the command line and returns its exit code.
+func Main() int {
+	var r root
+	k := kong.Parse(&r, kong.Name("standin"), kong.Description("Small stand-ins for tests and the demo."))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	k.BindTo(ctx, (*context.Context)(nil))
+	return operator.ExitCode(operator.NewLog(os.Stderr, "standin"), k.Run())
+}
+
+const (
+	headerLimit = 5 * time.Second
+	stopLimit   = 30 * time.Second
+)
+
+// serve runs an HTTP stand-in until ctx ends.
+func serve(ctx context.Context, address string, h http.Handler) error {
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerLimit}
+	return operator.ServeHTTP(ctx, srv, address, stopLimit, func() {})
+}
--- /dev/null
+++ b/standin/internal/fleet/doc.go
@@ -0,0 +1,2 @@
+// Package fleet starts a small fleet of real processes on loopback for tests and the demo.
+package fleet
