--- a/core/peer/message.go
+++ b/core/peer/message.go
@@ -78,7 +78,6 @@
 
 // Hello is the first message each way.
 type Hello struct {
-	_msgpack    struct{} `msgpack:",as_array"`
 	Protocol    int
 	Role        Role
 	ID          string
@@ -91,40 +90,34 @@
 
 // Ping asks for a Pong, to show that the link still carries bytes.
 type Ping struct {
-	_msgpack struct{} `msgpack:",as_array"`
 }
 
 // Pong answers a Ping.
 type Pong struct {
-	_msgpack struct{} `msgpack:",as_array"`
 }
 
 // Reset ends one stream without a result.
 type Reset struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Reason   string
+	Reason string
 }
 
 // Window lets the sender of chunks send N more.
 type Window struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	N        int
+	N int
 }
 
 // Header is one header field of a request or an answer.
 type Header struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Name     string
-	Value    string
+	Name  string
+	Value string
 }
 
 // Submit hands one attempt of a request to a side.
 type Submit struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Request  RequestID
-	Attempt  AttemptID
-	Profile  settings.ProfileName
-	Team     settings.TeamID
+	Request RequestID
+	Attempt AttemptID
+	Profile settings.ProfileName
+	Team    settings.TeamID
 	// Chat is the digest that identifies a returning chat, zero for none.
 	Chat uint64
 	// Key is the caller's idempotency key, Ticket a ticket issued by the side.
@@ -153,7 +146,6 @@
 
 // Accept says that the side has taken the attempt.
 type Accept struct {
-	_msgpack struct{} `msgpack:",as_array"`
 	// Replayed says that the answer is the recorded one of an earlier run.
 	Replayed bool
 }
@@ -181,8 +173,7 @@
 
 // Refuse says that the attempt was not run and never will be.
 type Refuse struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Code     RefuseCode
+	Code RefuseCode
 	// KeyNotRun is true when the side also vouches that no run of the key or ticket was ever started.
 	KeyNotRun bool
 	// Next names sides to ask instead, best first.
@@ -195,17 +186,15 @@
 
 // Chunk is one piece of an answer.
 type Chunk struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Attempt  AttemptID
-	Seq      uint32
-	Data     []byte
+	Attempt AttemptID
+	Seq     uint32
+	Data    []byte
 }
 
 // Head is the status and header of the upstream's answer, sent before its chunks.
 type Head struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Status   int
-	Headers  []Header
+	Status  int
+	Headers []Header
 }
 
 // Outcome is what became of a request.
@@ -220,9 +209,8 @@
 
 // End closes an answer and tells how many chunks it had.
 type End struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Attempt  AttemptID
-	Outcome  Outcome
+	Attempt AttemptID
+	Outcome Outcome
 	// Chunks is the number of the last chunk.
 	Chunks uint32
 	// Moved names the side that should go on with the answer after Chunks.
@@ -232,12 +220,10 @@
 
 // Cancel stops an attempt on the stream that submitted it; whoever gave it wants no answer.
 type Cancel struct {
-	_msgpack struct{} `msgpack:",as_array"`
 }
 
 // State answers Query.
 type State struct {
-	_msgpack struct{} `msgpack:",as_array"`
 	// Started says that the attempt was handed to the upstream.
 	Started bool
 	// Certain is false when the side cannot tell or cannot forbid the start.
@@ -246,48 +232,42 @@
 
 // Query asks whether an attempt was started, and forbids its start if it was not.
 type Query struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Request  RequestID
-	Attempt  AttemptID
+	Request RequestID
+	Attempt AttemptID
 	// Left is the time until the request's deadline.
 	Left time.Duration
 }
 
 // Issue asks a side for a ticket.
 type Issue struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Profile  settings.ProfileName
+	Profile settings.ProfileName
 }
 
 // Issued carries a ticket.
 type Issued struct {
-	_msgpack struct{} `msgpack:",as_array"`
 	Ticket   string
 	Lifetime time.Duration
 }
 
 // Placed tells a chat's home which side served the chat.
 type Placed struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Chat     uint64
-	Side     settings.UpstreamID
+	Chat uint64
+	Side settings.UpstreamID
 }
 
 // PeerLoad is one side's load as it was some time ago.
 type PeerLoad struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Side     settings.UpstreamID
-	Load     float32
-	Age      time.Duration
+	Side settings.UpstreamID
+	Load float32
+	Age  time.Duration
 }
 
 // Exchange carries one side's load and its estimate of the mean to another side of the same service.
 type Exchange struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Side     settings.UpstreamID
-	Service  settings.ServiceName
-	Load     float32
-	Mean     float32
+	Side    settings.UpstreamID
+	Service settings.ServiceName
+	Load    float32
+	Mean    float32
 	// Known says that Mean can be used.
 	Known bool
 	// Light lists lightly loaded sides.
@@ -296,37 +276,32 @@
 
 // Announce tells a neighbour which version is in force here.
 type Announce struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Version  revision.Version
+	Version revision.Version
 }
 
 // Pull asks for what changed after a revision.
 type Pull struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Since    settings.Revision
+	Since settings.Revision
 }
 
 // DeltaReply answers Pull.
 type DeltaReply struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Delta    revision.Delta
+	Delta revision.Delta
 }
 
 // KeyRecord is what a side remembers of one idempotency key.
 type KeyRecord struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	Key      string
-	Body     uint64
-	State    uint8
-	Status   int
-	Headers  []Header
-	Answer   []byte
-	Left     time.Duration
+	Key     string
+	Body    uint64
+	State   uint8
+	Status  int
+	Headers []Header
+	Answer  []byte
+	Left    time.Duration
 }
 
 // Claim asks another side for the records of the keys that are now the asking side's own.
 type Claim struct {
-	_msgpack struct{} `msgpack:",as_array"`
 	From     settings.UpstreamID
 	Service  settings.ServiceName
 	Revision settings.Revision
@@ -336,9 +311,8 @@
 
 // Handover answers a Claim, or leaves a stopping side's records with another side.
 type Handover struct {
-	_msgpack struct{} `msgpack:",as_array"`
-	From     settings.UpstreamID
-	Service  settings.ServiceName
+	From    settings.UpstreamID
+	Service settings.ServiceName
 	// Revision is the version in force at the sender; it runs no key that this version gives to others.
 	Revision settings.Revision
 	// Covered says that the sender can itself vouch for all its keys.
@@ -352,12 +326,10 @@
 
 // Kept confirms that an estate is kept.
 type Kept struct {
-	_msgpack struct{} `msgpack:",as_array"`
 }
 
 // Leaving says that the sender takes no more work.
 type Leaving struct {
-	_msgpack struct{} `msgpack:",as_array"`
 }
 
 // Kind returns KindHello.
@@ -515,6 +487,7 @@
 	buf.Write(head[:])
 	enc, _ := encoders.Get().(*msgpack.Encoder)
 	enc.Reset(buf)
+	enc.UseArrayEncodedStructs(true)
 	err := enc.Encode(m)
 	encoders.Put(enc)
 	if err != nil {
--- a/core/revision/store.go
+++ b/core/revision/store.go
@@ -15,14 +15,12 @@
 
 // Version names one whole set of declarations.
 type Version struct {
-	_msgpack struct{}          `msgpack:",as_array"`
 	Revision settings.Revision `json:"revision"`
 	Digest   Digest            `json:"digest"`
 }
 
 // Delta carries the documents that changed after From, or every document when From is zero.
 type Delta struct {
-	_msgpack  struct{}            `msgpack:",as_array"`
 	From      settings.Revision   `json:"from"`
 	To        Version             `json:"to"`
 	Documents []settings.Document `json:"documents"`
--- a/core/settings/document.go
+++ b/core/settings/document.go
@@ -17,7 +17,6 @@
 
 // Document is one declaration as the configuration service publishes it.
 type Document struct {
-	_msgpack struct{}    `msgpack:",as_array"`
 	Key      DocumentKey `json:"key"`
 	Value    string      `json:"value"`
 	Revision Revision    `json:"revision"`
--- a/core/ticket/ticket.go
+++ b/core/ticket/ticket.go
@@ -18,7 +18,6 @@
 
 // Claims is what a ticket says; only the side that issued it can check it.
 type Claims struct {
-	_msgpack    struct{} `msgpack:",as_array"`
 	Upstream    settings.UpstreamID
 	Incarnation peer.Incarnation
 	// Issued is the instant on the issuing side's clock.
