fix(admit): a burst on an idle fleet is taken, and a listed VM refuses for itself

Cause: the rolling-restart test failed 30263 of 90937 requests as overloaded: the mean lags by rounds, so in a burst every side held to the floor and the walk ended after three refusals. TestUpstreamListedAsLeaving saw 66 new starts from a router that was paused while the VM list changed. Ruled out: slots and queues (32 running, 256 queued were never full); the rest of the restart itself (debits and status checks failed none). Change: a side at the mean has room for one more; when all asked sides refuse, the lightest takes the request if it can run it. Routers that see a side listed as leaving tell the side, which then refuses everybody; four of them a round.

--- a/core/admit/controller.go
+++ b/core/admit/controller.go
@@ -20,7 +20,7 @@
 )
 
 // floorCharges is the number of requests like the one asked about that an idle fleet always takes.
-const floorCharges = 2
+const floorCharges = 4
 
 // unknownTime is how long a side without a mean keeps to the floor before it believes itself alone.
 const unknownTime = 2 * time.Second
@@ -46,7 +46,7 @@
 	Home bool
 	// Sent says that another side sent the request here.
 	Sent bool
-	// Last says that there is no further side to ask.
+	// Last says that every other side asked had more load; only what cannot be run is refused then.
 	Last bool
 	// Holder is a side that may export the prefix.
 	Holder settings.UpstreamID
@@ -89,7 +89,8 @@
 		return c.limitWithoutMean(now, floor)
 	}
 	c.unknown = false
-	return max(floor, m*settings.Tokens(1+room*(c.Policy.Multiple-1)))
+	// A side at the mean always has room for one request more, so that some side always has.
+	return max(floor, m+charge, m*settings.Tokens(1+room*(c.Policy.Multiple-1)))
 }
 
 // limitWithoutMean keeps to the floor until it is clear that no other side can be reached.
@@ -121,10 +122,10 @@
 		}
 	}
 	room := placeRoom
-	if worthwhile || ask.Last {
+	if worthwhile {
 		room = holdRoom
 	}
-	if c.load+v.Charge <= c.limit(now, room, v.Charge) {
+	if ask.Last || c.load+v.Charge <= c.limit(now, room, v.Charge) {
 		return c.take(ask, v, cached)
 	}
 	c.elsewhere(now, ask, &v, random)
--- a/core/peer/message.go
+++ b/core/peer/message.go
@@ -182,6 +182,8 @@
 	RetryAfter time.Duration
 	// Holder is a side that may export the chat's prefix.
 	Holder settings.UpstreamID
+	// Load is the load of the refusing side.
+	Load float32
 }
 
 // Chunk is one piece of an answer.
@@ -328,7 +330,10 @@
 type Kept struct {
 }
 
-// Leaving says that the sender takes no more work.
+// LeavingLease is how long a router's word that a side is listed as leaving holds without renewal.
+const LeavingLease = 10 * time.Second
+
+// Leaving says that the sending side takes no more work; from a router, that the receiving side is listed as leaving.
 type Leaving struct {
 }
 
--- a/core/route/walk.go
+++ b/core/route/walk.go
@@ -7,7 +7,7 @@
 	"rattantrack.dev/core/settings"
 )
 
-// MaxAsks bounds the sides asked for one attempt.
+// MaxAsks bounds the sides asked for one attempt, the last ask included.
 const MaxAsks = 5
 
 // Walk is the order in which sides are asked for one request; it is not used twice.
@@ -19,6 +19,10 @@
 	asked   [MaxAsks]settings.UpstreamID
 	asks    int
 	home    settings.UpstreamID
+	// lightest is the side with the smallest load among those that refused for their load.
+	lightest settings.UpstreamID
+	load     settings.Tokens
+	ended    bool
 }
 
 // New begins with the hint, if it names a usable side, and then follows the chat's ranking.
@@ -43,34 +47,49 @@
 	Side settings.UpstreamID
 	// Redirected says that another side named this one.
 	Redirected bool
-	// Last says that no further side will be asked.
+	// Last says that no further side will be asked, and every one before had too much load.
 	Last bool
 }
 
-// Next returns the next side to ask, and false when there is none left.
+// Next returns the next side to ask, and false when there is none left. When every side has refused for its load,
+// the lightest of them is asked once more and takes the request if it can run it at all.
 func (w *Walk) Next() (Step, bool) {
-	if w.asks >= MaxAsks {
+	if w.ended {
 		return Step{}, false
 	}
-	for i := range w.pending {
-		side := w.given[i]
-		w.given[i] = ""
+	if w.asks < MaxAsks-1 {
+		if side, ok := w.candidate(); ok {
+			return w.step(side), true
+		}
+	}
+	w.ended = true
+	if w.lightest == "" {
+		return Step{}, false
+	}
+	w.asks++
+	return Step{Side: w.lightest, Redirected: true, Last: true}, true
+}
+
+// candidate returns the first side that was named or ranked and not asked yet.
+func (w *Walk) candidate() (settings.UpstreamID, bool) {
+	for _, side := range w.given[:w.pending] {
 		if side != "" && !w.wasAsked(side) {
-			return w.step(side, w.asks > 0), true
+			return side, true
 		}
 	}
-	for i := range w.n {
-		if side := w.ranked[i]; !w.wasAsked(side) {
-			return w.step(side, w.asks > 0), true
+	for _, side := range w.ranked[:w.n] {
+		if !w.wasAsked(side) {
+			return side, true
 		}
 	}
-	return Step{}, false
+	return "", false
 }
 
-func (w *Walk) step(side settings.UpstreamID, redirected bool) Step {
+func (w *Walk) step(side settings.UpstreamID) Step {
+	redirected := w.asks > 0
 	w.asked[w.asks] = side
 	w.asks++
-	return Step{Side: side, Redirected: redirected, Last: w.asks == MaxAsks}
+	return Step{Side: side, Redirected: redirected}
 }
 
 func (w *Walk) wasAsked(side settings.UpstreamID) bool {
@@ -82,5 +101,13 @@
 	w.pending = copy(w.given[:], next)
 }
 
+// Loaded notes that a side refused for its load.
+func (w *Walk) Loaded(side settings.UpstreamID, load settings.Tokens) {
+	if w.lightest == "" || load < w.load {
+		w.lightest = side
+		w.load = load
+	}
+}
+
 // Asks returns the number of sides asked so far.
 func (w *Walk) Asks() int { return w.asks }
--- /dev/null
+++ b/core/route/walk_test.go
@@ -0,0 +1,47 @@
+package route
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"rattantrack.dev/core/rank"
+	"rattantrack.dev/core/settings"
+)
+
+func TestLightestIsAskedLastWhenAllHaveRefused(t *testing.T) {
+	c := qt.New(t)
+	w := New(rank.New([]settings.UpstreamID{"a", "b", "c"}), 7, "")
+	loads := map[settings.UpstreamID]settings.Tokens{"a": 30, "b": 10, "c": 20}
+	for range 3 {
+		step, ok := w.Next()
+		c.Assert(ok, qt.IsTrue)
+		c.Assert(step.Last, qt.IsFalse)
+		w.Loaded(step.Side, loads[step.Side])
+	}
+	step, ok := w.Next()
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(step, qt.Equals, Step{Side: "b", Redirected: true, Last: true})
+	_, ok = w.Next()
+	c.Assert(ok, qt.IsFalse)
+}
+
+func TestNamedSidesAreAskedFirstAndNobodyTwice(t *testing.T) {
+	c := qt.New(t)
+	w := New(rank.New([]settings.UpstreamID{"a", "b", "c", "d", "e", "f"}), 7, "e")
+	first, _ := w.Next()
+	c.Assert(first.Side, qt.Equals, settings.UpstreamID("e"))
+	w.Refused([]settings.UpstreamID{"e", "f"})
+	second, _ := w.Next()
+	c.Assert(second, qt.Equals, Step{Side: "f", Redirected: true})
+	seen := map[settings.UpstreamID]bool{"e": true, "f": true}
+	for {
+		step, ok := w.Next()
+		if !ok {
+			break
+		}
+		c.Assert(seen[step.Side], qt.IsFalse)
+		seen[step.Side] = true
+	}
+	c.Assert(w.Asks() <= MaxAsks, qt.IsTrue)
+}
--- a/router/internal/app/app.go
+++ b/router/internal/app/app.go
@@ -65,7 +65,15 @@
 		Scope:        scope,
 	}
 	client := &coreplatform.Client{Configuration: cfg.Configuration, VMList: cfg.VMList, HTTP: &http.Client{}}
-	r.watch = &platform.Watch{Reader: client, Store: r.store, Offer: r.spread, View: r.view, Log: l, Scope: scope}
+	r.watch = &platform.Watch{
+		Reader: client,
+		Store:  r.store,
+		Offer:  r.spread,
+		View:   r.view,
+		Notify: r.dispatcher,
+		Log:    l,
+		Scope:  scope,
+	}
 	return r, nil
 }
 
--- a/router/internal/caller/sink.go
+++ b/router/internal/caller/sink.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"net/http"
 
 	"github.com/kataras/iris/v12"
 
@@ -14,33 +13,30 @@
 // responseSink writes an answer to the caller.
 type responseSink struct {
 	ctx    iris.Context
-	w      http.ResponseWriter
-	flush  http.Flusher
 	headed bool
 }
 
 // Head writes status and header.
 func (s *responseSink) Head(status int, headers []peer.Header, side settings.UpstreamID) error {
 	s.headed = true
-	// The plain writer underneath saves a layer on each piece.
-	s.w = s.ctx.ResponseWriter().Naive()
-	s.flush, _ = s.w.(http.Flusher)
+	w := s.ctx.ResponseWriter()
 	for _, h := range headers {
-		s.w.Header().Add(h.Name, h.Value)
+		w.Header().Add(h.Name, h.Value)
 	}
-	s.w.Header().Set(headerHint, string(side))
-	s.w.Header().Set(headerOutcome, string(peer.OutcomeDone))
-	s.w.WriteHeader(status)
+	w.Header().Set(headerHint, string(side))
+	w.Header().Set(headerOutcome, string(peer.OutcomeDone))
+	w.WriteHeader(status)
 	return nil
 }
 
 // Write writes one piece.
 func (s *responseSink) Write(data []byte, flush bool) error {
-	if _, err := s.w.Write(data); err != nil {
+	w := s.ctx.ResponseWriter()
+	if _, err := w.Write(data); err != nil {
 		return err
 	}
-	if flush && s.flush != nil {
-		s.flush.Flush()
+	if flush {
+		w.Flush()
 	}
 	return nil
 }
--- a/router/internal/platform/watch.go
+++ b/router/internal/platform/watch.go
@@ -20,7 +20,9 @@
 	readsPerSecond = 20
 	minInterval    = 500 * time.Millisecond
 	vmInterval     = time.Second
-	readLimit      = 2 * time.Second
+	// noticesPerRound is the number of routers that tell one side in each round that it is listed as leaving.
+	noticesPerRound = 4
+	readLimit       = 2 * time.Second
 )
 
 // Reader reads the platform.
@@ -40,12 +42,18 @@
 	Routers() []string
 }
 
+// Notifier tells a side that it is listed as leaving.
+type Notifier interface {
+	NotifyLeaving(ctx context.Context, address string)
+}
+
 // Watch reads the platform at intervals.
 type Watch struct {
 	Reader Reader
 	Store  *revision.Store
 	Offer  Offerer
 	View   View
+	Notify Notifier
 	Log    *log.Logger
 	Scope  tally.Scope
 }
@@ -97,6 +105,20 @@
 		return
 	}
 	w.View.Listed(vms)
+	w.notify(ctx, vms)
+}
+
+// notify tells the sides that are listed as leaving. The routers share this, whatever their number, by chance.
+func (w *Watch) notify(ctx context.Context, vms []platform.VM) {
+	routers := len(w.View.Routers())
+	for _, vm := range vms {
+		if vm.State != platform.VMLeaving || vm.Role == platform.RoleEntry {
+			continue
+		}
+		if rand.IntN(max(1, routers)) < noticesPerRound {
+			w.Notify.NotifyLeaving(ctx, vm.Address)
+		}
+	}
 }
 
 func (w *Watch) readChanges(ctx context.Context) {
--- a/router/internal/sides/dispatch.go
+++ b/router/internal/sides/dispatch.go
@@ -89,6 +89,9 @@
 			}
 			d.note(step.Side, r.refuse)
 			walk.Refused(r.refuse.Next)
+			if r.refuse.Code == peer.RefuseOverloaded {
+				walk.Loaded(step.Side, settings.Tokens(r.refuse.Load))
+			}
 			continue
 		case endMoved:
 			// The side that moved the answer still holds the prefix.
@@ -256,6 +259,21 @@
 	return result
 }
 
+// noticeLimit bounds the time spent on telling one side that it is leaving.
+const noticeLimit = time.Second
+
+// NotifyLeaving tells a side that the VM list shows it leaving, so that it refuses work from every router,
+// also from those whose list is older.
+func (d *Dispatcher) NotifyLeaving(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, noticeLimit)
+	defer cancel()
+	l, err := d.Endpoint.Dial(ctx, address)
+	if err != nil {
+		return
+	}
+	_ = peer.Tell(ctx, l, &peer.Leaving{})
+}
+
 // Issue gets a ticket from a side of the profile's service.
 func (d *Dispatcher) Issue(ctx context.Context, name settings.ProfileName, p settings.Profile) (*peer.Issued, error) {
 	walk := route.New(d.View.Usable(p.Service), rand.Uint64(), "")
--- a/side/internal/router/door.go
+++ b/side/internal/router/door.go
@@ -13,6 +13,7 @@
 	"rattantrack.dev/core/clock"
 	"rattantrack.dev/core/mean"
 	"rattantrack.dev/core/outcome"
+	"rattantrack.dev/core/peer"
 	"rattantrack.dev/core/rank"
 	"rattantrack.dev/core/revision"
 	"rattantrack.dev/core/settings"
@@ -58,8 +59,10 @@
 	answers   map[settings.ProfileName]settings.Tokens
 	jobs      map[*job]struct{}
 	leaving   bool
-	estates   map[settings.UpstreamID]estate
-	work      sync.WaitGroup
+	// listedUntil is how long the routers' word that this VM is leaving holds.
+	listedUntil clock.Instant
+	estates     map[settings.UpstreamID]estate
+	work        sync.WaitGroup
 }
 
 // Declare puts an accepted version of the declarations in force.
@@ -184,7 +187,19 @@
 func (d *Door) Leaving() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.leaving
+	return d.isLeaving(d.Clock.Now())
+}
+
+// isLeaving reports whether new work is refused; the caller holds the lock.
+func (d *Door) isLeaving(now clock.Instant) bool {
+	return d.leaving || now.Before(d.listedUntil)
+}
+
+// Listed notes a router's word that the VM list shows this VM leaving; it holds until it is no longer renewed.
+func (d *Door) Listed() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.listedUntil = d.Clock.Now().Add(peer.LeavingLease)
 }
 
 // Drain waits until all work has ended, and cuts what has not when ctx ends.
--- a/side/internal/router/dump.go
+++ b/side/internal/router/dump.go
@@ -39,7 +39,7 @@
 		Upstream:    d.Self,
 		Service:     d.name,
 		Revision:    d.revision,
-		Leaving:     d.leaving,
+		Leaving:     d.isLeaving(now),
 		Load:        d.admission.Load(),
 		Mean:        m,
 		MeanKnown:   known,
--- a/side/internal/router/job.go
+++ b/side/internal/router/job.go
@@ -56,8 +56,17 @@
 	keyNotRun  bool
 	next       []settings.UpstreamID
 	retryAfter time.Duration
+	load       settings.Tokens
+	holder     settings.UpstreamID
 }
 
 func (r *refusal) message() *peer.Refuse {
-	return &peer.Refuse{Code: r.code, KeyNotRun: r.keyNotRun, Next: r.next, RetryAfter: r.retryAfter}
+	return &peer.Refuse{
+		Code:       r.code,
+		KeyNotRun:  r.keyNotRun,
+		Next:       r.next,
+		RetryAfter: r.retryAfter,
+		Holder:     r.holder,
+		Load:       float32(r.load),
+	}
 }
--- a/side/internal/router/serve.go
+++ b/side/internal/router/serve.go
@@ -36,7 +36,7 @@
 func (d *Door) issue(ctx context.Context, st *peer.Stream) {
 	d.mu.Lock()
 	lifetime := d.service.KeyLifetime
-	leaving := d.leaving
+	leaving := d.isLeaving(d.Clock.Now())
 	d.mu.Unlock()
 	if leaving {
 		_ = st.Send(ctx, &peer.Refuse{Code: peer.RefuseLeaving})
--- a/side/internal/router/submit.go
+++ b/side/internal/router/submit.go
@@ -103,7 +103,7 @@
 // enterQueue admits a job to the load and the queue; the caller holds the lock.
 func (d *Door) enterQueue(j *job) *refusal {
 	now := d.Clock.Now()
-	if d.leaving {
+	if d.isLeaving(now) {
 		return &refusal{code: peer.RefuseLeaving, retryAfter: time.Second}
 	}
 	if d.service.Kind == settings.KindModel {
@@ -121,7 +121,7 @@
 	}
 	if !d.scheduler.Push(now, j.item) {
 		d.admission.Release(&j.verdict)
-		return &refusal{code: peer.RefuseOverloaded, retryAfter: d.retryAfter()}
+		return &refusal{code: peer.RefuseOverloaded, retryAfter: d.retryAfter(), load: d.admission.Load()}
 	}
 	return nil
 }
@@ -143,7 +143,7 @@
 	if j.verdict.Admit {
 		return nil
 	}
-	r := &refusal{code: peer.RefuseOverloaded, retryAfter: d.retryAfter()}
+	r := &refusal{code: peer.RefuseOverloaded, retryAfter: d.retryAfter(), load: d.admission.Load()}
 	for _, side := range j.verdict.Next {
 		if side != "" {
 			r.next = append(r.next, side)
--- a/side/internal/sides/service.go
+++ b/side/internal/sides/service.go
@@ -25,6 +25,7 @@
 	Shed()
 	Siblings() (settings.ServiceName, []string)
 	Forget(side settings.UpstreamID)
+	Listed()
 	Claims() (*peer.Claim, map[settings.UpstreamID]string)
 	Claimed(h *peer.Handover)
 	Answer(c *peer.Claim) []*peer.Handover
@@ -119,13 +120,22 @@
 		s.Door.Keep(v)
 		_ = st.Send(ctx, &peer.Kept{})
 	case *peer.Leaving:
-		s.Door.Forget(settings.UpstreamID(st.Link().Remote().ID))
+		s.leaving(st.Link().Remote())
 	default:
 		return false
 	}
 	return true
 }
 
+// leaving takes another side's word that it leaves, or a router's word that this VM is listed as leaving.
+func (s *Service) leaving(from peer.Hello) {
+	if from.Role == peer.RoleRouter {
+		s.Door.Listed()
+		return
+	}
+	s.Door.Forget(settings.UpstreamID(from.ID))
+}
+
 func (s *Service) answerExchange(ctx context.Context, st *peer.Stream, v *peer.Exchange) {
 	name, _ := s.Door.Siblings()
 	if v.Service != name {
