--- a/standin/internal/fleet/fleet.go
+++ b/standin/internal/fleet/fleet.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -122,14 +123,27 @@
 	return all
 }
 
+// Ports of the fleet's processes, below those that the system gives to outgoing connections.
+const (
+	firstPort = 20000
+	portCount = 10000
+)
+
+var nextPort atomic.Int64
+
 // freeAddress returns a loopback address that nobody listens on.
 func freeAddress() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", errors.Wrap(err, "looking for a free port")
+	for range portCount {
+		// Processes that run tests side by side begin at different ports.
+		port := firstPort + (int64(os.Getpid())*97+nextPort.Add(1))%portCount
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		ln, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		return address, errors.Wrap(ln.Close(), "closing a probe")
 	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
+	return "", errors.New("no free port")
 }
 
 func addresses(into ...*string) error {
