fix(outcome): words are about one revision, and a side that is behind does not vouch

Cause: writing the model of the key protocol showed two faults in the design as coded. (1) After a change every side waited for every other's word that it could vouch, and nobody could, until a key's lifetime had passed. (2) A restarted side with an old version, which had got its predecessor's records back, could run a key whose new home had already run it. Change: a word names the revision that it is about and rests on earlier revisions only; a side that has heard of a newer version than its own is unsure; refused attempts may never start; a starting process asks neighbours before it serves even when it already has a version.

--- a/core/outcome/homes.go
+++ b/core/outcome/homes.go
@@ -66,11 +66,16 @@
 	Blind bool
 }
 
-// release is another side's word that it has given up the keys that are no longer its own.
+// word is another side's statement that it has given up the keys that a revision gave to others.
+type word struct {
+	from  settings.UpstreamID
+	ended settings.Revision
+}
+
+// release says whether the speaker could vouch for those keys, and when it spoke.
 type release struct {
-	revision settings.Revision
-	covered  bool
-	at       clock.Instant
+	covered bool
+	at      clock.Instant
 }
 
 // Homes decides which keys of one service a side is home of and can vouch for. The home of a key follows from
@@ -85,10 +90,12 @@
 	set       *rank.Set
 	revision  settings.Revision
 	past      []epoch
-	releases  map[settings.UpstreamID]release
+	releases  map[word]release
 	destroyed map[settings.UpstreamID]clock.Instant
 	// unsureUntil covers changes that were too many to remember.
 	unsureUntil clock.Instant
+	// newest is the newest revision that another side spoke of; a side behind it may no longer be home.
+	newest settings.Revision
 }
 
 // HashKey returns the number by which a key is ranked.
@@ -151,6 +158,7 @@
 		}
 	}
 	h.past = kept
+	h.forgetWords()
 	if len(h.past) <= maxEpochs {
 		return
 	}
@@ -158,6 +166,15 @@
 	h.unsureUntil = now.Add(h.Lifetime)
 }
 
+// forgetWords drops the words about epochs that are over.
+func (h *Homes) forgetWords() {
+	for key := range h.releases {
+		if !slices.ContainsFunc(h.past, func(e epoch) bool { return e.ended == key.ended }) {
+			delete(h.releases, key)
+		}
+	}
+}
+
 func (h *Homes) over(now clock.Instant, e epoch) bool {
 	for _, id := range e.all() {
 		if id != h.Self && !h.lapsed(now, id, e.ended) {
@@ -169,45 +186,54 @@
 
 // lapsed reports whether every key that a former home may have run has outlived its lifetime.
 func (h *Homes) lapsed(now clock.Instant, id settings.UpstreamID, ended settings.Revision) bool {
-	if r, ok := h.releases[id]; ok && r.revision >= ended {
+	if r, ok := h.releases[word{from: id, ended: ended}]; ok {
 		return now.Sub(r.at) >= h.Lifetime
 	}
 	at, gone := h.destroyed[id]
 	return gone && now.Sub(at) >= h.Lifetime
 }
 
-// Released notes another side's handover: it runs none of the keys that revision gave to others.
-func (h *Homes) Released(now clock.Instant, from settings.UpstreamID, revision settings.Revision, covered bool) {
-	have, ok := h.releases[from]
-	if ok && have.revision >= revision {
+// Released notes another side's word: it runs none of the keys that the revision ended gave to others. Current is the
+// revision in force there, and covered says whether it could vouch for those keys.
+func (h *Homes) Released(now clock.Instant, from settings.UpstreamID, ended, current settings.Revision, covered bool) {
+	h.newest = max(h.newest, current)
+	key := word{from: from, ended: ended}
+	if have, ok := h.releases[key]; ok && (have.covered || !covered) {
 		return
 	}
 	if h.releases == nil {
-		h.releases = make(map[settings.UpstreamID]release)
-	}
-	// A side that could not vouch for its keys before has not learned to by giving them up.
-	if ok && !have.covered && now.Sub(have.at) < h.Lifetime {
-		covered = false
+		h.releases = make(map[word]release)
 	}
-	h.releases[from] = release{revision: revision, covered: covered, at: now}
+	h.releases[key] = release{covered: covered, at: now}
 }
 
 // Covered reports whether this side can vouch for every key that is or was its own.
 func (h *Homes) Covered(now clock.Instant) bool {
-	if !h.reclaimed && now.Sub(h.Started) < h.Lifetime {
-		return false
-	}
-	if now.Before(h.unsureUntil) {
+	return h.CoveredBefore(now, h.revision+1)
+}
+
+// CoveredBefore reports whether this side could vouch for its keys until a revision ended their epoch. Only earlier
+// epochs count, so that sides which wait for each other's word about one revision do not wait for ever.
+func (h *Homes) CoveredBefore(now clock.Instant, ended settings.Revision) bool {
+	if !h.remembers(now) {
 		return false
 	}
 	for _, e := range h.past {
-		if !h.allSettled(now, e.all(), e.ended) {
+		if e.ended < ended && !h.allSettled(now, e.all(), e.ended) {
 			return false
 		}
 	}
 	return true
 }
 
+// remembers reports whether this process knows every run since the longest-lived key began.
+func (h *Homes) remembers(now clock.Instant) bool {
+	if !h.reclaimed && now.Sub(h.Started) < h.Lifetime {
+		return false
+	}
+	return !now.Before(h.unsureUntil)
+}
+
 func (h *Homes) allSettled(now clock.Instant, ids []settings.UpstreamID, ended settings.Revision) bool {
 	for _, id := range ids {
 		if id != h.Self && !h.settled(now, id, ended) {
@@ -217,28 +243,34 @@
 	return true
 }
 
-// Waiting returns the other sides whose word is still missing.
-func (h *Homes) Waiting(now clock.Instant) []settings.UpstreamID {
-	var ids []settings.UpstreamID
+// Word is a statement that is still missing: from a side, about the keys that a revision took from it.
+type Word struct {
+	From  settings.UpstreamID
+	Ended settings.Revision
+}
+
+// Waiting returns the words that are still missing.
+func (h *Homes) Waiting(now clock.Instant) []Word {
+	var words []Word
 	for _, e := range h.past {
 		for _, id := range e.all() {
 			if id != h.Self && !h.heard(now, id, e.ended) {
-				ids = append(ids, id)
+				words = append(words, Word{From: id, Ended: e.ended})
 			}
 		}
 	}
-	return union(ids)
+	return words
 }
 
 // heard reports whether a former home has let go, whether or not it could vouch.
 func (h *Homes) heard(now clock.Instant, id settings.UpstreamID, ended settings.Revision) bool {
-	r, ok := h.releases[id]
-	return ok && r.revision >= ended || h.lapsed(now, id, ended)
+	_, ok := h.releases[word{from: id, ended: ended}]
+	return ok || h.lapsed(now, id, ended)
 }
 
 // settled reports whether a former home has let go and its records are here or have lapsed.
 func (h *Homes) settled(now clock.Instant, id settings.UpstreamID, ended settings.Revision) bool {
-	if r, ok := h.releases[id]; ok && r.revision >= ended && r.covered {
+	if h.releases[word{from: id, ended: ended}].covered {
 		return true
 	}
 	return h.lapsed(now, id, ended)
@@ -258,10 +290,7 @@
 	if !ok || home != h.Self {
 		return VouchNotHome
 	}
-	if !h.reclaimed && now.Sub(h.Started) < h.Lifetime {
-		return VouchUnsure
-	}
-	if now.Before(h.unsureUntil) {
+	if !h.remembers(now) || h.revision < h.newest {
 		return VouchUnsure
 	}
 	var buf [1]settings.UpstreamID
--- a/core/peer/message.go
+++ b/core/peer/message.go
@@ -304,9 +304,10 @@
 
 // Claim asks another side for the records of the keys that are now the asking side's own.
 type Claim struct {
-	From     settings.UpstreamID
-	Service  settings.ServiceName
-	Revision settings.Revision
+	From    settings.UpstreamID
+	Service settings.ServiceName
+	// Ended is the revision that may have taken keys from the asked side.
+	Ended settings.Revision
 	// Fresh says that the asking process has just begun and wants what its predecessor left.
 	Fresh bool
 }
@@ -315,9 +316,11 @@
 type Handover struct {
 	From    settings.UpstreamID
 	Service settings.ServiceName
-	// Revision is the version in force at the sender; it runs no key that this version gives to others.
+	// Ended is the revision that was asked about, and Revision the one in force at the sender, which runs no key
+	// that either of them gives to others.
+	Ended    settings.Revision
 	Revision settings.Revision
-	// Covered says that the sender can itself vouch for all its keys.
+	// Covered says that the sender could itself vouch for the keys it had before.
 	Covered bool
 	// Estate says that the records are those of the asking side's predecessor, whole.
 	Estate bool
--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -59,7 +59,8 @@
 // Run asks neighbours for their version until there is one, and then keeps up with them.
 func (s *Service) Run(ctx context.Context, ready func()) error {
 	wake := s.waker()
-	for !s.started() {
+	for {
+		// Also a process that has a version asks first, since it may have got an old one.
 		s.compareWithAll(ctx)
 		if s.started() {
 			break
@@ -91,7 +92,6 @@
 	defer compare.Stop()
 	shuffle := time.NewTicker(jitter(reshuffle))
 	defer shuffle.Stop()
-	s.compareWithAll(ctx)
 	for {
 		select {
 		case <-ctx.Done():
--- a/model/verify.sh
+++ b/model/verify.sh
@@ -11,7 +11,7 @@
   (
     cd "$work"
     spin -a ${flag:+"$flag"} "$OLDPWD/$model.pml" >/dev/null
-    gcc -O2 -DSAFETY -DCOLLAPSE -DVECTORSZ=2048 -o pan pan.c
+    gcc -O2 -w -DSAFETY -DCOLLAPSE -DVECTORSZ=2048 -o pan pan.c
     ./pan -m1000000 -w24 >out 2>&1 || true
   )
   local errors states depth complete
--- a/side/internal/router/estate.go
+++ b/side/internal/router/estate.go
@@ -27,21 +27,31 @@
 	at       clock.Instant
 }
 
-// Claims returns what to ask other sides for: the sides and their addresses whose word is missing.
-func (d *Door) Claims() (*peer.Claim, map[settings.UpstreamID]string) {
+// Question is a claim and the address of the side to ask.
+type Question struct {
+	Claim   *peer.Claim
+	Address string
+}
+
+// Claims returns the questions whose answers are missing.
+func (d *Door) Claims() []Question {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.fleet == nil || d.service.Kind != settings.KindPlain {
-		return nil, nil
+		return nil
 	}
-	addresses := make(map[settings.UpstreamID]string)
-	for _, id := range d.homes.Waiting(d.Clock.Now()) {
-		if u, ok := d.fleet.Upstreams[id]; ok && !u.Destroyed {
-			addresses[id] = u.Side
+	now := d.Clock.Now()
+	fresh := now.Sub(d.Started) < freshTime
+	var list []Question
+	for _, w := range d.homes.Waiting(now) {
+		u, ok := d.fleet.Upstreams[w.From]
+		if !ok || u.Destroyed {
+			continue
 		}
+		claim := &peer.Claim{From: d.Self, Service: d.name, Ended: w.Ended, Fresh: fresh}
+		list = append(list, Question{Claim: claim, Address: u.Side})
 	}
-	fresh := d.Clock.Now().Sub(d.Started) < freshTime
-	return &peer.Claim{From: d.Self, Service: d.name, Revision: d.revision, Fresh: fresh}, addresses
+	return list
 }
 
 // Claimed takes in another side's answer to a claim.
@@ -53,7 +63,7 @@
 		d.keys.Adopt(now, r)
 	}
 	if !h.Estate {
-		d.homes.Released(now, h.From, h.Revision, h.Covered)
+		d.homes.Released(now, h.From, h.Ended, h.Revision, h.Covered)
 		return
 	}
 	// Nobody between the predecessor and this process can have run a key: that takes an estate, and this is
@@ -67,7 +77,7 @@
 func (d *Door) Answer(c *peer.Claim) []*peer.Handover {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if c.Service != d.name || d.revision < c.Revision {
+	if c.Service != d.name || d.revision < c.Ended {
 		return nil
 	}
 	now := d.Clock.Now()
@@ -81,8 +91,9 @@
 	answers := []*peer.Handover{{
 		From:     d.Self,
 		Service:  d.name,
+		Ended:    c.Ended,
 		Revision: d.revision,
-		Covered:  d.homes.Covered(now),
+		Covered:  d.homes.CoveredBefore(now, c.Ended),
 		Records:  records,
 	}}
 	if kept, ok := d.estates[c.From]; ok && c.Fresh {
--- a/side/internal/router/submit.go
+++ b/side/internal/router/submit.go
@@ -65,6 +65,16 @@
 	if d.attempts.Seen(j.attempt()) {
 		return 0, &refusal{code: peer.RefuseNever}
 	}
+	step, refused := d.decide(j)
+	if refused != nil {
+		// Whoever hears the refusal may rely on it, so a copy of the submission must not start later.
+		d.attempts.Withdraw(now, j.attempt(), j.deadline.Sub(now))
+	}
+	return step, refused
+}
+
+// decide takes what a submission needs to run, or says why it may not; the caller holds the lock.
+func (d *Door) decide(j *job) (outcome.Step, *refusal) {
 	profile, ok := d.profile(j.submit.Profile)
 	if !ok {
 		return 0, &refusal{code: peer.RefuseProfile, retryAfter: time.Second}
@@ -229,7 +239,7 @@
 	}
 }
 
-// abandon forgets the key of a job that was never handed over.
+// abandon forgets the key of a job that was never handed over, and forbids its start.
 func (d *Door) abandon(j *job) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -237,6 +247,8 @@
 		d.keys.Undo(j.record)
 		j.record = nil
 	}
+	now := d.Clock.Now()
+	d.attempts.Withdraw(now, j.attempt(), j.deadline.Sub(now))
 }
 
 // leave gives back what a job holds.
--- a/side/internal/sides/service.go
+++ b/side/internal/sides/service.go
@@ -9,6 +9,7 @@
 	"rattantrack.dev/core/overlay"
 	"rattantrack.dev/core/peer"
 	"rattantrack.dev/core/settings"
+	"rattantrack.dev/side/internal/router"
 )
 
 // Times of the exchanges.
@@ -26,7 +27,7 @@
 	Siblings() (settings.ServiceName, []string)
 	Forget(side settings.UpstreamID)
 	Listed()
-	Claims() (*peer.Claim, map[settings.UpstreamID]string)
+	Claims() []router.Question
 	Claimed(h *peer.Handover)
 	Answer(c *peer.Claim) []*peer.Handover
 	Keep(h *peer.Handover)
@@ -165,12 +166,8 @@
 
 // claim asks every side whose word is missing for the records that belong here now.
 func (s *Service) claim(ctx context.Context) {
-	question, addresses := s.Door.Claims()
-	if question == nil {
-		return
-	}
-	for _, address := range addresses {
-		s.claimFrom(ctx, question, address)
+	for _, q := range s.Door.Claims() {
+		s.claimFrom(ctx, q.Claim, q.Address)
 	}
 }
 
