--- a/core/admit/controller.go
+++ b/core/admit/controller.go
@@ -33,8 +33,8 @@
 	Multiple float64
 	// PrefillWeight is the work of one prompt token in units of one answer token.
 	PrefillWeight float64
-	// CacheTokens is the size of the engine's prefix cache.
-	CacheTokens settings.Tokens
+	// Import says that the engine can take in a prefix that another one exports.
+	Import bool
 }
 
 // Ask is one request that a side may take.
@@ -58,8 +58,9 @@
 	// Charge is the work to count until the request ends; Prefill is the part that ends with the first token.
 	Charge  settings.Tokens
 	Prefill settings.Tokens
-	// Import names the side to fetch the prefix from.
+	// Import names the side to fetch the prefix from, and Holder one that has it, where the request goes elsewhere.
 	Import settings.UpstreamID
+	Holder settings.UpstreamID
 	// Next are sides to ask instead, best first, empty ones after the last.
 	Next [2]settings.UpstreamID
 }
@@ -110,46 +111,61 @@
 // Decide answers an ask; an admitted request's charge is counted at once.
 func (c *Controller) Decide(now clock.Instant, ask Ask, random func(n int) int) Verdict {
 	cached := min(ask.Prompt, c.Prefixes.Cached(ask.Chat))
-	miss := settings.Tokens(c.Policy.PrefillWeight) * ask.Prompt
-	prefill := settings.Tokens(c.Policy.PrefillWeight) * (ask.Prompt - cached)
-	v := Verdict{Charge: ask.Decode + prefill, Prefill: prefill}
-	worthwhile := miss-prefill > significant*v.Charge
-
-	if !worthwhile && !ask.Sent && ask.Home {
-		if to, ok := c.redirect(ask, miss, v.Charge); ok {
+	v := c.price(ask, cached)
+	saved := c.prefill(cached)
+	here := saved > significant*v.Charge
+	v.Holder = ask.Holder
+	if here {
+		v.Holder = c.Self
+	}
+	if !here && !ask.Sent && ask.Home {
+		if to, ok := c.redirect(ask, v.Charge); ok {
 			v.Next[0] = to
+			v.Holder = to
 			return v
 		}
 	}
 	room := placeRoom
-	if worthwhile {
+	if here {
 		room = holdRoom
 	}
 	if ask.Last || c.load+v.Charge <= c.limit(now, room, v.Charge) {
-		return c.take(ask, v, cached)
+		v.Admit = true
+		c.load += v.Charge
+		return v
 	}
+	v.Import = ""
 	c.elsewhere(now, ask, &v, random)
 	return v
 }
 
+// price returns the charge of a request of which a part of the prompt is cached here.
+func (c *Controller) price(ask Ask, cached settings.Tokens) Verdict {
+	missing := c.prefill(ask.Prompt - cached)
+	v := Verdict{Charge: ask.Decode + missing, Prefill: missing}
+	pays := missing > significant*v.Charge
+	if c.Policy.Import && pays && ask.Holder != "" && ask.Holder != c.Self {
+		v.Import = ask.Holder
+		v.Charge = ask.Decode
+		v.Prefill = 0
+	}
+	return v
+}
+
+// prefill returns the work of reading prompt tokens that are not cached.
+func (c *Controller) prefill(n settings.Tokens) settings.Tokens {
+	return settings.Tokens(c.Policy.PrefillWeight) * n
+}
+
 // redirect names the side that holds the chat's prefix, if asking there can pay.
-func (c *Controller) redirect(ask Ask, miss, charge settings.Tokens) (settings.UpstreamID, bool) {
+func (c *Controller) redirect(ask Ask, charge settings.Tokens) (settings.UpstreamID, bool) {
 	first, _ := c.Directory.Holders(ask.Chat)
-	if first == "" || first == c.Self || miss <= significant*charge {
+	if first == "" || first == c.Self || c.prefill(ask.Prompt) <= significant*charge {
 		return "", false
 	}
 	return first, true
 }
 
-func (c *Controller) take(ask Ask, v Verdict, cached settings.Tokens) Verdict {
-	v.Admit = true
-	if ask.Holder != "" && ask.Holder != c.Self && cached < ask.Prompt/2 && v.Prefill > significant*v.Charge {
-		v.Import = ask.Holder
-	}
-	c.load += v.Charge
-	return v
-}
-
 // elsewhere fills in the sides to ask instead: the other holder, then a lightly loaded side.
 func (c *Controller) elsewhere(now clock.Instant, ask Ask, v *Verdict, random func(n int) int) {
 	n := 0
--- /dev/null
+++ b/core/internal/benchdecisions/ours.go
@@ -0,0 +1,235 @@
+package main
+
+import (
+	"github.com/vmihailenco/msgpack/v5"
+
+	"rattantrack.dev/core/admit"
+	"rattantrack.dev/core/mean"
+	"rattantrack.dev/core/peer"
+	"rattantrack.dev/core/rank"
+	"rattantrack.dev/core/route"
+	"rattantrack.dev/core/settings"
+)
+
+// wireBytes is what one message costs besides its body: frame head, and TCP and IP headers.
+const wireBytes = 13 + 40
+
+// Times of the stale_mean scenario, in rounds: of every staleCycle rounds the first staleRounds are lost.
+const (
+	staleRounds = 16
+	staleCycle  = 40
+)
+
+// ours drives the system's own decisions.
+type ours struct {
+	*baseline
+	sides  []*admit.Controller
+	exact  *rank.Set
+	views  [routers]*rank.Set
+	rounds int
+	sent   float64
+}
+
+func newOurs(s *sim, b *baseline) *ours {
+	o := &ours{baseline: b, exact: b.set}
+	for _, e := range s.engines {
+		o.sides = append(o.sides, o.controller(e))
+	}
+	return o
+}
+
+func (o *ours) controller(e *engine) *admit.Controller {
+	c := &admit.Controller{Self: e.id, Policy: admit.Policy{Multiple: o.sim.multiple, PrefillWeight: prefillWeight, Import: true}}
+	c.Prefixes.Limit = cacheTokens
+	return c
+}
+
+// view returns what one router believes; in view_disagreement each router misses some engines.
+func (o *ours) view(router int) *rank.Set {
+	if o.sim.is("view_disagreement") && o.views[router] != nil {
+		return o.views[router]
+	}
+	return o.set
+}
+
+// place walks over the sides as a router does.
+func (o *ours) place(r *request) placement {
+	router := o.sim.rng.IntN(routers)
+	set := o.view(router)
+	walk := route.New(set, r.chat.id, "")
+	home := walk.Home()
+	var p placement
+	var holder settings.UpstreamID
+	if r.engine != nil {
+		holder = r.engine.id
+	}
+	for {
+		step, ok := walk.Next()
+		if !ok {
+			return p
+		}
+		p.asks++
+		e := o.sim.engines[o.sim.index[step.Side]]
+		if e.down || e.silent {
+			if e.silent {
+				p.delay += silenceLimit
+			}
+			o.mark(e)
+			continue
+		}
+		v := o.ask(r, e, step, holder)
+		if v.Holder != "" {
+			holder = v.Holder
+		}
+		if !v.Admit {
+			walk.Refused(v.Next[:])
+			walk.Loaded(step.Side, o.sides[e.index].Load())
+			continue
+		}
+		p.ok = true
+		p.engine = e.index
+		o.admitted(r, e, home, v, &p)
+		return p
+	}
+}
+
+func (o *ours) ask(r *request, e *engine, step route.Step, holder settings.UpstreamID) admit.Verdict {
+	home, _ := o.exact.Home(r.chat.id)
+	return o.sides[e.index].Decide(o.sim.instant(), admit.Ask{
+		Chat:   r.chat.id,
+		Prompt: settings.Tokens(r.prompt),
+		Decode: settings.Tokens(r.expected),
+		Home:   home == e.id,
+		Sent:   step.Redirected,
+		Last:   step.Last,
+		Holder: holder,
+	}, o.sim.rng.IntN)
+}
+
+func (o *ours) admitted(r *request, e *engine, home settings.UpstreamID, v admit.Verdict, p *placement) {
+	side := o.sides[e.index]
+	if v.Import != "" {
+		if from := o.sim.engines[o.sim.index[v.Import]]; !from.down && !from.silent && from != e {
+			p.importFrom = from
+		}
+	}
+	verdict := v
+	r.release = func() {
+		if o.sides[e.index] == side {
+			side.Release(&verdict)
+		}
+	}
+	o.sides[o.sim.index[home]].Directory.Served(r.chat.id, e.id)
+	side.Prefixes.Stored(r.chat.id, settings.Tokens(r.prompt))
+}
+
+func (o *ours) firstToken(r *request) {}
+
+func (o *ours) served(r *request, e *engine) {
+	o.sides[e.index].Prefixes.Stored(r.chat.id, settings.Tokens(r.prompt+r.decode))
+}
+
+func (o *ours) back(e *engine) {
+	o.sides[e.index] = o.controller(e)
+	o.baseline.back(e)
+}
+
+// round lets every side exchange with another one and move work away.
+func (o *ours) round() {
+	o.rounds++
+	if o.rounds%20 == 0 {
+		o.disagree()
+	}
+	stale := o.sim.is("stale_mean") && o.rounds%staleCycle < staleRounds
+	for i, e := range o.sim.engines {
+		if e.down || e.silent {
+			continue
+		}
+		j := o.sim.rng.IntN(len(o.sim.engines))
+		if other := o.sim.engines[j]; i != j && !other.down && !other.silent && !stale {
+			o.exchange(i, j)
+		}
+		o.shed(e)
+	}
+}
+
+func (o *ours) exchange(i, j int) {
+	now := o.sim.instant()
+	a, b := o.sides[i], o.sides[j]
+	fromA := a.Estimator.Sample(now, a.Self, a.Load())
+	fromB := b.Estimator.Sample(now, b.Self, b.Load())
+	a.Estimator.Merge(now, a.Load(), fromB, a.Self)
+	b.Estimator.Merge(now, b.Load(), fromA, b.Self)
+	o.sent += messageBytes(fromA) + messageBytes(fromB)
+}
+
+// messageBytes is the size of a sample on the wire.
+func messageBytes(s mean.Sample) float64 {
+	m := &peer.Exchange{Side: s.Side, Service: "letterhouse", Load: float32(s.Load), Mean: float32(s.Mean), Known: s.Known}
+	for _, l := range s.Light {
+		m.Light = append(m.Light, peer.PeerLoad{Side: l.Side, Load: float32(l.Load), Age: l.Age})
+	}
+	body, err := msgpack.Marshal(m)
+	if err != nil {
+		return 0
+	}
+	return float64(len(body)) + wireBytes
+}
+
+// shed moves the cheapest request of an overloaded engine.
+func (o *ours) shed(e *engine) {
+	var best *request
+	for r := range e.waiting {
+		if best == nil || r.prompt < best.prompt {
+			best = r
+		}
+	}
+	for r := range e.running {
+		if len(e.waiting) == 0 && r.first && (best == nil || r.prompt < best.prompt) {
+			best = r
+		}
+	}
+	if best == nil {
+		return
+	}
+	side := o.sides[e.index]
+	target, ok := side.Shed(o.sim.instant(), best.charge, o.sim.rng.IntN)
+	if !ok {
+		return
+	}
+	to := o.sim.engines[o.sim.index[target]]
+	if to.down || to.silent {
+		side.Estimator.Forget(target)
+		return
+	}
+	v := o.ask(best, to, route.Step{Side: target, Redirected: true}, e.id)
+	if !v.Admit {
+		return
+	}
+	if best.first {
+		best.decode = max(1, best.decode-(o.sim.now-best.began)*decodeRate)
+	}
+	e.finish(o.sim, best)
+	p := placement{engine: to.index, ok: true}
+	home, _ := o.exact.Home(best.chat.id)
+	o.admitted(best, to, home, v, &p)
+	p.importFrom = e
+	o.sim.begin(best, p)
+}
+
+// disagree gives each router a view of its own for the next seconds.
+func (o *ours) disagree() {
+	for i := range o.views {
+		var ids []settings.UpstreamID
+		for _, id := range o.set.IDs() {
+			if o.sim.rng.Float64() > 0.1 {
+				ids = append(ids, id)
+			}
+		}
+		o.views[i] = rank.New(ids)
+	}
+}
+
+func (o *ours) control() float64 {
+	return o.sent / o.sim.end / float64(len(o.sim.engines))
+}
