feat(admit): overloaded sides move work to lighter ones, asked first

Change: no allowance of one request at the mean; a side above 0.6 of its room moves the request that fits the excess and half the difference, after asking the target for its load; big requests are placed by load; an old report counts less; charges are corrected when a prefix is not there; the arrival rate is 2 an engine so that the mean is over eight in flight; caches begin warm.

--- a/core/admit/controller.go
+++ b/core/admit/controller.go
@@ -16,9 +16,15 @@
 	// holdRoom is how far work whose prefix is cached here may fill it.
 	holdRoom = 0.7
 	// shedRoom is where a side begins to move work away.
-	shedRoom = 0.8
+	shedRoom = 0.6
 )
 
+// largeRoom is the part of the room between the mean and the multiple from which a request counts as large.
+const largeRoom = 0.5
+
+// mostOfHalf is how far above half the difference of two sides' loads a moved charge may be.
+const mostOfHalf = 1.5
+
 // floorCharges is the number of requests like the one asked about that an idle fleet always takes.
 const floorCharges = 4
 
@@ -90,8 +96,7 @@
 		return c.limitWithoutMean(now, floor)
 	}
 	c.unknown = false
-	// A side at the mean always has room for one request more, so that some side always has.
-	return max(floor, m+charge, m*settings.Tokens(1+room*(c.Policy.Multiple-1)))
+	return max(floor, c.above(m, room))
 }
 
 // limitWithoutMean keeps to the floor until it is clear that no other side can be reached.
@@ -109,7 +114,7 @@
 const unlimited = settings.Tokens(1e18)
 
 // Decide answers an ask; an admitted request's charge is counted at once.
-func (c *Controller) Decide(now clock.Instant, ask Ask, random func(n int) int) Verdict {
+func (c *Controller) Decide(now clock.Instant, ask Ask) Verdict {
 	cached := min(ask.Prompt, c.Prefixes.Cached(ask.Chat))
 	v := c.price(ask, cached)
 	saved := c.prefill(cached)
@@ -125,6 +130,14 @@
 			return v
 		}
 	}
+	if !here && !ask.Sent && c.large(now, v.Charge) {
+		// Such a request is placed by load from the start, since moving others out of its way costs more.
+		c.elsewhere(now, ask, &v)
+		if v.Next[0] != "" {
+			v.Import = ""
+			return v
+		}
+	}
 	room := placeRoom
 	if here {
 		room = holdRoom
@@ -132,13 +145,20 @@
 	if ask.Last || c.load+v.Charge <= c.limit(now, room, v.Charge) {
 		v.Admit = true
 		c.load += v.Charge
+		c.Prefixes.Used(ask.Chat)
 		return v
 	}
 	v.Import = ""
-	c.elsewhere(now, ask, &v, random)
+	c.elsewhere(now, ask, &v)
 	return v
 }
 
+// large reports whether a request would take a good part of the room between the mean and the multiple.
+func (c *Controller) large(now clock.Instant, charge settings.Tokens) bool {
+	m, known := c.Estimator.Mean(now)
+	return known && c.load+charge > m && charge > largeRoom*settings.Tokens(c.Policy.Multiple-1)*m
+}
+
 // price returns the charge of a request of which a part of the prompt is cached here.
 func (c *Controller) price(ask Ask, cached settings.Tokens) Verdict {
 	missing := c.prefill(ask.Prompt - cached)
@@ -166,22 +186,27 @@
 	return first, true
 }
 
-// elsewhere fills in the sides to ask instead: the other holder, then a lightly loaded side.
-func (c *Controller) elsewhere(now clock.Instant, ask Ask, v *Verdict, random func(n int) int) {
+// elsewhere fills in the sides to ask instead: the chat's other holder, then lightly loaded sides.
+func (c *Controller) elsewhere(now clock.Instant, ask Ask, v *Verdict) {
 	n := 0
-	first, second := c.Directory.Holders(ask.Chat)
-	for _, side := range [...]settings.UpstreamID{first, second} {
-		if ask.Home && !ask.Sent && side != "" && side != c.Self && n == 0 {
-			v.Next[n] = side
+	if ask.Home && !ask.Sent {
+		first, second := c.Directory.Holders(ask.Chat)
+		if first == c.Self {
+			first = second
+		}
+		if first != "" && first != c.Self {
+			v.Next[n] = first
 			n++
 		}
 	}
-	limit := c.limit(now, placeRoom, v.Charge)
 	for n < len(v.Next) {
-		side, ok := c.Estimator.PickLight(now, v.Charge, limit, random, v.Next[0], c.Self)
+		side, _, ok := c.Estimator.Lightest(now, v.Next[0], c.Self)
 		if !ok {
 			return
 		}
+		if n == 0 || v.Next[0] != side {
+			c.Estimator.Sent(side, v.Charge/settings.Tokens(n+1))
+		}
 		v.Next[n] = side
 		n++
 	}
@@ -201,16 +226,51 @@
 	v.Prefill = 0
 }
 
-// Shed reports whether the side carries so much that a request with this charge should move, and where to.
-func (c *Controller) Shed(now clock.Instant, charge settings.Tokens, random func(n int) int) (settings.UpstreamID, bool) {
+// Excess returns the work that should move away, or zero while the side carries no more than it should.
+func (c *Controller) Excess(now clock.Instant) settings.Tokens {
 	m, known := c.Estimator.Mean(now)
-	if !known || charge <= 0 {
-		return "", false
+	if !known || c.load <= c.above(m, shedRoom) {
+		return 0
 	}
-	trigger := max(floorCharges*charge, m*settings.Tokens(1+shedRoom*(c.Policy.Multiple-1)))
-	if c.load <= trigger {
-		return "", false
+	return c.load - c.above(m, placeRoom)
+}
+
+// above returns the load at a part of the room between the mean and the multiple.
+func (c *Controller) above(m settings.Tokens, room float64) settings.Tokens {
+	return m * settings.Tokens(1+room*(c.Policy.Multiple-1))
+}
+
+// Move is work that should go to another side: the request whose charge is nearest to Charge, and none above Most.
+type Move struct {
+	To     settings.UpstreamID
+	Charge settings.Tokens
+	Most   settings.Tokens
+}
+
+// Shed returns the move that brings the side nearer to the mean, if it carries too much and a lighter side is known.
+func (c *Controller) Shed(now clock.Instant) (Move, bool) {
+	excess := c.Excess(now)
+	if excess <= 0 {
+		return Move{}, false
 	}
-	// A target must stay below the mean's place limit, so that work does not come back.
-	return c.Estimator.PickLight(now, charge, c.limit(now, placeRoom, charge), random, c.Self)
+	to, load, ok := c.Estimator.Lightest(now, c.Self)
+	if !ok || load >= c.load {
+		return Move{}, false
+	}
+	// Beyond half the difference the two sides would only change places.
+	half := (c.load - load) / 2
+	return Move{To: to, Charge: min(excess, half), Most: half * mostOfHalf}, true
+}
+
+// Moved counts a moved request's charge towards its new side.
+func (c *Controller) Moved(to settings.UpstreamID, charge settings.Tokens) {
+	c.Estimator.Sent(to, charge)
+}
+
+// Imported corrects a request's charge when fewer tokens of its prefix came than were expected.
+func (c *Controller) Imported(v *Verdict, missing settings.Tokens) {
+	work := c.prefill(missing)
+	c.load += work
+	v.Charge += work
+	v.Prefill += work
 }
--- a/core/admit/prefixes.go
+++ b/core/admit/prefixes.go
@@ -33,6 +33,9 @@
 	return n
 }
 
+// Used notes that the engine is using a chat's prefix.
+func (p *Prefixes) Used(chat uint64) { p.table().Get(chat) }
+
 // Stored notes that the engine has just held this many tokens of a chat.
 func (p *Prefixes) Stored(chat uint64, n settings.Tokens) {
 	t := p.table()
--- a/core/internal/benchdecisions/engine.go
+++ b/core/internal/benchdecisions/engine.go
@@ -5,6 +5,7 @@
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
+	"rattantrack.dev/core/admit"
 	"rattantrack.dev/core/settings"
 	"rattantrack.dev/core/share"
 )
@@ -33,6 +34,7 @@
 	ticket  int // counts placements, so that events of an earlier one are ignored
 	began   float64
 	release func()
+	verdict admit.Verdict
 }
 
 func newRequest(s *sim, c *chat) *request {
@@ -106,6 +108,12 @@
 	return n
 }
 
+// peek looks without touching, as an export does.
+func (e *engine) peek(id uint64) float64 {
+	n, _ := e.cache.Peek(id)
+	return n
+}
+
 func (e *engine) store(id uint64, n float64) {
 	e.cache.Remove(id)
 	e.cache.Add(id, n)
@@ -118,7 +126,7 @@
 // take queues a request; the load counts it from here to its end.
 func (e *engine) take(s *sim, r *request, p placement) {
 	if p.importFrom != nil {
-		n := min(p.importFrom.cached(r.chat.id), r.prompt)
+		n := min(p.importFrom.peek(r.chat.id), r.prompt)
 		s.stats.moved += n * kvBytes
 		e.store(r.chat.id, n)
 		e.prefillFree = max(e.prefillFree, s.now+n*kvBytes/transferRate)
--- a/core/internal/benchdecisions/main.go
+++ b/core/internal/benchdecisions/main.go
@@ -36,12 +36,6 @@
 	InFlight     float64 `json:"mean_in_flight"`
 }
 
-// job is one run to make.
-type job struct {
-	config config
-	seed   uint64
-}
-
 func main() {
 	seeds := flag.Int("seeds", 5, "number of seeds")
 	engines := flag.String("engines", "20,1015", "fleet sizes")
--- a/core/internal/benchdecisions/ours.go
+++ b/core/internal/benchdecisions/ours.go
@@ -103,7 +103,7 @@
 		Sent:   step.Redirected,
 		Last:   step.Last,
 		Holder: holder,
-	}, o.sim.rng.IntN)
+	})
 }
 
 func (o *ours) admitted(r *request, e *engine, home settings.UpstreamID, v admit.Verdict, p *placement) {
@@ -113,17 +113,30 @@
 			p.importFrom = from
 		}
 	}
-	verdict := v
+	o.sim.at(o.sim.now, func() { o.shed(e) })
+	if p.importFrom != nil {
+		missing := r.prompt - p.importFrom.peek(r.chat.id)
+		side.Imported(&v, settings.Tokens(max(0, missing)))
+	}
+	r.verdict = v
 	r.release = func() {
 		if o.sides[e.index] == side {
-			side.Release(&verdict)
+			side.Release(&r.verdict)
 		}
 	}
 	o.sides[o.sim.index[home]].Directory.Served(r.chat.id, e.id)
-	side.Prefixes.Stored(r.chat.id, settings.Tokens(r.prompt))
 }
 
-func (o *ours) firstToken(r *request) {}
+func (o *ours) warm(c *chat, e *engine) {
+	o.sides[e.index].Prefixes.Stored(c.id, settings.Tokens(c.context))
+	o.sides[e.index].Directory.Served(c.id, e.id)
+}
+
+func (o *ours) firstToken(r *request) {
+	side := o.sides[r.engine.index]
+	side.FirstToken(&r.verdict)
+	side.Prefixes.Stored(r.chat.id, settings.Tokens(r.prompt))
+}
 
 func (o *ours) served(r *request, e *engine) {
 	o.sides[e.index].Prefixes.Stored(r.chat.id, settings.Tokens(r.prompt+r.decode))
@@ -176,45 +189,75 @@
 	return float64(len(body)) + wireBytes
 }
 
-// shed moves the cheapest request of an overloaded engine.
+// shed moves requests away from an engine that carries too much. The side asks each target for its load first, so
+// that no move rests on an old report.
 func (o *ours) shed(e *engine) {
-	var best *request
-	for r := range e.waiting {
-		if best == nil || r.prompt < best.prompt {
-			best = r
+	side := o.sides[e.index]
+	asked := settings.UpstreamID("")
+	for range maxShedSteps {
+		m, ok := side.Shed(o.sim.instant())
+		if !ok {
+			return
 		}
-	}
-	for r := range e.running {
-		if len(e.waiting) == 0 && r.first && (best == nil || r.prompt < best.prompt) {
-			best = r
+		to := o.sim.engines[o.sim.index[m.To]]
+		if to.down || to.silent {
+			side.Estimator.Forget(m.To)
+			continue
+		}
+		if asked != m.To {
+			o.exchange(e.index, to.index)
+			asked = m.To
+			continue
+		}
+		asked = ""
+		if r := o.movable(e, m); r == nil || !o.move(r, e, m.To) {
+			side.Moved(m.To, m.Charge)
 		}
 	}
-	if best == nil {
-		return
+}
+
+// maxShedSteps bounds the questions and moves of one engine at a time.
+const maxShedSteps = 10
+
+// movable returns the request whose charge is nearest to the wanted one, one that waits before one that runs.
+func (o *ours) movable(e *engine, m admit.Move) *request {
+	var best *request
+	for _, set := range []map[*request]bool{e.waiting, e.running} {
+		for r := range set {
+			if r.charge > m.Most || !r.first && e.running[r] {
+				continue
+			}
+			if best == nil || distance(r.charge, m.Charge) < distance(best.charge, m.Charge) {
+				best = r
+			}
+		}
+		if best != nil {
+			return best
+		}
 	}
+	return nil
+}
+
+func distance(a, b settings.Tokens) settings.Tokens { return max(a-b, b-a) }
+
+// move hands a request to a lighter engine, with its prefix.
+func (o *ours) move(r *request, e *engine, target settings.UpstreamID) bool {
 	side := o.sides[e.index]
-	target, ok := side.Shed(o.sim.instant(), best.charge, o.sim.rng.IntN)
-	if !ok {
-		return
-	}
 	to := o.sim.engines[o.sim.index[target]]
-	if to.down || to.silent {
-		side.Estimator.Forget(target)
-		return
-	}
-	v := o.ask(best, to, route.Step{Side: target, Redirected: true}, e.id)
+	v := o.ask(r, to, route.Step{Side: target, Redirected: true}, e.id)
+	side.Moved(target, r.charge)
 	if !v.Admit {
-		return
+		return false
 	}
-	if best.first {
-		best.decode = max(1, best.decode-(o.sim.now-best.began)*decodeRate)
+	if r.first {
+		r.decode = max(1, r.decode-(o.sim.now-r.began)*decodeRate)
 	}
-	e.finish(o.sim, best)
+	e.finish(o.sim, r)
 	p := placement{engine: to.index, ok: true}
-	home, _ := o.exact.Home(best.chat.id)
-	o.admitted(best, to, home, v, &p)
-	p.importFrom = e
-	o.sim.begin(best, p)
+	home, _ := o.exact.Home(r.chat.id)
+	o.admitted(r, to, home, v, &p)
+	o.sim.begin(r, p)
+	return true
 }
 
 // disagree gives each router a view of its own for the next seconds.
--- a/core/internal/benchdecisions/policy.go
+++ b/core/internal/benchdecisions/policy.go
@@ -25,6 +25,7 @@
 	gaveUp(r *request, e *engine)
 	firstToken(r *request)
 	served(r *request, e *engine)
+	warm(c *chat, e *engine)
 	control() float64
 }
 
@@ -165,4 +166,5 @@
 
 func (b *baseline) firstToken(*request)      {}
 func (b *baseline) served(*request, *engine) {}
+func (b *baseline) warm(*chat, *engine)      {}
 func (b *baseline) control() float64         { return 0 }
--- a/core/internal/benchdecisions/sim.go
+++ b/core/internal/benchdecisions/sim.go
@@ -3,17 +3,19 @@
 import (
 	"container/heap"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"rattantrack.dev/core/clock"
 	"rattantrack.dev/core/mean"
+	"rattantrack.dev/core/rank"
 	"rattantrack.dev/core/settings"
 	"rattantrack.dev/core/share"
 )
 
 // Shape of the runs; times in seconds of the virtual clock.
 const (
-	arrivalRate   = 1.5 // requests an engine a second
+	arrivalRate   = 2.0 // requests an engine a second
 	chatsPer      = 100 // chats an engine
 	routers       = 4
 	duration      = 300.0
@@ -122,9 +124,26 @@
 		s.hot = append(s.hot, s.newChat(surgingTeam))
 	}
 	s.policy = newPolicy(s)
+	s.warm()
 	return s
 }
 
+// warm begins with every chat cached at the engine that ranks first for it.
+func (s *sim) warm() {
+	var ids []settings.UpstreamID
+	for _, e := range s.engines {
+		ids = append(ids, e.id)
+	}
+	set := rank.New(ids)
+	for _, c := range slices.Concat(s.chats, s.hot) {
+		home, _ := set.Home(c.id)
+		s.engines[s.index[home]].store(c.id, c.context)
+		s.policy.warm(c, s.engines[s.index[home]])
+		c.known = true
+		c.context += 200
+	}
+}
+
 // team draws a team; a few are large.
 func (s *sim) team() settings.TeamID {
 	i := min(s.rng.IntN(teamCount), s.rng.IntN(teamCount))
--- a/core/mean/mean.go
+++ b/core/mean/mean.go
@@ -1,6 +1,7 @@
 package mean
 
 import (
+	"slices"
 	"time"
 
 	"rattantrack.dev/core/clock"
@@ -154,32 +155,35 @@
 	e.forgetOlder(lightEntry{side: side, at: 1 << 62})
 }
 
-// PickLight returns a lightly loaded side with room for work below limit, the lighter of two drawn by random numbers,
-// and counts the work towards it, so that many asks at once do not all go to one side.
-func (e *Estimator) PickLight(now clock.Instant, work, limit settings.Tokens, random func(n int) int, skip ...settings.UpstreamID) (settings.UpstreamID, bool) {
+// Lightest returns the side with the smallest load expected now, leaving some out. An old report of a small load
+// counts less the older it is, since work flows to where it is light.
+func (e *Estimator) Lightest(now clock.Instant, skip ...settings.UpstreamID) (settings.UpstreamID, settings.Tokens, bool) {
 	e.expire(now)
-	var fits [maxLight]int
-	n := 0
-	for i, entry := range e.light {
-		if entry.load+work > limit || contains(skip, entry.side) {
+	var best settings.UpstreamID
+	var least settings.Tokens
+	for _, entry := range e.light {
+		if slices.Contains(skip, entry.side) {
 			continue
 		}
-		fits[n] = i
-		n++
-	}
-	if n == 0 {
-		return "", false
+		load := entry.load
+		if e.known && load < e.mean {
+			load += (e.mean - load) * settings.Tokens(now.Sub(entry.at)) / settings.Tokens(maxLightAge)
+		}
+		if best == "" || load < least {
+			best, least = entry.side, load
+		}
 	}
-	i := min(fits[random(n)], fits[random(n)])
-	e.light[i].load += work
-	return e.light[i].side, true
+	return best, least, best != ""
 }
 
-func contains(list []settings.UpstreamID, id settings.UpstreamID) bool {
-	for _, one := range list {
-		if one == id {
-			return true
-		}
+// Sent counts work towards a side that it was sent to, so that many asks at once do not all go to one side.
+func (e *Estimator) Sent(side settings.UpstreamID, work settings.Tokens) {
+	i := slices.IndexFunc(e.light, func(entry lightEntry) bool { return entry.side == side })
+	if i < 0 {
+		return
+	}
+	e.light[i].load += work
+	for ; i+1 < len(e.light) && e.light[i+1].load < e.light[i].load; i++ {
+		e.light[i], e.light[i+1] = e.light[i+1], e.light[i]
 	}
-	return false
 }
--- a/core/mean/mean_test.go
+++ b/core/mean/mean_test.go
@@ -100,7 +100,7 @@
 	woken := f.now.Add(30 * time.Second)
 	_, known = f.estimators[0].Mean(woken)
 	c.Assert(known, qt.IsFalse)
-	_, found := f.estimators[0].PickLight(woken, 1, 1e9, func(int) int { return 0 })
+	_, _, found := f.estimators[0].Lightest(woken)
 	c.Assert(found, qt.IsFalse)
 }
 
