feat(admit): moved work may fill its new side further than new work

Cause: the samples that still broke the bound held a big request that could not be put anywhere within it; its side tried to move others away and was refused, since moved work had the limit of new work. Ruled out: stale targets (loads were asked for just before), the mean (est within 3%). Change: moved requests fill a side up to 0.6 of the room, where sides begin to shed.

--- a/core/admit/controller.go
+++ b/core/admit/controller.go
@@ -15,6 +15,8 @@
 	placeRoom = 0.2
 	// holdRoom is how far work whose prefix is cached here may fill it.
 	holdRoom = 0.7
+	// moveRoom is how far work that another side moves here may fill this one.
+	moveRoom = 0.6
 	// shedRoom is where a side begins to move work away.
 	shedRoom = 0.6
 )
@@ -52,6 +54,8 @@
 	Home bool
 	// Sent says that another side sent the request here.
 	Sent bool
+	// Moved says that a side which carries too much moves the request here.
+	Moved bool
 	// Last says that every other side asked had more load; only what cannot be run is refused then.
 	Last bool
 	// Holder is a side that may export the prefix.
@@ -139,8 +143,11 @@
 		}
 	}
 	room := placeRoom
-	if here {
+	switch {
+	case here:
 		room = holdRoom
+	case ask.Moved:
+		room = moveRoom
 	}
 	if ask.Last || c.load+v.Charge <= c.limit(now, room, v.Charge) {
 		v.Admit = true
--- a/core/internal/benchdecisions/ours.go
+++ b/core/internal/benchdecisions/ours.go
@@ -75,7 +75,7 @@
 			o.mark(e)
 			continue
 		}
-		v := o.ask(r, e, step, holder)
+		v := o.ask(r, e, step, holder, false)
 		if v.Holder != "" {
 			holder = v.Holder
 		}
@@ -91,7 +91,7 @@
 	}
 }
 
-func (o *ours) ask(r *request, e *engine, step route.Step, holder settings.UpstreamID) admit.Verdict {
+func (o *ours) ask(r *request, e *engine, step route.Step, holder settings.UpstreamID, moved bool) admit.Verdict {
 	home, _ := o.exact.Home(r.chat.id)
 	return o.sides[e.index].Decide(o.sim.instant(), admit.Ask{
 		Chat:   r.chat.id,
@@ -99,6 +99,7 @@
 		Decode: settings.Tokens(r.expected),
 		Home:   home == e.id,
 		Sent:   step.Redirected,
+		Moved:  moved,
 		Last:   step.Last,
 		Holder: holder,
 	})
@@ -242,7 +243,7 @@
 func (o *ours) move(r *request, e *engine, target settings.UpstreamID) bool {
 	side := o.sides[e.index]
 	to := o.sim.engines[o.sim.index[target]]
-	v := o.ask(r, to, route.Step{Side: target, Redirected: true}, e.id)
+	v := o.ask(r, to, route.Step{Side: target, Redirected: true}, e.id, true)
 	side.Moved(target, r.charge)
 	if !v.Admit {
 		return false
