feat(side): work moves between running sides, with its prefix

Change: a side that carries too much asks a lighter one for its load and moves the fitting request; the router goes on with the answer there; prefixes are exported and imported between engines through their sides, four at a time, within 2 s, and a prefix that does not come corrects the charge.

--- a/core/peer/message.go
+++ b/core/peer/message.go
@@ -44,6 +44,7 @@
 	KindKept
 	KindClaim
 	KindLeaving
+	KindFetch
 )
 
 // Message is one typed message of the protocol.
@@ -138,8 +139,10 @@
 	Offset uint32
 	// Redirected says that another side sent the request here.
 	Redirected bool
-	// Last says that there is no further side to ask.
+	// Last says that every other side asked had more load.
 	Last bool
+	// Moved says that a side which carries too much moves the request here.
+	Moved bool
 	// Holder is a side that may export the chat's prefix.
 	Holder settings.UpstreamID
 }
@@ -327,6 +330,11 @@
 // LeavingLease is how long a router's word that a side is listed as leaving holds without renewal.
 const LeavingLease = 10 * time.Second
 
+// Fetch asks a side for the prefix of a chat in its engine's cache; chunks and an End answer it.
+type Fetch struct {
+	Chat uint64
+}
+
 // Leaving says that the sending side takes no more work; from a router, that the receiving side is listed as leaving.
 type Leaving struct {
 }
@@ -403,6 +411,9 @@
 // Kind returns KindClaim.
 func (*Claim) Kind() Kind { return KindClaim }
 
+// Kind returns KindFetch.
+func (*Fetch) Kind() Kind { return KindFetch }
+
 // Kind returns KindLeaving.
 func (*Leaving) Kind() Kind { return KindLeaving }
 
@@ -459,6 +470,8 @@
 		return &Claim{}
 	case KindLeaving:
 		return &Leaving{}
+	case KindFetch:
+		return &Fetch{}
 	}
 	return nil
 }
--- a/core/settings/fleet.go
+++ b/core/settings/fleet.go
@@ -55,6 +55,8 @@
 	DecodeRate Tokens `yaml:"decode_rate"`
 	// CacheTokens is the size of one engine's prefix cache.
 	CacheTokens Tokens `yaml:"cache_tokens"`
+	// KVTransfer says that the engines export and import KV cache.
+	KVTransfer bool `yaml:"kv_transfer"`
 }
 
 // Upstream declares one upstream and the address of its side process.
--- a/router/internal/sides/attempt.go
+++ b/router/internal/sides/attempt.go
@@ -99,7 +99,8 @@
 		PromptTokens: c.PromptTokens + settings.Tokens(p.events),
 		Resume:       p.text(),
 		Offset:       p.events,
-		Redirected:   step.Redirected,
+		Redirected:   step.Redirected || p.moved,
+		Moved:        p.moved,
 		Last:         step.Last,
 		Holder:       p.holder,
 	}
--- a/router/internal/sides/dispatch.go
+++ b/router/internal/sides/dispatch.go
@@ -96,6 +96,7 @@
 		case endMoved:
 			// The side that moved the answer still holds the prefix.
 			p.holder = step.Side
+			p.moved = true
 			p.restart()
 			walk = d.walk(c, r.moved)
 			continue
--- a/router/internal/sides/progress.go
+++ b/router/internal/sides/progress.go
@@ -38,6 +38,8 @@
 	side     settings.UpstreamID
 	// holder is a side that may export the chat's prefix.
 	holder settings.UpstreamID
+	// moved says that the next attempt goes on with an answer that a side has moved away.
+	moved bool
 	// whole holds the pieces of an answer that the caller reads as one body, until it is whole.
 	whole     [][]byte
 	wholeSize int
--- a/side/internal/app/app.go
+++ b/side/internal/app/app.go
@@ -64,7 +64,9 @@
 		Allow:    allow,
 		OnReject: func(err error) { l.Warn("peer turned away", "error", err) },
 	}
-	s.sides = &sides.Service{Door: s.door, Dialer: s.endpoint}
+	prefixes := sides.NewPrefixes(s.endpoint, s.client)
+	s.door.Prefixes = prefixes
+	s.sides = &sides.Service{Door: s.door, Dialer: s.endpoint, Prefixes: prefixes}
 	s.spread = &spread.Service{Store: s.store, Dialer: s.endpoint, Log: l, Candidates: s.candidates}
 	return s, nil
 }
--- a/side/internal/router/door.go
+++ b/side/internal/router/door.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -35,6 +34,11 @@
 	Run(ctx context.Context, call upstream.Call, sink upstream.Sink) (upstream.Usage, error)
 }
 
+// Fetcher brings the prefix of a chat from another side's engine to this one's, and returns its tokens.
+type Fetcher interface {
+	Fetch(ctx context.Context, address string, chat uint64) (settings.Tokens, error)
+}
+
 // Door is the one way to an upstream: every request for it passes here.
 type Door struct {
 	Self     settings.UpstreamID
@@ -44,6 +48,8 @@
 	Log      *log.Logger
 	Scope    tally.Scope
 	Started  clock.Instant
+	// Prefixes brings prefixes from other sides.
+	Prefixes Fetcher
 
 	mu        sync.Mutex
 	fleet     *settings.Fleet
@@ -63,6 +69,8 @@
 	listedUntil clock.Instant
 	estates     map[settings.UpstreamID]estate
 	work        sync.WaitGroup
+	shedOnce    sync.Once
+	shedWake    chan struct{}
 }
 
 // Declare puts an accepted version of the declarations in force.
@@ -94,7 +102,7 @@
 func PolicyOf(s settings.Service) admit.Policy {
 	// One engine decodes MaxRunning streams while it could prefill PrefillRate tokens.
 	weight := float64(s.DecodeRate) * float64(s.MaxRunning) / float64(s.PrefillRate)
-	return admit.Policy{Multiple: s.Multiple, PrefillWeight: weight}
+	return admit.Policy{Multiple: s.Multiple, PrefillWeight: weight, Import: s.KVTransfer}
 }
 
 // homesChange tells the homes what changed of this service's declared upstreams.
@@ -250,8 +258,6 @@
 	d.answers[name] = have + answerMemory*(answer-have)
 }
 
-func (d *Door) random(n int) int { return rand.IntN(n) }
-
 // retryAfter tells a refused caller when to come back, from the present queue; the caller holds the lock.
 func (d *Door) retryAfter() time.Duration {
 	return max(time.Second, d.scheduler.Wait())
--- a/side/internal/router/job.go
+++ b/side/internal/router/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"rattantrack.dev/core/admit"
@@ -27,7 +28,7 @@
 	// moveTo names the side that should go on with the answer.
 	moveTo  settings.UpstreamID
 	answer  outcome.Answer
-	chunks  uint32
+	chunks  atomic.Uint32
 	sink    error
 	stopped bool
 }
--- a/side/internal/router/run.go
+++ b/side/internal/router/run.go
@@ -61,6 +61,7 @@
 	body, err := upstream.ChatBody(m.Body, service.Model, m.Resume, m.Offset)
 	call.Body = body
 	call.Headers = append(call.Headers,
+		peer.Header{Name: "X-Chat-Id", Value: strconv.FormatUint(m.Chat, 10)},
 		peer.Header{Name: "X-Request-Priority", Value: string(j.profile.Priority)},
 		peer.Header{Name: "X-Request-Id", Value: string(m.Request) + "." + strconv.Itoa(int(m.Attempt))},
 	)
@@ -113,7 +114,7 @@
 }
 
 func (d *Door) end(j *job, err error) *peer.End {
-	end := &peer.End{Attempt: j.submit.Attempt, Outcome: peer.OutcomeDone, Chunks: j.chunks}
+	end := &peer.End{Attempt: j.submit.Attempt, Outcome: peer.OutcomeDone, Chunks: j.chunks.Load()}
 	if err == nil {
 		return end
 	}
@@ -169,15 +170,15 @@
 // Chunk passes one piece on.
 func (s *jobSink) Chunk(data []byte) error {
 	j := s.job
-	j.chunks++
-	if j.chunks == 1 {
+	seq := j.chunks.Add(1)
+	if seq == 1 {
 		s.firstToken()
 	}
 	if j.record != nil {
 		s.record(data)
 		return nil
 	}
-	return s.pass(&peer.Chunk{Attempt: j.submit.Attempt, Seq: j.chunks, Data: data})
+	return s.pass(&peer.Chunk{Attempt: j.submit.Attempt, Seq: seq, Data: data})
 }
 
 // record keeps an answer that may be asked for again; it is sent when it is whole, so that a slow caller
@@ -192,6 +193,9 @@
 	s.door.mu.Lock()
 	defer s.door.mu.Unlock()
 	s.door.admission.FirstToken(&s.job.verdict)
+	if m := s.job.submit; m.Chat != 0 {
+		s.door.admission.Prefixes.Stored(m.Chat, m.PromptTokens)
+	}
 }
 
 // pass sends a message to the router; a call that may not be repeated runs on when the router is gone.
--- a/side/internal/router/shed.go
+++ b/side/internal/router/shed.go
@@ -1,47 +1,91 @@
 package router
 
 import (
+	"rattantrack.dev/core/admit"
 	"rattantrack.dev/core/settings"
 )
 
-// Shed moves one request to a lighter side when this one carries too much.
-func (d *Door) Shed() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.service.Kind != settings.KindModel || d.leaving {
+// ShedWanted tells when the load has just grown, so that the side may have to move work away.
+func (d *Door) ShedWanted() <-chan struct{} {
+	d.shedOnce.Do(func() { d.shedWake = make(chan struct{}, 1) })
+	return d.shedWake
+}
+
+// wakeShed asks for a look at the load; the caller holds the lock.
+func (d *Door) wakeShed() {
+	if d.admission.Excess(d.Clock.Now()) <= 0 {
 		return
 	}
-	j := d.movable()
-	if j == nil {
-		return
+	select {
+	case d.shedWake <- struct{}{}:
+	default:
 	}
-	target, ok := d.admission.Shed(d.Clock.Now(), j.verdict.Charge, d.random)
+}
+
+// ShedTarget returns the side to which work should move and its address, if there is too much here.
+func (d *Door) ShedTarget() (settings.UpstreamID, string, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	m, ok := d.move()
 	if !ok {
-		return
+		return "", "", false
+	}
+	u, ok := d.fleet.Upstreams[m.To]
+	return m.To, u.Side, ok
+}
+
+// move returns what the admission controller wants moved; the caller holds the lock.
+func (d *Door) move() (admit.Move, bool) {
+	if d.service.Kind != settings.KindModel || d.isLeaving(d.Clock.Now()) {
+		return admit.Move{}, false
 	}
-	j.moveTo = target
+	return d.admission.Shed(d.Clock.Now())
+}
+
+// Shed moves one request to a side whose load was just asked for; it reports whether it did.
+func (d *Door) Shed(to settings.UpstreamID) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	m, ok := d.move()
+	if !ok || m.To != to {
+		return false
+	}
+	j := d.movable(m)
+	if j == nil {
+		d.admission.Moved(m.To, m.Charge)
+		return false
+	}
+	d.admission.Moved(m.To, j.verdict.Charge)
+	j.moveTo = m.To
 	j.cut()
 	d.Scope.Counter("moved").Inc(1)
+	return true
 }
 
-// movable returns the request that is cheapest to move: one that still waits, or else the one with the shortest
-// prompt among those whose answer has begun; the caller holds the lock.
-func (d *Door) movable() *job {
-	waiting := d.scheduler.Last()
+// movable returns the request whose charge is nearest to the wanted one, one that waits before one whose answer has
+// begun; the caller holds the lock.
+func (d *Door) movable(m admit.Move) *job {
 	var best *job
 	for j := range d.jobs {
-		if j.stopped || !j.profile.Idempotent {
+		if j.stopped || !j.profile.Idempotent || j.verdict.Charge > m.Most {
 			continue
 		}
-		if waiting != nil && j.item == waiting {
-			return j
-		}
-		if j.chunks == 0 {
+		if j.item.Started() && j.chunks.Load() == 0 {
 			continue
 		}
-		if best == nil || j.submit.PromptTokens < best.submit.PromptTokens {
+		if best == nil || better(j, best, m) {
 			best = j
 		}
 	}
 	return best
 }
+
+// better reports whether a is a better request to move than b.
+func better(a, b *job, m admit.Move) bool {
+	if a.item.Started() != b.item.Started() {
+		return !a.item.Started()
+	}
+	return distance(a.verdict.Charge, m.Charge) < distance(b.verdict.Charge, m.Charge)
+}
+
+func distance(a, b settings.Tokens) settings.Tokens { return max(a-b, b-a) }
--- a/side/internal/router/submit.go
+++ b/side/internal/router/submit.go
@@ -36,6 +36,7 @@
 		return
 	}
 	go d.watch(ctx, st, j)
+	d.fetchPrefix(j)
 	if !d.waitForSlot(j) {
 		d.abandon(j)
 		_ = st.Send(ctx, j.notStarted())
@@ -98,6 +99,7 @@
 	d.jobs[j] = struct{}{}
 	d.work.Add(1)
 	d.startNext()
+	d.wakeShed()
 	return outcome.StepRun, nil
 }
 
@@ -146,14 +148,15 @@
 		Decode: d.decodeGuess(m.Profile, j.profile),
 		Home:   home == d.Self,
 		Sent:   m.Redirected,
+		Moved:  m.Moved,
 		Last:   m.Last,
 		Holder: m.Holder,
 	}
-	j.verdict = d.admission.Decide(d.Clock.Now(), ask, d.random)
+	j.verdict = d.admission.Decide(d.Clock.Now(), ask)
 	if j.verdict.Admit {
 		return nil
 	}
-	r := &refusal{code: peer.RefuseOverloaded, retryAfter: d.retryAfter(), load: d.admission.Load()}
+	r := &refusal{code: peer.RefuseOverloaded, retryAfter: d.retryAfter(), load: d.admission.Load(), holder: j.verdict.Holder}
 	for _, side := range j.verdict.Next {
 		if side != "" {
 			r.next = append(r.next, side)
--- /dev/null
+++ b/side/internal/sides/prefixes.go
@@ -0,0 +1,113 @@
+package sides
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"rattantrack.dev/core/peer"
+	"rattantrack.dev/core/settings"
+)
+
+// Bounds of the prefixes that travel between sides.
+const (
+	prefixChunkBytes = 64 << 10
+	maxPrefixBytes   = 256 << 20
+	// maxTransfers bounds the prefixes that one side sends at a time, and so the rate at which it sends.
+	maxTransfers = 4
+	exportLimit  = 2 * time.Second
+)
+
+// TooManyTransfersError reports a side that is sending as many prefixes as it may.
+type TooManyTransfersError struct{}
+
+func (*TooManyTransfersError) Error() string { return "too many prefixes are being sent" }
+
+// Engine exports and imports prefixes.
+type Engine interface {
+	Export(ctx context.Context, chat uint64) ([]byte, error)
+	Import(ctx context.Context, chat uint64, prefix []byte) (settings.Tokens, error)
+}
+
+// Prefixes moves prefixes between the engines of two sides.
+type Prefixes struct {
+	Dialer Dialer
+	Engine Engine
+
+	sending chan struct{}
+}
+
+// NewPrefixes returns a mover of prefixes for the engine of this side.
+func NewPrefixes(d Dialer, e Engine) *Prefixes {
+	return &Prefixes{Dialer: d, Engine: e, sending: make(chan struct{}, maxTransfers)}
+}
+
+// Fetch brings the prefix of a chat from the side at an address into this side's engine.
+func (p *Prefixes) Fetch(ctx context.Context, address string, chat uint64) (settings.Tokens, error) {
+	l, err := p.Dialer.Dial(ctx, address)
+	if err != nil {
+		return 0, err
+	}
+	st, err := l.Open(ctx, &peer.Fetch{Chat: chat})
+	if err != nil {
+		return 0, err
+	}
+	defer st.Close()
+	prefix, err := receive(ctx, st)
+	if err != nil {
+		return 0, err
+	}
+	return p.Engine.Import(ctx, chat, prefix)
+}
+
+func receive(ctx context.Context, st *peer.Stream) ([]byte, error) {
+	var prefix []byte
+	for {
+		m, err := st.Receive(ctx)
+		if err != nil {
+			return nil, err
+		}
+		switch v := m.(type) {
+		case *peer.Chunk:
+			prefix = append(prefix, v.Data...)
+		case *peer.End:
+			return prefix, nil
+		}
+		if len(prefix) > maxPrefixBytes {
+			return nil, errors.Newf("prefix of more than %d bytes", maxPrefixBytes)
+		}
+	}
+}
+
+// Serve sends the prefix that another side asks for.
+func (p *Prefixes) Serve(ctx context.Context, st *peer.Stream, f *peer.Fetch) {
+	if err := p.send(ctx, st, f.Chat); err != nil {
+		_ = st.Send(ctx, &peer.Reset{Reason: err.Error()})
+	}
+}
+
+func (p *Prefixes) send(ctx context.Context, st *peer.Stream, chat uint64) error {
+	select {
+	case p.sending <- struct{}{}:
+		defer func() { <-p.sending }()
+	default:
+		return &TooManyTransfersError{}
+	}
+	ctx, cancel := context.WithTimeout(ctx, exportLimit)
+	defer cancel()
+	prefix, err := p.Engine.Export(ctx, chat)
+	if err != nil {
+		return err
+	}
+	seq := uint32(0)
+	for len(prefix) > 0 {
+		n := min(len(prefix), prefixChunkBytes)
+		seq++
+		if err := st.Send(ctx, &peer.Chunk{Seq: seq, Data: prefix[:n]}); err != nil {
+			return err
+		}
+		prefix = prefix[n:]
+	}
+	return st.Send(ctx, &peer.End{Chunks: seq})
+}
--- a/side/internal/sides/service.go
+++ b/side/internal/sides/service.go
@@ -23,7 +23,9 @@
 type Door interface {
 	Exchange(other *mean.Sample) mean.Sample
 	Merge(other mean.Sample)
-	Shed()
+	ShedWanted() <-chan struct{}
+	ShedTarget() (settings.UpstreamID, string, bool)
+	Shed(to settings.UpstreamID) bool
 	Siblings() (settings.ServiceName, []string)
 	Forget(side settings.UpstreamID)
 	Listed()
@@ -41,8 +43,9 @@
 
 // Service exchanges loads with other sides in rounds and claims the records of keys that have moved here.
 type Service struct {
-	Door   Door
-	Dialer Dialer
+	Door     Door
+	Dialer   Dialer
+	Prefixes *Prefixes
 
 	neighbours overlay.Neighbours
 }
@@ -60,6 +63,11 @@
 		defer wg.Done()
 		every(ctx, claimInterval, func() { s.claim(ctx) })
 	}()
+	wg.Add(1)
+	go func() {
+		defer wg.Done()
+		s.shedWhenWanted(ctx)
+	}()
 	shuffled := time.Now()
 	every(ctx, mean.Round, func() {
 		if time.Since(shuffled) > reshuffle {
@@ -67,11 +75,42 @@
 			shuffled = time.Now()
 		}
 		s.exchange(ctx)
-		s.Door.Shed()
+		s.shed(ctx)
 	})
 	return nil
 }
 
+// shedWhenWanted moves work away as soon as the load has grown too much.
+func (s *Service) shedWhenWanted(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.Door.ShedWanted():
+			s.shed(ctx)
+		}
+	}
+}
+
+// maxShedSteps bounds the moves of one look at the load.
+const maxShedSteps = 5
+
+// shed moves requests away while there is too much here. Each target is asked for its load first, so that no move
+// rests on an old report.
+func (s *Service) shed(ctx context.Context) {
+	for range maxShedSteps {
+		to, address, ok := s.Door.ShedTarget()
+		if !ok {
+			return
+		}
+		if err := s.exchangeWith(ctx, address); err != nil {
+			s.Door.Forget(to)
+			continue
+		}
+		s.Door.Shed(to)
+	}
+}
+
 func every(ctx context.Context, interval time.Duration, f func()) {
 	t := time.NewTicker(interval)
 	defer t.Stop()
@@ -87,24 +126,31 @@
 
 // exchange swaps samples with one neighbour.
 func (s *Service) exchange(ctx context.Context) {
-	name, addresses := s.Door.Siblings()
+	_, addresses := s.Door.Siblings()
 	address, ok := s.neighbours.Pick(addresses)
 	if !ok {
 		return
 	}
+	if err := s.exchangeWith(ctx, address); err != nil {
+		s.neighbours.Drop(address)
+	}
+}
+
+// exchangeWith swaps samples with the side at an address.
+func (s *Service) exchangeWith(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, askLimit)
 	defer cancel()
 	l, err := s.Dialer.Dial(ctx, address)
 	if err != nil {
-		s.neighbours.Drop(address)
-		return
+		return err
 	}
+	name, _ := s.Door.Siblings()
 	answer, err := peer.Ask[*peer.Exchange](ctx, l, message(name, s.Door.Exchange(nil)), askLimit)
 	if err != nil {
-		s.neighbours.Drop(address)
-		return
+		return err
 	}
 	s.Door.Merge(sample(answer))
+	return nil
 }
 
 // Serve answers another side's message; it reports false for messages of other services.
@@ -120,6 +166,8 @@
 	case *peer.Handover:
 		s.Door.Keep(v)
 		_ = st.Send(ctx, &peer.Kept{})
+	case *peer.Fetch:
+		s.Prefixes.Serve(ctx, st, v)
 	case *peer.Leaving:
 		s.leaving(st.Link().Remote())
 	default:
--- a/standin/internal/engine/engine.go
+++ b/standin/internal/engine/engine.go
@@ -13,6 +13,9 @@
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 )
 
+// chatHeader names the chat of a request, by which its prefix can be exported.
+const chatHeader = "X-Chat-Id"
+
 // Defaults of an engine.
 const (
 	defaultAnswer = 24
@@ -62,6 +65,7 @@
 	mu     sync.Mutex
 	faults Faults
 	cache  *simplelru.LRU[uint64, int]
+	chats  *simplelru.LRU[string, []uint64]
 	held   int
 	report Counts
 
@@ -73,6 +77,7 @@
 	e := &Engine{cfg: cfg, slots: make(chan struct{}, cfg.MaxBatch)}
 	// The only error is a size below one.
 	e.cache, _ = simplelru.NewLRU(cacheEntries, func(_ uint64, n int) { e.held -= n })
+	e.chats, _ = simplelru.NewLRU[string, []uint64](cacheEntries, nil)
 	return e
 }
 
@@ -133,7 +138,7 @@
 	}
 	if e.answer(w, r, g, faults) {
 		e.finished.Add(1)
-		e.store(g)
+		e.store(g, r.Header.Get(chatHeader))
 		return
 	}
 	e.cancelled.Add(1)
@@ -185,14 +190,17 @@
 }
 
 // store keeps every prefix of the chat with its answer, the least recently used ones out first.
-func (e *Engine) store(g *generation) {
+func (e *Engine) store(g *generation, chat string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	h := xxhash.New()
+	var keys []uint64
+	defer func() { e.chats.Add(chat, keys) }()
 	all := append(g.request.Messages, message{Role: "assistant", Content: g.text.String()})
 	for _, m := range all {
 		hashMessage(h, m)
 		e.keep(h.Sum64(), len(m.Content)/bytesPerToken+1)
+		keys = append(keys, h.Sum64())
 	}
 }
 
--- a/standin/internal/engine/prefix.go
+++ b/standin/internal/engine/prefix.go
@@ -3,27 +3,25 @@
 import (
 	"encoding/json"
 	"net/http"
-	"strconv"
 )
 
-// Prefix is one exported prefix; its blocks stand for the KV cache.
+// Prefix is the exported prefix of one chat; its blocks stand for the KV cache.
 type Prefix struct {
 	Keys   []uint64 `json:"keys"`
 	Tokens []int    `json:"tokens"`
 }
 
-// maxExport bounds the prefixes of one export.
-const maxExport = 4096
+// Imported is the answer to an import.
+type Imported struct {
+	Tokens int `json:"tokens"`
+}
 
-// export gives out the prefixes whose keys are asked for.
+// export gives out the cached prefix of a chat.
 func (e *Engine) export(w http.ResponseWriter, r *http.Request) {
 	var p Prefix
 	e.mu.Lock()
-	for _, text := range r.URL.Query()["key"] {
-		key, err := strconv.ParseUint(text, 10, 64)
-		if err != nil || len(p.Keys) >= maxExport {
-			continue
-		}
+	keys, _ := e.chats.Get(r.URL.Query().Get("chat"))
+	for _, key := range keys {
 		if n, ok := e.cache.Peek(key); ok {
 			p.Keys = append(p.Keys, key)
 			p.Tokens = append(p.Tokens, n)
@@ -33,7 +31,7 @@
 	_ = json.NewEncoder(w).Encode(p)
 }
 
-// importPrefix takes exported prefixes in.
+// importPrefix takes an exported prefix in.
 func (e *Engine) importPrefix(w http.ResponseWriter, r *http.Request) {
 	var p Prefix
 	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(&p)
@@ -41,10 +39,14 @@
 		http.Error(w, "malformed body", http.StatusBadRequest)
 		return
 	}
+	var answer Imported
 	e.mu.Lock()
-	defer e.mu.Unlock()
 	for i, key := range p.Keys {
 		e.keep(key, p.Tokens[i])
-		e.imported.Add(int64(p.Tokens[i]))
+		answer.Tokens += p.Tokens[i]
 	}
+	e.chats.Add(r.URL.Query().Get("chat"), p.Keys)
+	e.mu.Unlock()
+	e.imported.Add(int64(answer.Tokens))
+	_ = json.NewEncoder(w).Encode(answer)
 }
--- a/standin/internal/fleet/fleet.go
+++ b/standin/internal/fleet/fleet.go
@@ -199,7 +199,7 @@
 			"debit":  {Service: PlainService, Priority: settings.PriorityUrgent, Deadline: 10 * time.Second},
 		},
 		Services: map[settings.ServiceName]settings.Service{
-			ModelService: {Kind: settings.KindModel, Model: "letterhouse-8b", MaxRunning: 32, MaxQueued: 256},
+			ModelService: {Kind: settings.KindModel, Model: "letterhouse-8b", MaxRunning: 32, MaxQueued: 256, KVTransfer: true},
 			PlainService: {Kind: settings.KindPlain, KeyLifetime: time.Minute, MaxRunning: 64, MaxQueued: 256},
 		},
 		Upstreams: make(map[settings.UpstreamID]settings.Upstream),
