--- a/core/operator/main.go
+++ b/core/operator/main.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/alecthomas/kong"
@@ -20,6 +21,9 @@
 	ExitSettings = 2
 )
 
+// gcPercent trades processor time for memory: the heaps are small and the VMs as well.
+const gcPercent = 30
+
 // flags is the command line of a server program.
 type flags struct {
 	Config string `required:"" type:"existingfile" help:"Settings file in YAML."`
@@ -31,6 +35,9 @@
 	kong.Parse(&f, kong.Name(name), kong.Description(description))
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(gcPercent)
+	}
 	l := NewLog(os.Stderr, name)
 	return ExitCode(l, start(ctx, f.Config, l))
 }
--- a/core/operator/server.go
+++ b/core/operator/server.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"net/http"
+	// The profiler registers itself with the default mux, which nothing else serves.
+	_ "net/http/pprof"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -57,6 +59,7 @@
 	app.Get("/healthz", func(ctx iris.Context) { _, _ = ctx.WriteString("ok\n") })
 	app.Get("/readyz", s.readyz)
 	app.Get("/dump", s.dump)
+	app.Get("/debug/pprof/{part:path}", iris.FromStd(http.DefaultServeMux))
 	if s.Metrics != nil {
 		app.Get("/metrics", iris.FromStd(s.Metrics.Handler))
 	}
--- a/core/peer/message.go
+++ b/core/peer/message.go
@@ -141,8 +141,8 @@
 	Redirected bool
 	// Last says that every other side asked had more load.
 	Last bool
-	// Moved says that a side which carries too much moves the request here.
-	Moved bool
+	// Moves counts the sides that carried too much and moved the request away.
+	Moves int
 	// Holder is a side that may export the chat's prefix.
 	Holder settings.UpstreamID
 }
--- a/core/route/walk.go
+++ b/core/route/walk.go
@@ -23,6 +23,7 @@
 	lightest settings.UpstreamID
 	load     settings.Tokens
 	ended    bool
+	excluded []settings.UpstreamID
 }
 
 // New begins with the hint, if it names a usable side, and then follows the chat's ranking.
@@ -93,9 +94,12 @@
 }
 
 func (w *Walk) wasAsked(side settings.UpstreamID) bool {
-	return slices.Contains(w.asked[:w.asks], side)
+	return slices.Contains(w.asked[:w.asks], side) || slices.Contains(w.excluded, side)
 }
 
+// Exclude keeps the walk from sides that have failed the request, also where others name them.
+func (w *Walk) Exclude(sides []settings.UpstreamID) { w.excluded = sides }
+
 // Refused takes in the sides that a refusing one named.
 func (w *Walk) Refused(next []settings.UpstreamID) {
 	w.pending = copy(w.given[:], next)
--- a/core/route/walk_test.go
+++ b/core/route/walk_test.go
@@ -45,3 +45,15 @@
 	}
 	c.Assert(w.Asks() <= MaxAsks, qt.IsTrue)
 }
+
+func TestExcludedSideIsNotAskedThoughItIsNamed(t *testing.T) {
+	c := qt.New(t)
+	w := New(rank.New([]settings.UpstreamID{"a", "b"}), 7, "")
+	w.Exclude([]settings.UpstreamID{"a"})
+	w.Refused([]settings.UpstreamID{"a"})
+	step, ok := w.Next()
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(step.Side, qt.Equals, settings.UpstreamID("b"))
+	_, ok = w.Next()
+	c.Assert(ok, qt.IsFalse)
+}
--- a/router/internal/sides/attempt.go
+++ b/router/internal/sides/attempt.go
@@ -99,8 +99,8 @@
 		PromptTokens: c.PromptTokens + settings.Tokens(p.events),
 		Resume:       p.text(),
 		Offset:       p.events,
-		Redirected:   step.Redirected || p.moved,
-		Moved:        p.moved,
+		Redirected:   step.Redirected || p.moves > 0,
+		Moves:        p.moves,
 		Last:         step.Last,
 		Holder:       p.holder,
 	}
@@ -125,7 +125,7 @@
 		case *peer.Accept:
 			p.side = settings.UpstreamID(st.Link().Remote().ID)
 		case *peer.Refuse:
-			return report{ending: endRefused, refuse: v}
+			return refusedBy(v)
 		case *peer.Head:
 			err = p.head(v)
 		case *peer.Chunk:
@@ -143,6 +143,14 @@
 	}
 }
 
+// refusedBy tells a refusal from a request that was accepted and moves on before it has started.
+func refusedBy(v *peer.Refuse) report {
+	if v.Code == peer.RefuseElsewhere && len(v.Next) > 0 {
+		return report{ending: endMoved, moved: v.Next[0]}
+	}
+	return report{ending: endRefused, refuse: v}
+}
+
 // lost tells a caller that went away from a side that did.
 func (d *Dispatcher) lost(ctx context.Context, err error) report {
 	if ctx.Err() != nil {
--- a/router/internal/sides/dispatch.go
+++ b/router/internal/sides/dispatch.go
@@ -10,7 +10,6 @@
 
 	"rattantrack.dev/core/outcome"
 	"rattantrack.dev/core/peer"
-	"rattantrack.dev/core/rank"
 	"rattantrack.dev/core/retry"
 	"rattantrack.dev/core/route"
 	"rattantrack.dev/core/settings"
@@ -96,7 +95,7 @@
 		case endMoved:
 			// The side that moved the answer still holds the prefix.
 			p.holder = step.Side
-			p.moved = true
+			p.moves++
 			p.restart()
 			walk = d.walk(c, r.moved)
 			continue
@@ -111,7 +110,8 @@
 			return result
 		}
 		p.restart()
-		walk = d.walkWithout(c, step.Side)
+		p.failed = append(p.failed, step.Side)
+		walk = d.walkAgain(c, p)
 	}
 }
 
@@ -119,19 +119,13 @@
 	return route.New(d.View.Usable(c.Profile.Service), c.Chat, hint)
 }
 
-// walkWithout begins again without the side that has just failed, if there is another.
-func (d *Dispatcher) walkWithout(c *Call, failed settings.UpstreamID) route.Walk {
-	set := d.View.Usable(c.Profile.Service)
-	var ids []settings.UpstreamID
-	for _, id := range set.IDs() {
-		if id != failed {
-			ids = append(ids, id)
-		}
-	}
-	if len(ids) > 0 {
-		set = rank.New(ids)
+// walkAgain begins again without the sides that have failed the call, unless that leaves none.
+func (d *Dispatcher) walkAgain(c *Call, p *progress) route.Walk {
+	walk := d.walk(c, "")
+	if len(p.failed) < d.View.Usable(c.Profile.Service).Len() {
+		walk.Exclude(p.failed)
 	}
-	return route.New(set, c.Chat, "")
+	return walk
 }
 
 // mayRetry reports whether to give up, and waits before another attempt otherwise.
--- a/router/internal/sides/progress.go
+++ b/router/internal/sides/progress.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"fmt"
-	"strings"
 
 	"github.com/tidwall/gjson"
 
@@ -29,17 +28,20 @@
 	sink    Sink
 	attempt peer.AttemptID
 	// events counts the answer tokens that the caller has.
-	events   uint32
-	kept     [][]byte
-	keptSize int
+	events uint32
+	// answer is the text so far, kept so that another engine can go on with it.
+	answer   []byte
+	overflow bool
 	headed   bool
 	written  bool
 	stream   bool
 	side     settings.UpstreamID
 	// holder is a side that may export the chat's prefix.
 	holder settings.UpstreamID
-	// moved says that the next attempt goes on with an answer that a side has moved away.
-	moved bool
+	// failed are the sides that have failed the call.
+	failed []settings.UpstreamID
+	// moves counts the sides that have moved the call away.
+	moves int
 	// whole holds the pieces of an answer that the caller reads as one body, until it is whole.
 	whole     [][]byte
 	wholeSize int
@@ -48,7 +50,6 @@
 
 var (
 	eventStart  = []byte("data: ")
-	eventFinish = []byte("data: [DONE]")
 	contentMark = []byte(`"content":`)
 )
 
@@ -94,30 +95,24 @@
 
 // keep notes an answer token that the caller has.
 func (p *progress) keep(data []byte) {
-	if !bytes.Contains(data, contentMark) || bytes.HasPrefix(data, eventFinish) {
+	if !bytes.Contains(data, contentMark) {
 		return
 	}
 	p.events++
-	if p.keptSize+len(data) > maxKept {
-		return
+	text := gjson.GetBytes(data[min(len(data), len(eventStart)):], "choices.0.delta.content")
+	p.overflow = p.overflow || len(p.answer)+len(text.Str) > maxKept
+	if !p.overflow {
+		p.answer = append(p.answer, text.Str...)
 	}
-	p.kept = append(p.kept, data)
-	p.keptSize += len(data)
 }
 
 // resumable reports whether another engine can go on where the answer broke off.
 func (p *progress) resumable() bool {
-	return !p.written || int(p.events) == len(p.kept)
+	return !p.written || !p.overflow
 }
 
 // text returns the answer so far.
-func (p *progress) text() string {
-	var b strings.Builder
-	for _, event := range p.kept {
-		b.WriteString(gjson.GetBytes(bytes.TrimPrefix(event, eventStart), "choices.0.delta.content").String())
-	}
-	return b.String()
-}
+func (p *progress) text() string { return string(p.answer) }
 
 // restart forgets the pieces of an answer of which the caller has nothing yet.
 func (p *progress) restart() {
--- a/side/internal/router/shed.go
+++ b/side/internal/router/shed.go
@@ -62,12 +62,15 @@
 	return true
 }
 
+// maxMoves bounds how often one request is moved.
+const maxMoves = 4
+
 // movable returns the request whose charge is nearest to the wanted one, one that waits before one whose answer has
 // begun; the caller holds the lock.
 func (d *Door) movable(m admit.Move) *job {
 	var best *job
 	for j := range d.jobs {
-		if j.stopped || !j.profile.Idempotent || j.verdict.Charge > m.Most {
+		if j.stopped || !j.profile.Idempotent || j.submit.Moves >= maxMoves || j.verdict.Charge > m.Most {
 			continue
 		}
 		if j.item.Started() && j.chunks.Load() == 0 {
--- a/side/internal/router/submit.go
+++ b/side/internal/router/submit.go
@@ -148,7 +148,7 @@
 		Decode: d.decodeGuess(m.Profile, j.profile),
 		Home:   home == d.Self,
 		Sent:   m.Redirected,
-		Moved:  m.Moved,
+		Moved:  m.Moves > 0,
 		Last:   m.Last,
 		Holder: m.Holder,
 	}
--- /dev/null
+++ b/standin/internal/bench/doc.go
@@ -0,0 +1,2 @@
+// Package bench measures running processes: the cost of the path, and the decisions under load.
+package bench
--- a/standin/internal/fleet/client.go
+++ b/standin/internal/fleet/client.go
@@ -40,6 +40,7 @@
 	Text       string
 	Tokens     int
 	Cached     int
+	Prompt     int
 	// Whole says that the answer came to its proper end.
 	Whole bool
 	// FirstToken and Took are the times until the first token and the end.
@@ -157,6 +158,7 @@
 		}
 		if u := gjson.Get(data, "usage.prompt_tokens_details.cached_tokens"); u.Exists() {
 			a.Cached = int(u.Int())
+			a.Prompt = int(gjson.Get(data, "usage.prompt_tokens").Int())
 		}
 	}
 	a.Text = text.String()
