fix(side): exchange with sixteen sides in turn, and take one request at the mean

Ruled out: refusals for slots (32 never reached). Change: sixteen neighbours, one changed every 2 s; a side at the mean takes one more request where that alone does not make it shed.

--- a/core/admit/controller.go
+++ b/core/admit/controller.go
@@ -100,7 +100,9 @@
 		return c.limitWithoutMean(now, floor)
 	}
 	c.unknown = false
-	return max(floor, c.above(m, room))
+	// A side at the mean takes one request more unless that alone makes it shed.
+	one := min(m+charge, c.above(m, moveRoom))
+	return max(floor, one, c.above(m, room))
 }
 
 // limitWithoutMean keeps to the floor until it is clear that no other side can be reached.
--- a/side/internal/sides/service.go
+++ b/side/internal/sides/service.go
@@ -16,7 +16,9 @@
 const (
 	askLimit      = 500 * time.Millisecond
 	claimInterval = 500 * time.Millisecond
-	reshuffle     = 10 * time.Second
+	reshuffle     = 2 * time.Second
+	// neighbours is the number of other sides that one side exchanges with at a time; all are met in turn.
+	neighbours = 16
 )
 
 // Door is what the exchanges tell and ask.
@@ -47,7 +49,7 @@
 	Dialer   Dialer
 	Prefixes *Prefixes
 
-	neighbours overlay.Neighbours
+	others overlay.Neighbours
 }
 
 // String returns the service's name.
@@ -55,6 +57,7 @@
 
 // Run exchanges until ctx ends.
 func (s *Service) Run(ctx context.Context, ready func()) error {
+	s.others.Size = neighbours
 	ready()
 	var wg sync.WaitGroup
 	defer wg.Wait()
@@ -71,7 +74,7 @@
 	shuffled := time.Now()
 	every(ctx, mean.Round, func() {
 		if time.Since(shuffled) > reshuffle {
-			s.neighbours.Rotate()
+			s.others.Rotate()
 			shuffled = time.Now()
 		}
 		s.exchange(ctx)
@@ -127,12 +130,12 @@
 // exchange swaps samples with one neighbour.
 func (s *Service) exchange(ctx context.Context) {
 	_, addresses := s.Door.Siblings()
-	address, ok := s.neighbours.Pick(addresses)
+	address, ok := s.others.Pick(addresses)
 	if !ok {
 		return
 	}
 	if err := s.exchangeWith(ctx, address); err != nil {
-		s.neighbours.Drop(address)
+		s.others.Drop(address)
 	}
 }
 
