fix(router): what the repeated failure tests found

Found: (1) a stopping router closed idle connections at once, under callers that were just sending; (2) /readyz was true before the neighbours had been asked and before callers were served; (3) a refused connection to a restarting side spent the retry budget; (4) a call refused only by a leaving side was given up; (5) plain calls all went to one upstream, since they have no chat to rank by.

--- a/Makefile
+++ b/Makefile
@@ -52,6 +52,14 @@
 bench-decisions:
 	@cd core && go run ./internal/benchdecisions
 
+# The path, open streams and decisions in running processes, as JSON lines.
+bench: build
+	@$(BIN)/standin bench --bin $(BIN) --only path,streams,fleet
+
+# How state, traffic and processor time grow with the fleet, as JSON lines.
+bench-capacity: build
+	@$(BIN)/standin bench --bin $(BIN) --only capacity
+
 known-red:
 	@echo "Known faults (KNOWN-RED.txt):"
 	@cat KNOWN-RED.txt
--- a/router/internal/app/app.go
+++ b/router/internal/app/app.go
@@ -39,6 +39,7 @@
 	spread     *spread.Service
 	caller     *caller.Server
 	watch      *platform.Watch
+	announcer  *operator.Announcer
 }
 
 // New returns a router process with the given settings.
@@ -79,6 +80,7 @@
 		Log:    l,
 		Scope:  scope,
 	}
+	r.announcer = &operator.Announcer{Log: l, Message: "router ready"}
 	return r, nil
 }
 
@@ -132,12 +134,10 @@
 		r.watch,
 		r.spread,
 		r.caller,
-		&operator.Announcer{Log: r.log, Message: "router ready"},
+		r.announcer,
 	)
 	return k.Run(ctx)
 }
 
-func (r *Router) ready() bool {
-	fleet, _ := r.view.Fleet()
-	return fleet != nil && !r.caller.Leaving()
-}
+// ready reports whether the balancer should send calls: all services have started and none is stopping.
+func (r *Router) ready() bool { return r.announcer.Started() && !r.caller.Leaving() }
--- a/router/internal/caller/server.go
+++ b/router/internal/caller/server.go
@@ -74,9 +74,9 @@
 	defer cancel()
 	go func() {
 		<-ctx.Done()
+		// From now on /readyz fails and each answer closes its connection. Idle connections stay open meanwhile,
+		// since a caller may be sending on one of them at this moment.
 		s.leaving.Store(true)
-		// Connections are closed after their present call, and /readyz fails meanwhile.
-		srv.SetKeepAlivesEnabled(false)
 		time.AfterFunc(s.Config.NoticeTime, cancel)
 	}()
 	return operator.ServeHTTP(noticed, srv, s.Config.Caller, s.Config.DrainTime, ready)
@@ -85,6 +85,7 @@
 func (s *Server) app() (http.Handler, error) {
 	app := iris.New()
 	app.Logger().SetLevel("disable")
+	app.UseRouter(s.closeWhenLeaving)
 	app.Post("/v1/chat/completions", s.chat)
 	app.Get("/v1/models", s.models)
 	app.Post("/v1/tickets", s.ticket)
@@ -96,6 +97,14 @@
 	return app, nil
 }
 
+// closeWhenLeaving tells callers of a stopping router to use another connection for their next call.
+func (s *Server) closeWhenLeaving(ctx iris.Context) {
+	if s.Leaving() {
+		ctx.Header("Connection", "close")
+	}
+	ctx.Next()
+}
+
 // enter counts a call against the limits of the process and the team.
 func (s *Server) enter(team settings.TeamID, maxOpen int) bool {
 	if s.open.Add(1) > int64(s.Config.Limits.OpenCalls) {
--- a/router/internal/sides/attempt.go
+++ b/router/internal/sides/attempt.go
@@ -19,7 +19,9 @@
 	endDone ending = iota
 	// endRefused is a side's word that the attempt was not run.
 	endRefused
-	// endNotSent is an attempt of which nothing reached the side, or that the side has withdrawn unstarted.
+	// endUnreachable is a side to which no link could be made.
+	endUnreachable
+	// endNotSent is an attempt that the side has withdrawn unstarted.
 	endNotSent
 	// endCut is an answer that broke off, or whose side fell silent after it had started.
 	endCut
@@ -50,15 +52,15 @@
 func (d *Dispatcher) attempt(ctx context.Context, c *Call, p *progress, step route.Step) report {
 	address, ok := d.View.Address(step.Side)
 	if !ok {
-		return report{ending: endNotSent}
+		return report{ending: endUnreachable}
 	}
 	l, err := d.Endpoint.Dial(ctx, address)
 	if err != nil {
 		d.View.Failed(step.Side)
-		return report{ending: endNotSent, err: err}
+		return report{ending: endUnreachable, err: err}
 	}
 	if l.Remote().ID != string(step.Side) {
-		return report{ending: endNotSent, err: errors.Newf("%s is now %s", address, l.Remote().ID)}
+		return report{ending: endUnreachable, err: errors.Newf("%s is now %s", address, l.Remote().ID)}
 	}
 	p.attempt++
 	m := d.submission(c, p, step)
--- a/router/internal/sides/dispatch.go
+++ b/router/internal/sides/dispatch.go
@@ -69,10 +69,20 @@
 	walk := d.walk(c, c.Hint)
 	retries := 0
 	var lastRefusal *peer.Refuse
+	unreachable := false
 	for {
 		step, ok := walk.Next()
 		if !ok {
-			return notRun(p, lastRefusal, walk.Asks())
+			given := notRun(p, lastRefusal, walk.Asks())
+			if !passing(lastRefusal) && !unreachable {
+				return given
+			}
+			if stop, _ := d.mayRetry(ctx, c, p, report{ending: endNotSent}, &retries); stop {
+				return given
+			}
+			walk = d.walkAgain(c, p)
+			unreachable = false
+			continue
 		}
 		r := d.attempt(ctx, c, p, step)
 		switch r.ending {
@@ -99,6 +109,10 @@
 			p.restart()
 			walk = d.walk(c, r.moved)
 			continue
+		case endUnreachable:
+			// Nothing was sent, so the next side can be asked at once.
+			unreachable = true
+			continue
 		case endNotSent:
 			// Nothing was run, so going on is safe for every call; the budget still holds.
 		case endCut, endUnsure:
@@ -116,7 +130,12 @@
 }
 
 func (d *Dispatcher) walk(c *Call, hint settings.UpstreamID) route.Walk {
-	return route.New(d.View.Usable(c.Profile.Service), c.Chat, hint)
+	key := c.Chat
+	if key == 0 {
+		// Calls that are no chats return to nothing and are spread.
+		key = rand.Uint64()
+	}
+	return route.New(d.View.Usable(c.Profile.Service), key, hint)
 }
 
 // walkAgain begins again without the sides that have failed the call, unless that leaves none.
@@ -154,12 +173,20 @@
 	}
 }
 
+// passing reports whether a refusal speaks of one side that goes away, so that asking anew soon can help.
+func passing(r *peer.Refuse) bool {
+	return r != nil && (r.Code == peer.RefuseLeaving || r.Code == peer.RefuseUpstream || r.Code == peer.RefuseNever)
+}
+
 // notRun is the result of a call that every side asked has refused.
 func notRun(p *progress, last *peer.Refuse, asks int) Result {
 	r := Result{Outcome: peer.OutcomeNotRun, Code: CodeNoUpstream, Asks: asks}
 	if p.written {
 		r.Outcome = peer.OutcomeUnknown
 	}
+	if p.side == "" && last == nil && asks > 0 {
+		r.Code = CodeUnreachable
+	}
 	if last != nil {
 		r.Code = string(last.Code)
 		r.RetryAfter = last.RetryAfter
--- a/side/internal/app/app.go
+++ b/side/internal/app/app.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -34,6 +35,7 @@
 	sides    *sides.Service
 	spread   *spread.Service
 	client   *upstream.Client
+	started  atomic.Bool
 }
 
 // New returns a side process with the given settings.
@@ -114,7 +116,7 @@
 		&operator.Server{
 			Address: s.cfg.Operator,
 			Metrics: s.metrics,
-			Ready:   func() bool { return s.ready() },
+			Ready:   s.ready,
 			Dumpers: []operator.Dumper{s.door, s.spread, &operator.Links{Endpoint: s.endpoint}},
 		},
 		&peer.Listener{Address: s.cfg.Peer, Endpoint: s.endpoint, IdleTime: idleLinkTime},
@@ -125,10 +127,8 @@
 	return k.Run(ctx)
 }
 
-func (s *Side) ready() bool {
-	_, fleet := s.store.Current()
-	return fleet != nil && !s.door.Leaving()
-}
+// ready reports whether all services have started and the side takes work.
+func (s *Side) ready() bool { return s.started.Load() && !s.door.Leaving() }
 
 // drain is the last service to start and so the first to stop: it lets the work end before the rest goes.
 type drain struct {
@@ -144,6 +144,7 @@
 // Run waits for ctx and then takes the side out of service.
 func (d *drain) Run(ctx context.Context, ready func()) error {
 	ready()
+	d.side.started.Store(true)
 	d.side.log.Info("side ready", "peer", d.side.cfg.Peer)
 	<-ctx.Done()
 	d.side.log.Info("side leaving")
--- a/standin/internal/fleet/process.go
+++ b/standin/internal/fleet/process.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"net/http"
 	"os"
 	"os/exec"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -122,6 +124,30 @@
 	return p.cmd.Process.Signal(sig)
 }
 
+// Pause stops the process as SIGSTOP does, and waits until the kernel has done so.
+func (p *Process) Pause(ctx context.Context) error {
+	if err := p.Signal(syscall.SIGSTOP); err != nil {
+		return errors.Wrapf(err, "pausing %s", p.Name)
+	}
+	for {
+		stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.PID()))
+		if err != nil {
+			return errors.Wrapf(err, "looking at %s", p.Name)
+		}
+		if strings.Contains(string(stat), ") T ") {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(time.Millisecond):
+		}
+	}
+}
+
+// Resume lets a paused process go on.
+func (p *Process) Resume() error { return p.Signal(syscall.SIGCONT) }
+
 // PID returns the id of the process.
 func (p *Process) PID() int {
 	p.mu.Lock()
