test(fleet): each test process has a block of ports of its own

Cause: repeated runs side by side failed to bind now and then (two in 18 runs). Change: a block belongs to whoever listens on its first port.

--- a/standin/internal/fleet/fleet.go
+++ b/standin/internal/fleet/fleet.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -123,8 +124,7 @@
 	return all
 }
 
-// Ports of the fleet's processes, below those that the system gives to outgoing connections. Test processes that run
-// side by side take their ports from different blocks.
+// Ports of the fleet's processes, below those that the system gives to outgoing connections.
 const (
 	firstPort  = 18000
 	blockPorts = 500
@@ -133,12 +133,31 @@
 
 var nextPort atomic.Int64
 
+// portBlock is a block of ports that no other test process on this machine uses. It belongs to whoever listens on its
+// first port, which lasts until the process ends.
+type portBlock struct {
+	first int64
+	owner net.Listener
+}
+
+var ownBlock = sync.OnceValue(func() portBlock {
+	for i := range int64(blocks) {
+		first := firstPort + i*blockPorts
+		if ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first)); err == nil {
+			return portBlock{first: first, owner: ln}
+		}
+	}
+	return portBlock{}
+})
+
 // freeAddress returns a loopback address that nobody listens on.
 func freeAddress() (string, error) {
-	block := int64(os.Getpid()) % blocks
+	block := ownBlock()
+	if block.owner == nil {
+		return "", errors.New("no free block of ports")
+	}
 	for range blockPorts {
-		port := firstPort + block*blockPorts + nextPort.Add(1)%blockPorts
-		address := fmt.Sprintf("127.0.0.1:%d", port)
+		address := fmt.Sprintf("127.0.0.1:%d", block.first+1+nextPort.Add(1)%(blockPorts-1))
 		ln, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
