--- /dev/null
+++ b/core/peer/header.go
@@ -0,0 +1,31 @@
+package peer
+
+import "net/http"
+
+// connectionHeaders concern one connection only and are not passed on (RFC 9110, section 7.6.1); lengths and dates are
+// set anew on each connection.
+var connectionHeaders = map[string]bool{
+	"Connection":        true,
+	"Keep-Alive":        true,
+	"Transfer-Encoding": true,
+	"Te":                true,
+	"Trailer":           true,
+	"Upgrade":           true,
+	"Content-Length":    true,
+	"Date":              true,
+	"Accept-Encoding":   true,
+}
+
+// Headers returns the header fields that are passed on, without those that drop reports.
+func Headers(h http.Header, drop func(name string) bool) []Header {
+	var list []Header
+	for name, values := range h {
+		if connectionHeaders[name] || drop(name) {
+			continue
+		}
+		for _, v := range values {
+			list = append(list, Header{Name: name, Value: v})
+		}
+	}
+	return list
+}
--- a/core/peer/message.go
+++ b/core/peer/message.go
@@ -69,9 +69,8 @@
 
 // The roles of processes.
 const (
-	RoleRouter   Role = "router"
-	RoleSide     Role = "side"
-	RoleOperator Role = "operator"
+	RoleRouter Role = "router"
+	RoleSide   Role = "side"
 )
 
 // ProtocolVersion is the version that Hello announces.
--- a/router/internal/caller/plain.go
+++ b/router/internal/caller/plain.go
@@ -11,17 +11,8 @@
 	"rattantrack.dev/router/internal/sides"
 )
 
-// hopHeaders concern one connection only (RFC 9110, section 7.6.1), or are the system's own.
-var hopHeaders = map[string]bool{
-	"Connection":        true,
-	"Keep-Alive":        true,
-	"Transfer-Encoding": true,
-	"Te":                true,
-	"Trailer":           true,
-	"Upgrade":           true,
-	"Content-Length":    true,
-	"Accept-Encoding":   true,
-}
+// ownHeader reports whether a header is the system's own.
+func ownHeader(name string) bool { return strings.HasPrefix(name, "Rattantrack-") }
 
 // plain serves a call to a plain service.
 func (s *Server) plain(ctx iris.Context) {
@@ -39,14 +30,7 @@
 	c.Method = ctx.Method()
 	c.Path = plainPath(ctx.Request(), c.Name)
 	c.Body = body
-	for name, values := range ctx.Request().Header {
-		if hopHeaders[name] || strings.HasPrefix(name, "Rattantrack-") {
-			continue
-		}
-		for _, v := range values {
-			c.Headers = append(c.Headers, peer.Header{Name: name, Value: v})
-		}
-	}
+	c.Headers = peer.Headers(ctx.Request().Header, ownHeader)
 	if f := setKey(ctx, c); f != nil {
 		s.fail(ctx, c, f)
 		return
--- a/router/internal/sides/call.go
+++ b/router/internal/sides/call.go
@@ -51,7 +51,6 @@
 const (
 	CodeNoUpstream  = "no_upstream"
 	CodeUnreachable = "upstream_unreachable"
-	CodeOverloaded  = "overloaded"
 	CodeDeadline    = "deadline"
 	CodeLost        = "answer_lost"
 	CodeCallerGone  = "caller_gone"
--- a/side/internal/upstream/client.go
+++ b/side/internal/upstream/client.go
@@ -125,7 +125,7 @@
 		return Usage{}, &NotHandedOverError{Cause: err}
 	}
 	defer res.Body.Close()
-	if err := sink.Head(res.StatusCode, headersOf(res.Header)); err != nil {
+	if err := sink.Head(res.StatusCode, peer.Headers(res.Header, keepAll)); err != nil {
 		return Usage{}, errors.Wrap(err, "passing the head on")
 	}
 	if strings.HasPrefix(res.Header.Get("Content-Type"), "text/event-stream") {
@@ -138,30 +138,8 @@
 	return method == http.MethodGet || method == http.MethodHead || method == http.MethodOptions
 }
 
-// hopHeaders concern one connection only (RFC 9110, section 7.6.1).
-var hopHeaders = map[string]bool{
-	"Connection":        true,
-	"Keep-Alive":        true,
-	"Transfer-Encoding": true,
-	"Te":                true,
-	"Trailer":           true,
-	"Upgrade":           true,
-	"Content-Length":    true,
-	"Date":              true,
-}
-
-func headersOf(h http.Header) []peer.Header {
-	var list []peer.Header
-	for name, values := range h {
-		if hopHeaders[name] {
-			continue
-		}
-		for _, v := range values {
-			list = append(list, peer.Header{Name: name, Value: v})
-		}
-	}
-	return list
-}
+// keepAll drops no header of an answer but those of its connection.
+func keepAll(string) bool { return false }
 
 // relayBody passes a plain body on in pieces.
 func relayBody(body io.Reader, sink Sink) (Usage, error) {
--- a/standin/internal/configuration/service.go
+++ b/standin/internal/configuration/service.go
@@ -10,6 +10,7 @@
 
 	"rattantrack.dev/core/platform"
 	"rattantrack.dev/core/settings"
+	"rattantrack.dev/standin/internal/faults"
 )
 
 // Faults are switched on by a test's call to /faults.
@@ -28,7 +29,7 @@
 	// history holds the documents of every revision, for stale answers.
 	history map[settings.Revision][]settings.Document
 	reads   int
-	faults  Faults
+	faults  faults.Switch[Faults]
 }
 
 // Handler returns the service's HTTP interface.
@@ -36,7 +37,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/changes", s.changes)
 	mux.HandleFunc("GET /reads", s.countReads)
-	mux.HandleFunc("POST /faults", s.setFaults)
+	mux.Handle("POST /faults", &s.faults)
 	mux.HandleFunc("POST /publish", s.publish)
 	return mux
 }
@@ -79,11 +80,11 @@
 	since, _ := strconv.ParseUint(r.URL.Query().Get("since"), 10, 64)
 	s.mu.Lock()
 	s.reads++
-	faults := s.faults
-	answer := s.answer(settings.Revision(since), faults)
+	present := s.faults.Get()
+	answer := s.answer(settings.Revision(since), present)
 	s.mu.Unlock()
-	time.Sleep(time.Duration(faults.DelayMS) * time.Millisecond)
-	if faults.Down {
+	time.Sleep(time.Duration(present.DelayMS) * time.Millisecond)
+	if present.Down {
 		http.Error(w, "down", http.StatusServiceUnavailable)
 		return
 	}
@@ -115,14 +116,3 @@
 func (s *Service) countReads(w http.ResponseWriter, _ *http.Request) {
 	_ = json.NewEncoder(w).Encode(s.Reads())
 }
-
-func (s *Service) setFaults(w http.ResponseWriter, r *http.Request) {
-	var f Faults
-	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
-		http.Error(w, "malformed body", http.StatusBadRequest)
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.faults = f
-}
--- a/standin/internal/engine/engine.go
+++ b/standin/internal/engine/engine.go
@@ -11,6 +11,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"rattantrack.dev/standin/internal/faults"
 )
 
 // chatHeader names the chat of a request, by which its prefix can be exported.
@@ -62,8 +64,8 @@
 	cfg   Settings
 	slots chan struct{}
 
+	faults faults.Switch[Faults]
 	mu     sync.Mutex
-	faults Faults
 	cache  *simplelru.LRU[uint64, int]
 	chats  *simplelru.LRU[string, []uint64]
 	held   int
@@ -87,7 +89,7 @@
 	mux.HandleFunc("POST /v1/chat/completions", e.chat)
 	mux.HandleFunc("GET /counts", e.counts)
 	mux.HandleFunc("GET /load", e.load)
-	mux.HandleFunc("POST /faults", e.setFaults)
+	mux.Handle("POST /faults", &e.faults)
 	mux.HandleFunc("GET /kv/export", e.export)
 	mux.HandleFunc("POST /kv/import", e.importPrefix)
 	return mux
@@ -117,8 +119,8 @@
 		http.Error(w, "malformed body", http.StatusBadRequest)
 		return
 	}
-	faults := e.currentFaults()
-	if faults.Refuse || q.Model != e.cfg.Model {
+	present := e.faults.Get()
+	if present.Refuse || q.Model != e.cfg.Model {
 		http.Error(w, "cannot serve this model", http.StatusInternalServerError)
 		return
 	}
@@ -136,7 +138,7 @@
 		e.cancelled.Add(1)
 		return
 	}
-	if e.answer(w, r, g, faults) {
+	if e.answer(w, r, g, present) {
 		e.finished.Add(1)
 		e.store(g, r.Header.Get(chatHeader))
 		return
@@ -234,23 +236,6 @@
 	}
 }
 
-func (e *Engine) currentFaults() Faults {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.faults
-}
-
-func (e *Engine) setFaults(w http.ResponseWriter, r *http.Request) {
-	var f Faults
-	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
-		http.Error(w, "malformed body", http.StatusBadRequest)
-		return
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.faults = f
-}
-
 // Counts returns what the engine has done so far.
 func (e *Engine) Counts() Counts {
 	return Counts{
--- a/standin/internal/plain/service.go
+++ b/standin/internal/plain/service.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"rattantrack.dev/standin/internal/faults"
 )
 
 const maxBody = 1 << 20
@@ -36,31 +38,20 @@
 type Service struct {
 	Name string
 
+	faults faults.Switch[Faults]
 	mu     sync.Mutex
-	faults Faults
 	runs   []Run
 }
 
 // Handler returns the service's HTTP interface.
 func (s *Service) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /faults", s.setFaults)
+	mux.Handle("POST /faults", &s.faults)
 	mux.HandleFunc("GET /runs", s.list)
 	mux.HandleFunc("/", s.run)
 	return mux
 }
 
-func (s *Service) setFaults(w http.ResponseWriter, r *http.Request) {
-	var f Faults
-	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
-		http.Error(w, "malformed body", http.StatusBadRequest)
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.faults = f
-}
-
 // Runs returns the calls run so far.
 func (s *Service) Runs() []Run {
 	s.mu.Lock()
@@ -80,11 +71,11 @@
 	s.mu.Lock()
 	s.runs = append(s.runs, Run{Method: r.Method, Path: r.URL.Path, Body: string(body)})
 	answer := Answer{Upstream: s.Name, Run: len(s.runs), Echo: string(body)}
-	faults := s.faults
 	s.mu.Unlock()
+	present := s.faults.Get()
 	// What was begun is done, whether or not anybody waits for it.
-	time.Sleep(time.Duration(faults.DelayMS) * time.Millisecond)
-	if faults.CutAfterRun {
+	time.Sleep(time.Duration(present.DelayMS) * time.Millisecond)
+	if present.CutAfterRun {
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("Content-Type", "application/json")
