fix(side): a side that was taken out of the declarations is still asked for its word

Cause: writing the test for a moved home showed that the new home looked the old one's address up in the declarations, where it no longer stands, and so never asked: the moved keys would have been unknown for ever. Change: sides remember where former sides of their service were. A side also keeps the list of its siblings instead of making it for each exchange.

--- a/core/overlay/neighbours.go
+++ b/core/overlay/neighbours.go
@@ -22,29 +22,41 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.chosen = slices.DeleteFunc(n.chosen, func(address string) bool { return !slices.Contains(candidates, address) })
+	n.fill(candidates)
+	return slices.Clone(n.chosen)
+}
+
+// fill draws further neighbours until there are enough; the caller holds the lock.
+func (n *Neighbours) fill(candidates []string) {
 	size := n.Size
 	if size == 0 {
 		size = DefaultSize
 	}
 	for range candidates {
 		if len(n.chosen) >= min(size, len(candidates)) {
-			break
+			return
 		}
 		address := candidates[rand.IntN(len(candidates))]
 		if !slices.Contains(n.chosen, address) {
 			n.chosen = append(n.chosen, address)
 		}
 	}
-	return slices.Clone(n.chosen)
 }
 
-// Pick returns one neighbour at random.
+// Pick returns one neighbour at random. It looks only at the one picked, so that the work does not grow with the fleet
+// but for one search.
 func (n *Neighbours) Pick(candidates []string) (string, bool) {
-	chosen := n.Choose(candidates)
-	if len(chosen) == 0 {
-		return "", false
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.fill(candidates)
+	for len(n.chosen) > 0 {
+		i := rand.IntN(len(n.chosen))
+		if address := n.chosen[i]; slices.Contains(candidates, address) {
+			return address, true
+		}
+		n.chosen = slices.Delete(n.chosen, i, i+1)
 	}
-	return chosen[rand.IntN(len(chosen))], true
+	return "", false
 }
 
 // Drop forgets a neighbour that cannot be reached, so that another takes its place.
--- a/side/internal/router/door.go
+++ b/side/internal/router/door.go
@@ -51,12 +51,15 @@
 	// Prefixes brings prefixes from other sides.
 	Prefixes Fetcher
 
-	mu        sync.Mutex
-	fleet     *settings.Fleet
-	service   settings.Service
-	name      settings.ServiceName
-	revision  settings.Revision
-	set       *rank.Set
+	mu       sync.Mutex
+	fleet    *settings.Fleet
+	service  settings.Service
+	name     settings.ServiceName
+	revision settings.Revision
+	set      *rank.Set
+	siblings []string
+	// former holds the addresses of sides that are no longer declared.
+	former    map[settings.UpstreamID]string
 	admission admit.Controller
 	scheduler share.Scheduler
 	attempts  outcome.Attempts
@@ -86,7 +89,8 @@
 	}
 	d.service = c.Fleet.Services[d.name]
 	if d.set == nil || c.UpstreamsChanged() {
-		d.set = rank.New(c.Fleet.UpstreamsOf(d.name))
+		d.rememberFormer(before, c.Fleet)
+		d.setUpstreams(c.Fleet)
 	}
 	d.scheduler.Slots = d.service.MaxRunning
 	d.scheduler.MaxQueued = d.service.MaxQueued
@@ -163,20 +167,41 @@
 	d.admission.Estimator.Merge(d.Clock.Now(), d.admission.Load(), other)
 }
 
-// Siblings returns the addresses of the other declared sides of the same service, and the service.
+// Siblings returns the addresses of the other declared sides of the same service, and the service; callers must not
+// change the list.
 func (d *Door) Siblings() (settings.ServiceName, []string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.fleet == nil {
-		return "", nil
+	return d.name, d.siblings
+}
+
+// maxFormer bounds the sides remembered that are no longer declared.
+const maxFormer = 256
+
+// rememberFormer keeps the addresses of sides that a change takes out of the declarations; the caller holds the lock.
+func (d *Door) rememberFormer(before, now *settings.Fleet) {
+	if before == nil {
+		return
+	}
+	if d.former == nil || len(d.former) > maxFormer {
+		d.former = make(map[settings.UpstreamID]string)
 	}
-	var addresses []string
+	for _, id := range before.UpstreamsOf(d.name) {
+		if _, still := now.Upstreams[id]; !still {
+			d.former[id] = before.Upstreams[id].Side
+		}
+	}
+}
+
+// setUpstreams takes in the declared upstreams of the service; the caller holds the lock.
+func (d *Door) setUpstreams(f *settings.Fleet) {
+	d.set = rank.New(f.UpstreamsOf(d.name))
+	d.siblings = make([]string, 0, d.set.Len())
 	for _, id := range d.set.IDs() {
 		if id != d.Self {
-			addresses = append(addresses, d.fleet.Upstreams[id].Side)
+			d.siblings = append(d.siblings, f.Upstreams[id].Side)
 		}
 	}
-	return d.name, addresses
 }
 
 // Forget drops what is known of a side that is leaving.
--- a/side/internal/router/estate.go
+++ b/side/internal/router/estate.go
@@ -44,16 +44,26 @@
 	fresh := now.Sub(d.Started) < freshTime
 	var list []Question
 	for _, w := range d.homes.Waiting(now) {
-		u, ok := d.fleet.Upstreams[w.From]
-		if !ok || u.Destroyed {
+		address, ok := d.lastAddress(w.From)
+		if !ok {
 			continue
 		}
 		claim := &peer.Claim{From: d.Self, Service: d.name, Ended: w.Ended, Fresh: fresh}
-		list = append(list, Question{Claim: claim, Address: u.Side})
+		list = append(list, Question{Claim: claim, Address: address})
 	}
 	return list
 }
 
+// lastAddress returns where a side was last declared to be; the caller holds the lock. A side that was taken out of the
+// declarations must still be asked.
+func (d *Door) lastAddress(id settings.UpstreamID) (string, bool) {
+	if u, ok := d.fleet.Upstreams[id]; ok {
+		return u.Side, !u.Destroyed
+	}
+	address, ok := d.former[id]
+	return address, ok
+}
+
 // Claimed takes in another side's answer to a claim.
 func (d *Door) Claimed(h *peer.Handover) {
 	d.mu.Lock()
--- a/standin/internal/fleet/outcome_test.go
+++ b/standin/internal/fleet/outcome_test.go
@@ -210,6 +210,48 @@
 	c.Assert(runsOf(ctx, t, f, "fee 1"), qt.Equals, 1)
 }
 
+func TestKeyWhoseHomeIsTakenOutWaitsForTheOldHomesWord(t *testing.T) {
+	c := qt.New(t)
+	ctx := testContext(t)
+	f := start(t, Options{Routers: 1, Plains: 3, Declare: func(f *settings.Fleet) {
+		s := f.Services[PlainService]
+		s.KeyLifetime = 20 * time.Second
+		f.Services[PlainService] = s
+	}})
+	vouching(ctx, t, f)
+	cl := client(t, f.Routers[0].URL)
+	home := homeOf(f, "fee-1")
+	first, err := cl.Plain(ctx, http.MethodPost, "debit", "/fees", "fee 1", key("fee-1"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(first.Status, qt.Equals, http.StatusOK, qt.Commentf("%+v", first))
+
+	// The old home sleeps while its upstream is taken out, so it still believes itself home.
+	c.Assert(home.Side.Pause(ctx), qt.IsNil)
+	r := publish(ctx, t, f, settings.Document{Key: settings.DocumentKey("upstreams/" + string(home.ID)), Deleted: true})
+	for _, u := range f.Plains {
+		if u != home {
+			waitInForce(ctx, t, r, u.Operator)
+		}
+	}
+	waitInForce(ctx, t, r, f.Routers[0].Operator)
+	for begun := time.Now(); time.Since(begun) < 2*time.Second; time.Sleep(100 * time.Millisecond) {
+		a, err := cl.Plain(ctx, http.MethodPost, "debit", "/fees", "fee 1", key("fee-1"))
+		c.Assert(err, qt.IsNil)
+		c.Assert(a.Outcome, qt.Equals, "unknown", qt.Commentf("%+v", a))
+	}
+	c.Assert(home.Side.Resume(), qt.IsNil)
+	again := first
+	for begun := time.Now(); time.Since(begun) < 10*time.Second; time.Sleep(100 * time.Millisecond) {
+		again, err = cl.Plain(ctx, http.MethodPost, "debit", "/fees", "fee 1", key("fee-1"))
+		c.Assert(err, qt.IsNil)
+		if again.Status == http.StatusOK {
+			break
+		}
+	}
+	c.Assert(again.Text, qt.Equals, first.Text)
+	c.Assert(runsOf(ctx, t, f, "fee 1"), qt.Equals, 1)
+}
+
 func TestSidePausedPastTheDeadlineDoesNotRunWhatWasGivenUp(t *testing.T) {
 	c := qt.New(t)
 	ctx := testContext(t)
