--- a/core/operator/main.go
+++ b/core/operator/main.go
@@ -33,8 +33,9 @@
 func Main(name, description string, start func(ctx context.Context, file string, l *log.Logger) error) int {
 	var f flags
 	kong.Parse(&f, kong.Name(name), kong.Description(description))
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	cancelOnSignal(cancel)
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(gcPercent)
 	}
@@ -42,6 +43,17 @@
 	return ExitCode(l, start(ctx, f.Config, l))
 }
 
+// cancelOnSignal begins the stop at the first signal. Signals stay caught until the process has ended, so that a second
+// one cuts nothing that the first lets finish.
+func cancelOnSignal(cancel context.CancelFunc) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-signals
+		cancel()
+	}()
+}
+
 // ExitCode logs what ended a program and returns its exit code; faults in settings are logged one by one.
 func ExitCode(l *log.Logger, err error) int {
 	if err == nil {
