feat(peer): TLS with client certificates between processes, and towards callers

Seen: a peer of another authority, one that trusts another, and one without a certificate are turned away (4 cases, race detector).

--- a/core/operator/server.go
+++ b/core/operator/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	// The profiler registers itself with the default mux, which nothing else serves.
@@ -93,6 +94,9 @@
 	if err != nil {
 		return errors.Wrapf(err, "listening on %s", address)
 	}
+	if srv.TLSConfig != nil {
+		ln = tls.NewListener(ln, srv.TLSConfig)
+	}
 	served := make(chan error, 1)
 	go func() { served <- srv.Serve(ln) }()
 	ready()
--- a/core/peer/dial.go
+++ b/core/peer/dial.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/netip"
 	"sync"
@@ -56,6 +57,8 @@
 	Allow   Networks
 	// OnReject hears of connections that were turned away.
 	OnReject func(err error)
+	// Identity encrypts the links and proves both ends to each other, where it is set.
+	Identity *Identity
 	// MaxDialled bounds the links that this process keeps towards others; the one idle for longest goes first.
 	MaxDialled int
 
@@ -99,6 +102,9 @@
 		e.reject(&ForbiddenError{Address: conn.RemoteAddr().String()})
 		return
 	}
+	if e.Identity != nil {
+		conn = tls.Server(conn, e.Identity.Server())
+	}
 	l, err := newLink(ctx, conn, e.Local(), false)
 	if err != nil {
 		e.reject(err)
@@ -230,6 +236,9 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "dialling %s", address)
 	}
+	if e.Identity != nil {
+		conn = tls.Client(conn, e.Identity.Client())
+	}
 	l, err := newLink(ctx, conn, e.Local(), true)
 	if err != nil {
 		return nil, errors.Wrapf(err, "greeting %s", address)
--- a/core/settings/process.go
+++ b/core/settings/process.go
@@ -26,8 +26,21 @@
 	NoticeTime time.Duration `yaml:"notice_time"`
 	DrainTime  time.Duration `yaml:"drain_time"`
 	Limits     Limits        `yaml:"limits"`
+	// PeerTLS is used between processes, CallerTLS towards callers (who need no certificate), where files are named.
+	PeerTLS   TLS `yaml:"peer_tls"`
+	CallerTLS TLS `yaml:"caller_tls"`
 }
 
+// TLS names the files of a process's certificate, its key, and the authority that issues its peers' certificates.
+type TLS struct {
+	Certificate string `yaml:"certificate"`
+	Key         string `yaml:"key"`
+	Authority   string `yaml:"authority"`
+}
+
+// Used reports whether any file is named.
+func (t TLS) Used() bool { return t != TLS{} }
+
 // Limits bounds what one router takes from outside.
 type Limits struct {
 	HeaderBytes int           `yaml:"header_bytes"`
@@ -48,6 +61,8 @@
 	Peers     []string      `yaml:"peers"`
 	Allow     []string      `yaml:"allow"`
 	DrainTime time.Duration `yaml:"drain_time"`
+	// PeerTLS is used between processes where files are named.
+	PeerTLS TLS `yaml:"peer_tls"`
 }
 
 // Defaults of the process settings.
@@ -102,6 +117,8 @@
 	c.networks(r.Allow)
 	c.positive("notice_time", r.NoticeTime > 0, r.NoticeTime)
 	c.positive("drain_time", r.DrainTime > 0, r.DrainTime)
+	c.tls("peer_tls", r.PeerTLS, true)
+	c.tls("caller_tls", r.CallerTLS, false)
 	c.positive("limits.header_bytes", r.Limits.HeaderBytes > 0, r.Limits.HeaderBytes)
 	c.positive("limits.body_bytes", r.Limits.BodyBytes > 0, r.Limits.BodyBytes)
 	c.positive("limits.header_time", r.Limits.HeaderTime > 0, r.Limits.HeaderTime)
@@ -120,6 +137,7 @@
 	c.url("url", s.URL)
 	c.peers(s.Peers)
 	c.networks(s.Allow)
+	c.tls("peer_tls", s.PeerTLS, true)
 	c.positive("drain_time", s.DrainTime > 0, s.DrainTime)
 	return c.problems
 }
@@ -167,6 +185,19 @@
 	}
 }
 
+// tls refuses settings that name some of the files only.
+func (c *processChecker) tls(field string, t TLS, authority bool) {
+	if !t.Used() {
+		return
+	}
+	if t.Certificate == "" || t.Key == "" {
+		c.add(field, "a part of the files", "certificate and key, or none")
+	}
+	if authority && t.Authority == "" {
+		c.add(field+".authority", quote(""), "the file of the authority that issues the peers' certificates")
+	}
+}
+
 func (c *processChecker) positive(field string, ok bool, value any) {
 	if !ok {
 		c.add(field, fmt.Sprintf("%v", value), "more than 0")
--- a/router/internal/app/app.go
+++ b/router/internal/app/app.go
@@ -48,13 +48,22 @@
 	if err != nil {
 		return nil, err
 	}
+	identity, err := peer.IdentityOf(cfg.PeerTLS)
+	if err != nil {
+		return nil, err
+	}
+	forCallers, err := peer.IdentityOf(cfg.CallerTLS)
+	if err != nil {
+		return nil, err
+	}
 	r := &Router{cfg: cfg, log: l, metrics: operator.NewMetrics("router"), store: &revision.Store{}}
 	r.view = &sides.View{Clock: clock.Boot{}}
 	incarnation := peer.Incarnation(uuid.NewString())
 	r.endpoint = &peer.Endpoint{
-		Local:   func() peer.Hello { return r.hello(incarnation) },
-		Handler: r,
-		Allow:   allow,
+		Local:    func() peer.Hello { return r.hello(incarnation) },
+		Handler:  r,
+		Allow:    allow,
+		Identity: identity,
 
 		MaxDialled: maxDialled,
 		OnReject:   func(err error) { l.Warn("peer turned away", "error", err) },
@@ -69,6 +78,7 @@
 		Clock:        clock.Boot{},
 		Log:          l,
 		Scope:        scope,
+		Identity:     forCallers,
 	}
 	client := &coreplatform.Client{Configuration: cfg.Configuration, VMList: cfg.VMList, HTTP: &http.Client{}}
 	r.watch = &platform.Watch{
--- a/router/internal/caller/server.go
+++ b/router/internal/caller/server.go
@@ -44,6 +44,8 @@
 	Clock        Clock
 	Log          *log.Logger
 	Scope        tally.Scope
+	// Identity is the certificate that callers see, nil for plain HTTP.
+	Identity *peer.Identity
 
 	leaving atomic.Bool
 	open    atomic.Int64
@@ -70,6 +72,9 @@
 		IdleTimeout:       limits.IdleTime,
 		MaxHeaderBytes:    limits.HeaderBytes,
 	}
+	if s.Identity != nil {
+		srv.TLSConfig = s.Identity.ForCallers()
+	}
 	noticed, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go func() {
--- a/side/internal/app/app.go
+++ b/side/internal/app/app.go
@@ -44,6 +44,10 @@
 	if err != nil {
 		return nil, err
 	}
+	identity, err := peer.IdentityOf(cfg.PeerTLS)
+	if err != nil {
+		return nil, err
+	}
 	incarnation := peer.Incarnation(uuid.NewString())
 	issuer, err := ticket.NewIssuer(cfg.Upstream, incarnation)
 	if err != nil {
@@ -64,6 +68,7 @@
 		Local:    func() peer.Hello { return s.hello(incarnation) },
 		Handler:  s,
 		Allow:    allow,
+		Identity: identity,
 		OnReject: func(err error) { l.Warn("peer turned away", "error", err) },
 	}
 	prefixes := sides.NewPrefixes(s.endpoint, s.client)
