--- a/core/internal/benchdecisions/engine.go
+++ b/core/internal/benchdecisions/engine.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
@@ -98,6 +100,8 @@
 			}
 		}
 	}
+	// The order of a map is drawn anew in each run, and runs must be alike.
+	slices.SortFunc(lost, func(a, b *request) int { return cmp.Compare(a.arrived, b.arrived) })
 	e.recover()
 	e.down, e.silent = !silent, silent
 	return lost
--- a/core/internal/benchdecisions/ours.go
+++ b/core/internal/benchdecisions/ours.go
@@ -226,7 +226,7 @@
 			if r.charge > m.Most || !r.first && e.running[r] {
 				continue
 			}
-			if best == nil || distance(r.charge, m.Charge) < distance(best.charge, m.Charge) {
+			if best == nil || fitsBetter(r, best, m.Charge) {
 				best = r
 			}
 		}
@@ -237,6 +237,12 @@
 	return nil
 }
 
+// fitsBetter compares two requests by how near their charges are to the wanted one, the older first.
+func fitsBetter(a, b *request, wanted settings.Tokens) bool {
+	da, db := distance(a.charge, wanted), distance(b.charge, wanted)
+	return da < db || da == db && a.arrived < b.arrived
+}
+
 func distance(a, b settings.Tokens) settings.Tokens { return max(a-b, b-a) }
 
 // move hands a request to a lighter engine, with its prefix.
--- a/core/share/scheduler.go
+++ b/core/share/scheduler.go
@@ -40,6 +40,7 @@
 
 // team is what the scheduler knows of one team.
 type team struct {
+	id      settings.TeamID
 	share   int
 	virtual float64
 	running int
@@ -110,7 +111,7 @@
 	}
 	t := s.teams[it.Team]
 	if t == nil {
-		t = &team{}
+		t = &team{id: it.Team}
 		s.teams[it.Team] = t
 	}
 	t.share = max(1, it.Share)
@@ -150,13 +151,18 @@
 		if len(t.queues[class]) == 0 || !s.mayStart(t) {
 			continue
 		}
-		if best == nil || t.virtual < best.virtual {
+		if best == nil || t.before(best) {
 			best = t
 		}
 	}
 	return best
 }
 
+// before orders teams by the work they were served for their share, and by name where that is equal.
+func (t *team) before(other *team) bool {
+	return t.virtual < other.virtual || t.virtual == other.virtual && t.id < other.id
+}
+
 // mayStart keeps the last free slots for teams that use less than their fair share.
 func (s *Scheduler) mayStart(t *team) bool {
 	reserve := s.Slots / reserveDivisor
@@ -228,25 +234,3 @@
 		}
 	}
 }
-
-// Last returns a waiting item of the team that waits with the most work, the latest one, to be moved elsewhere.
-func (s *Scheduler) Last() *Item {
-	var found *Item
-	longest := 0
-	for _, t := range s.teams {
-		if n := t.waiting(); n > longest {
-			longest = n
-			found = t.lastWaiting()
-		}
-	}
-	return found
-}
-
-func (t *team) lastWaiting() *Item {
-	for class := len(t.queues) - 1; class >= 0; class-- {
-		if n := len(t.queues[class]); n > 0 {
-			return t.queues[class][n-1]
-		}
-	}
-	return nil
-}
