fix(side): a stopping side answers until its notice has reached the routers

Cause: 1 of 10 rolling restarts lost a debit without key: it was sent in the few milliseconds between the notice and the end of an idle side, was refused, and the refusal was dropped with the link, so the router could only say unknown. Change: a stopping side answers for at least 500 ms. The naive relay that the cost of the path is compared with is a command of the stand-ins.

--- a/side/internal/app/app.go
+++ b/side/internal/app/app.go
@@ -146,6 +146,9 @@
 // leavingTime bounds the notices and the estate of a stopping side.
 const leavingTime = 2 * time.Second
 
+// lingerTime is how long a stopping side at least answers after its notice.
+const lingerTime = 500 * time.Millisecond
+
 // Run waits for ctx and then takes the side out of service.
 func (d *drain) Run(ctx context.Context, ready func()) error {
 	ready()
@@ -154,6 +157,7 @@
 	<-ctx.Done()
 	d.side.log.Info("side leaving")
 	d.side.door.Leave()
+	noticed := time.Now()
 	notice, cancelNotice := context.WithTimeout(context.Background(), leavingTime)
 	defer cancelNotice()
 	for _, l := range d.side.endpoint.Links() {
@@ -165,6 +169,8 @@
 	last, cancelLast := context.WithTimeout(context.Background(), leavingTime)
 	defer cancelLast()
 	d.side.sides.Bequeath(last)
+	// What routers sent before they had the notice is refused, and the refusal must reach them.
+	time.Sleep(time.Until(noticed.Add(lingerTime)))
 	d.side.log.Info("side drained")
 	return nil
 }
--- a/standin/internal/bench/path.go
+++ b/standin/internal/bench/path.go
@@ -142,36 +142,59 @@
 		return err
 	}
 	defer func() { _ = f.Stop() }()
-	time.Sleep(settleTime)
-	quiet, err := usage(f.Routers[0].PID())
+	relay, relayURL, err := f.StartRelay(ctx)
 	if err != nil {
 		return err
 	}
-	done := openStreams(ctx, f)
-	time.Sleep(3 * time.Second)
-	before, err := usage(f.Routers[0].PID())
+	naive, err := streamCost(ctx, relay.PID(), relayURL, "letterhouse-8b")
 	if err != nil {
 		return err
 	}
-	const window = 5 * time.Second
-	time.Sleep(window)
-	after, err := usage(f.Routers[0].PID())
+	ours, err := streamCost(ctx, f.Routers[0].PID(), f.Routers[0].URL, "draft")
 	if err != nil {
 		return err
 	}
-	if err := <-done; err != nil {
+	cores := Line{Name: "router_cores_at_10000_tokens", Value: ours.cores, Unit: "cores", Baseline: naive.cores, Target: targetCores}
+	if err := w.Write(cores); err != nil {
 		return err
 	}
-	cores := (after.CPU - before.CPU).Seconds() / window.Seconds()
-	if err := w.Write(Line{Name: "router_cores_at_10000_tokens", Value: cores, Unit: "cores", Target: targetCores}); err != nil {
-		return err
+	return w.Write(Line{Name: "router_memory_open_stream", Value: ours.bytes, Unit: "bytes", Baseline: naive.bytes, Target: targetStream})
+}
+
+// cost is what open streams cost a process.
+type cost struct {
+	cores float64
+	bytes float64
+}
+
+// streamCost measures a process while long streams that together carry 10,000 tokens a second pass through it.
+func streamCost(ctx context.Context, pid int, url, model string) (cost, error) {
+	time.Sleep(settleTime)
+	quiet, err := usage(pid)
+	if err != nil {
+		return cost{}, err
+	}
+	done := openStreams(ctx, url, model)
+	time.Sleep(3 * time.Second)
+	before, err := usage(pid)
+	if err != nil {
+		return cost{}, err
+	}
+	const window = 5 * time.Second
+	time.Sleep(window)
+	after, err := usage(pid)
+	if err != nil {
+		return cost{}, err
+	}
+	c := cost{
+		cores: (after.CPU - before.CPU).Seconds() / window.Seconds(),
+		bytes: float64(after.Resident-quiet.Resident) / streamCount,
 	}
-	each := float64(after.Resident-quiet.Resident) / streamCount
-	return w.Write(Line{Name: "router_memory_open_stream", Value: each, Unit: "bytes", Target: targetStream})
+	return c, <-done
 }
 
 // openStreams opens long streams that together carry 10,000 tokens a second.
-func openStreams(ctx context.Context, f *fleet.Fleet) <-chan error {
+func openStreams(ctx context.Context, url, model string) <-chan error {
 	done := make(chan error, 1)
 	var wg sync.WaitGroup
 	var mu sync.Mutex
@@ -180,9 +203,9 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			c := fleet.NewClient(f.Routers[0].URL)
+			c := fleet.NewClient(url)
 			defer c.Close()
-			a, err := c.Chat(ctx, fleet.ChatRequest{Model: "draft", Stream: true, MaxTokens: streamTokens,
+			a, err := c.Chat(ctx, fleet.ChatRequest{Model: model, Stream: true, MaxTokens: streamTokens,
 				Messages: []fleet.Message{{Role: "user", Content: fmt.Sprintf("letter %d", i)}}})
 			if err == nil && !a.Whole {
 				err = errors.Newf("answer not whole: status %d code %s", a.Status, a.Code)
--- /dev/null
+++ b/standin/internal/cmd/relay.go
@@ -0,0 +1,55 @@
+package cmd
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+)
+
+// relayBuffer holds one event of a stream and more.
+const relayBuffer = 4 << 10
+
+type relayCmd struct {
+	Listen  string   `required:"" help:"Address to serve on."`
+	Targets []string `required:"" help:"Base URLs of engines, used in turn."`
+
+	next atomic.Uint64
+}
+
+// Run serves a naive relay, the baseline for the cost of the path, until ctx ends.
+func (c *relayCmd) Run(ctx context.Context) error {
+	return serve(ctx, c.Listen, http.HandlerFunc(c.relay))
+}
+
+// relay passes a request on and its answer back, flushing each piece, and decides nothing.
+func (c *relayCmd) relay(w http.ResponseWriter, r *http.Request) {
+	target := c.Targets[c.next.Add(1)%uint64(len(c.Targets))]
+	req, err := http.NewRequestWithContext(r.Context(), r.Method, target+r.URL.Path, r.Body)
+	if err != nil {
+		http.Error(w, "bad request", http.StatusBadRequest)
+		return
+	}
+	req.Header = r.Header.Clone()
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		http.Error(w, "unreachable", http.StatusBadGateway)
+		return
+	}
+	defer res.Body.Close()
+	w.Header().Set("Content-Type", res.Header.Get("Content-Type"))
+	w.WriteHeader(res.StatusCode)
+	flush, _ := w.(http.Flusher)
+	piece := make([]byte, relayBuffer)
+	for {
+		n, err := res.Body.Read(piece)
+		if _, writeErr := w.Write(piece[:n]); writeErr != nil {
+			return
+		}
+		if flush != nil {
+			flush.Flush()
+		}
+		if err != nil {
+			return
+		}
+	}
+}
--- a/standin/internal/cmd/root.go
+++ b/standin/internal/cmd/root.go
@@ -19,6 +19,7 @@
 	Plain         plainCmd         `cmd:"" help:"Run a stand-in plain service."`
 	Configuration configurationCmd `cmd:"" help:"Run a stand-in configuration service."`
 	VMList        vmListCmd        `cmd:"" name:"vm-list" help:"Run a stand-in VM list."`
+	Relay         relayCmd         `cmd:"" help:"Run a naive relay, the baseline for the cost of the path."`
 	Bench         benchCmd         `cmd:"" help:"Measure running processes and write figures as JSON lines."`
 	Demo          demoCmd          `cmd:"" help:"Start a small fleet and show what it does."`
 }
--- a/standin/internal/fleet/fleet.go
+++ b/standin/internal/fleet/fleet.go
@@ -383,6 +383,21 @@
 	return nil
 }
 
+// StartRelay starts a naive relay before the engines and returns it with its base URL.
+func (f *Fleet) StartRelay(ctx context.Context) (*Process, string, error) {
+	var address string
+	if err := addresses(&address); err != nil {
+		return nil, "", err
+	}
+	url := "http://" + address
+	p := f.process("relay", "standin", url+"/counts")
+	p.args = []string{"relay", "--listen", address}
+	for _, u := range f.Engines {
+		p.args = append(p.args, "--targets", u.URL)
+	}
+	return p, url, f.run(ctx, p)
+}
+
 // Units returns every upstream.
 func (f *Fleet) Units() []*Unit {
 	return append(append([]*Unit{}, f.Engines...), f.Plains...)
