fix(platform): a router reads the VM list by bytes, not by the clock

Cause: working out docs/CAPACITY.md: 7,500 entries read once a second are 600 KB/s a router, against a bound of 21 KB/s. Change: the interval grows with the list, 8 KB/s a router at most; in a large fleet some router reads it at every moment and tells the sides concerned, four times a second in all. Small fleets read it every second as before.

--- a/router/internal/platform/watch.go
+++ b/router/internal/platform/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -20,9 +21,12 @@
 	readsPerSecond = 20
 	minInterval    = 500 * time.Millisecond
 	vmInterval     = time.Second
-	// noticesPerRound is the number of routers that tell one side in each round that it is listed as leaving.
-	noticesPerRound = 4
-	readLimit       = 2 * time.Second
+	// vmBytes is the size of one entry of the VM list, and vmBytesPerSecond what one router reads of the list.
+	vmBytes          = 80
+	vmBytesPerSecond = 8 << 10
+	// noticesPerSecond is how often a side is told that it is listed as leaving, by all routers together.
+	noticesPerSecond = 4
+	readLimit        = 2 * time.Second
 )
 
 // Reader reads the platform.
@@ -56,6 +60,8 @@
 	Notify Notifier
 	Log    *log.Logger
 	Scope  tally.Scope
+
+	listed atomic.Int64
 }
 
 // String returns the service's name.
@@ -71,7 +77,7 @@
 	wg.Add(1)
 	go func() {
 		defer wg.Done()
-		repeat(ctx, func() time.Duration { return vmInterval }, func() { w.readVMs(ctx) })
+		repeat(ctx, w.vmInterval, func() { w.readVMs(ctx) })
 	}()
 	repeat(ctx, w.interval, func() { w.readChanges(ctx) })
 	return nil
@@ -83,6 +89,12 @@
 	return max(minInterval, n*time.Second/readsPerSecond)
 }
 
+// vmInterval keeps what one router reads of the VM list within its bytes a second. In a large fleet each router reads it
+// seldom, but one of them does at every moment, and tells the sides concerned.
+func (w *Watch) vmInterval() time.Duration {
+	return max(vmInterval, time.Duration(w.listed.Load())*vmBytes*time.Second/vmBytesPerSecond)
+}
+
 // repeat calls f at intervals with a jitter of a quarter each way.
 func repeat(ctx context.Context, interval func() time.Duration, f func()) {
 	for {
@@ -104,18 +116,19 @@
 		w.failed("vm_list", err)
 		return
 	}
+	w.listed.Store(int64(len(vms)))
 	w.View.Listed(vms)
 	w.notify(ctx, vms)
 }
 
 // notify tells the sides that are listed as leaving. The routers share this, whatever their number, by chance.
 func (w *Watch) notify(ctx context.Context, vms []platform.VM) {
-	routers := len(w.View.Routers())
+	share := noticesPerSecond * w.vmInterval().Seconds() / float64(max(1, len(w.View.Routers())))
 	for _, vm := range vms {
 		if vm.State != platform.VMLeaving || vm.Role == platform.RoleEntry {
 			continue
 		}
-		if rand.IntN(max(1, routers)) < noticesPerRound {
+		if rand.Float64() < share {
 			w.Notify.NotifyLeaving(ctx, vm.Address)
 		}
 	}
