--- a/core/internal/benchdecisions/ours.go
+++ b/core/internal/benchdecisions/ours.go
@@ -218,23 +218,32 @@
 // maxShedSteps bounds the questions and moves of one engine at a time.
 const maxShedSteps = 10
 
-// movable returns the request whose charge is nearest to the wanted one, one that waits before one that runs.
+// movable returns the request whose charge is nearest to the wanted one: one that waits, else one whose answer has begun,
+// else one whose prompt is being read.
 func (o *ours) movable(e *engine, m admit.Move) *request {
 	var best *request
 	for _, set := range []map[*request]bool{e.waiting, e.running} {
 		for r := range set {
-			if r.charge > m.Most || !r.first && e.running[r] {
+			if r.charge > m.Most {
 				continue
 			}
-			if best == nil || fitsBetter(r, best, m.Charge) {
+			if best == nil || e.stage(r) < e.stage(best) || e.stage(r) == e.stage(best) && fitsBetter(r, best, m.Charge) {
 				best = r
 			}
 		}
-		if best != nil {
-			return best
-		}
 	}
-	return nil
+	return best
+}
+
+// stage orders requests by what moving them wastes.
+func (e *engine) stage(r *request) int {
+	switch {
+	case e.waiting[r]:
+		return 0
+	case r.first:
+		return 1
+	}
+	return 2
 }
 
 // fitsBetter compares two requests by how near their charges are to the wanted one, the older first.
