fix(router): a call that has run is not said to be not run

Cause: reading dispatch.go as a newcomer: a repeatable call whose first attempt was cut and whose repeat was refused everywhere was answered not_run. Change: the outcome is unknown once an attempt may have started; the search over the sides is a type of its own with short methods. Test: TestNotRunIsNotSaidOfACallThatHasRun.

--- a/router/internal/sides/attempt.go
+++ b/router/internal/sides/attempt.go
@@ -38,7 +38,9 @@
 	ending ending
 	refuse *peer.Refuse
 	moved  settings.UpstreamID
-	err    error
+	// started says that a moved call had been handed to the upstream.
+	started bool
+	err     error
 }
 
 // Errors of the order in which an answer arrives.
@@ -164,7 +166,7 @@
 func endOf(v *peer.End, last uint32) report {
 	switch {
 	case v.Moved != "":
-		return report{ending: endMoved, moved: v.Moved}
+		return report{ending: endMoved, moved: v.Moved, started: true}
 	case v.Outcome == peer.OutcomeDone && v.Chunks == last:
 		return report{ending: endDone}
 	case v.Outcome == peer.OutcomeDone:
--- a/router/internal/sides/dispatch.go
+++ b/router/internal/sides/dispatch.go
@@ -66,66 +66,18 @@
 
 // anywhere runs a call at whichever side takes it.
 func (d *Dispatcher) anywhere(ctx context.Context, c *Call, p *progress) Result {
-	walk := d.walk(c, c.Hint)
-	retries := 0
-	var lastRefusal *peer.Refuse
-	unreachable := false
+	s := &search{d: d, c: c, p: p, walk: d.walk(c, c.Hint)}
 	for {
-		step, ok := walk.Next()
+		step, ok := s.walk.Next()
 		if !ok {
-			given := notRun(p, lastRefusal, walk.Asks())
-			if !passing(lastRefusal) && !unreachable {
+			if given, stop := s.exhausted(ctx); stop {
 				return given
 			}
-			if stop, _ := d.mayRetry(ctx, c, p, report{ending: endNotSent}, &retries); stop {
-				return given
-			}
-			walk = d.walkAgain(c, p)
-			unreachable = false
 			continue
 		}
-		r := d.attempt(ctx, c, p, step)
-		switch r.ending {
-		case endDone:
-			d.tellHome(ctx, c, walk.Home(), step.Side)
-			return Result{Outcome: peer.OutcomeDone, Side: step.Side, Asks: walk.Asks()}
-		case endCaller:
-			return callerGone(ctx)
-		case endRefused:
-			lastRefusal = r.refuse
-			if r.refuse.Holder != "" {
-				p.holder = r.refuse.Holder
-			}
-			d.note(step.Side, r.refuse)
-			walk.Refused(r.refuse.Next)
-			if r.refuse.Code == peer.RefuseOverloaded {
-				walk.Loaded(step.Side, settings.Tokens(r.refuse.Load))
-			}
-			continue
-		case endMoved:
-			// The side that moved the answer still holds the prefix.
-			p.holder = step.Side
-			p.moves++
-			p.restart()
-			walk = d.walk(c, r.moved)
-			continue
-		case endUnreachable:
-			// Nothing was sent, so the next side can be asked at once.
-			unreachable = true
-			continue
-		case endNotSent:
-			// Nothing was run, so going on is safe for every call; the budget still holds.
-		case endCut, endUnsure:
-			if !c.Profile.Idempotent || !p.resumable() {
-				return Result{Outcome: peer.OutcomeUnknown, Code: CodeLost, Asks: walk.Asks()}
-			}
-		}
-		if stop, result := d.mayRetry(ctx, c, p, r, &retries); stop {
+		if result, stop := s.attempted(ctx, step, d.attempt(ctx, c, p, step)); stop {
 			return result
 		}
-		p.restart()
-		p.failed = append(p.failed, step.Side)
-		walk = d.walkAgain(c, p)
 	}
 }
 
@@ -138,71 +90,6 @@
 	return route.New(d.View.Usable(c.Profile.Service), key, hint)
 }
 
-// walkAgain begins again without the sides that have failed the call, unless that leaves none.
-func (d *Dispatcher) walkAgain(c *Call, p *progress) route.Walk {
-	walk := d.walk(c, "")
-	if len(p.failed) < d.View.Usable(c.Profile.Service).Len() {
-		walk.Exclude(p.failed)
-	}
-	return walk
-}
-
-// mayRetry reports whether to give up, and waits before another attempt otherwise.
-func (d *Dispatcher) mayRetry(ctx context.Context, c *Call, p *progress, r report, retries *int) (bool, Result) {
-	given := Result{Outcome: peer.OutcomeNotRun, Code: CodeUnreachable}
-	if r.ending != endNotSent || p.written {
-		given = Result{Outcome: peer.OutcomeUnknown, Code: CodeLost}
-	}
-	limit := max(1, c.Profile.Retries)
-	if *retries >= limit {
-		return true, given
-	}
-	if !d.budget.Take() {
-		given.Code = CodeBudget
-		return true, given
-	}
-	pause := rand.N(min(maxPause, firstPause<<*retries))
-	*retries++
-	d.Scope.Counter("retries").Inc(1)
-	select {
-	case <-time.After(pause):
-		return false, Result{}
-	case <-ctx.Done():
-		given.Code = CodeDeadline
-		return true, given
-	}
-}
-
-// passing reports whether a refusal speaks of one side that goes away, so that asking anew soon can help.
-func passing(r *peer.Refuse) bool {
-	return r != nil && (r.Code == peer.RefuseLeaving || r.Code == peer.RefuseUpstream || r.Code == peer.RefuseNever)
-}
-
-// notRun is the result of a call that every side asked has refused.
-func notRun(p *progress, last *peer.Refuse, asks int) Result {
-	r := Result{Outcome: peer.OutcomeNotRun, Code: CodeNoUpstream, Asks: asks}
-	if p.written {
-		r.Outcome = peer.OutcomeUnknown
-	}
-	if p.side == "" && last == nil && asks > 0 {
-		r.Code = CodeUnreachable
-	}
-	if last != nil {
-		r.Code = string(last.Code)
-		r.RetryAfter = last.RetryAfter
-	}
-	return r
-}
-
-// callerGone is the result of a call whose caller left or whose deadline passed while it ran.
-func callerGone(ctx context.Context) Result {
-	code := CodeCallerGone
-	if ctx.Err() == context.DeadlineExceeded {
-		code = CodeDeadline
-	}
-	return Result{Outcome: peer.OutcomeUnknown, Code: code}
-}
-
 // note remembers what a refusal says about the side itself.
 func (d *Dispatcher) note(side settings.UpstreamID, r *peer.Refuse) {
 	switch r.Code {
--- a/router/internal/sides/progress.go
+++ b/router/internal/sides/progress.go
@@ -40,6 +40,8 @@
 	holder settings.UpstreamID
 	// failed are the sides that have failed the call.
 	failed []settings.UpstreamID
+	// started says that an attempt may have been handed to an upstream.
+	started bool
 	// moves counts the sides that have moved the call away.
 	moves int
 	// whole holds the pieces of an answer that the caller reads as one body, until it is whole.
--- a/standin/internal/fleet/outcome_test.go
+++ b/standin/internal/fleet/outcome_test.go
@@ -332,6 +332,24 @@
 	}
 }
 
+func TestNotRunIsNotSaidOfACallThatHasRun(t *testing.T) {
+	c := qt.New(t)
+	ctx := testContext(t)
+	f := start(t, Options{Routers: 1, Plains: 2})
+	plainFaults(ctx, t, f, plain.Faults{CutAfterRun: true})
+	// A repeat finds the other upstream's side gone.
+	_ = f.Plains[1].Side.Kill()
+	cl := client(t, f.Routers[0].URL)
+	for i := range 12 {
+		body := fmt.Sprintf("look-up %d", i)
+		a, err := cl.Plain(ctx, http.MethodPost, "status", "/trips", body, nil)
+		c.Assert(err, qt.IsNil)
+		if a.Outcome == "not_run" {
+			c.Assert(runsOf(ctx, t, f, body), qt.Equals, 0, qt.Commentf("%+v", a))
+		}
+	}
+}
+
 // undisturbed returns the answer to a question when nothing fails.
 func undisturbed(ctx context.Context, t *testing.T, f *Fleet, q ChatRequest) string {
 	t.Helper()
