fix(side): requests between hand-over and first token are not moved

Cause: make test in a fresh clone failed TestRollingRestart and TestUpstreamListed: requests moved while their prompt was being read were cancelled before the engine had answered, which the side took for an unreachable upstream or a withdrawn attempt. Ruled out: the search over the sides (its refusals were as the sides sent them). Change: running sides move only what waits or has begun to answer; a job that was moved and then refused for any reason names where it goes on.

--- a/side/internal/router/run.go
+++ b/side/internal/router/run.go
@@ -17,7 +17,7 @@
 	call, err := d.call(j)
 	if err != nil || !d.handOver(j) {
 		d.abandon(j)
-		_ = st.Send(ctx, &peer.Refuse{Code: peer.RefuseNever, KeyNotRun: true})
+		_ = st.Send(ctx, j.refusal(peer.RefuseNever))
 		return
 	}
 	sink := &jobSink{door: d, job: j, ctx: ctx, stream: st}
@@ -26,7 +26,7 @@
 	if errors.As(err, &unsent) {
 		d.abandon(j)
 		d.Log.Warn("upstream unreachable", "request", j.submit.Request, "error", err)
-		_ = st.Send(ctx, &peer.Refuse{Code: peer.RefuseUpstream, KeyNotRun: true})
+		_ = st.Send(ctx, j.refusal(peer.RefuseUpstream))
 		return
 	}
 	d.finish(j, usage, err)
--- a/side/internal/router/shed.go
+++ b/side/internal/router/shed.go
@@ -65,14 +65,18 @@
 // maxMoves bounds how often one request is moved.
 const maxMoves = 4
 
-// movable returns the request whose charge is nearest to the wanted one: one that waits, else one whose answer has begun,
-// else one whose prompt is being read; the caller holds the lock.
+// movable returns the request whose charge is nearest to the wanted one, one that waits before one whose answer has begun;
+// the caller holds the lock.
 func (d *Door) movable(m admit.Move) *job {
 	var best *job
 	for j := range d.jobs {
 		if j.stopped || !j.profile.Idempotent || j.submit.Moves >= maxMoves || j.verdict.Charge > m.Most {
 			continue
 		}
+		if j.item.Started() && j.chunks.Load() == 0 {
+			// Between its hand-over and its first token a request cannot be taken back without doubt.
+			continue
+		}
 		if best == nil || better(j, best, m) {
 			best = j
 		}
@@ -82,21 +86,10 @@
 
 // better reports whether a is a better request to move than b.
 func better(a, b *job, m admit.Move) bool {
-	if a.stage() != b.stage() {
-		return a.stage() < b.stage()
+	if a.item.Started() != b.item.Started() {
+		return !a.item.Started()
 	}
 	return distance(a.verdict.Charge, m.Charge) < distance(b.verdict.Charge, m.Charge)
 }
 
-// stage orders jobs by what moving them wastes.
-func (j *job) stage() int {
-	switch {
-	case !j.item.Started():
-		return 0
-	case j.chunks.Load() > 0:
-		return 1
-	}
-	return 2
-}
-
 func distance(a, b settings.Tokens) settings.Tokens { return max(a-b, b-a) }
--- a/side/internal/router/submit.go
+++ b/side/internal/router/submit.go
@@ -39,15 +39,15 @@
 	d.fetchPrefix(j)
 	if !d.waitForSlot(j) {
 		d.abandon(j)
-		_ = st.Send(ctx, j.notStarted())
+		_ = st.Send(ctx, j.refusal(peer.RefuseDeadline))
 		return
 	}
 	d.run(ctx, st, j)
 }
 
-// notStarted refuses a job that left the queue without a slot.
-func (j *job) notStarted() *peer.Refuse {
-	r := &peer.Refuse{Code: peer.RefuseDeadline, KeyNotRun: true, RetryAfter: time.Second}
+// refusal says why a job was not run, or where it goes on if it was moved before it started.
+func (j *job) refusal(code peer.RefuseCode) *peer.Refuse {
+	r := &peer.Refuse{Code: code, KeyNotRun: true, RetryAfter: time.Second}
 	if j.moveTo != "" {
 		r.Code = peer.RefuseElsewhere
 		r.Next = []settings.UpstreamID{j.moveTo}
