--- a/core/admit/prefixes.go
+++ b/core/admit/prefixes.go
@@ -50,8 +50,5 @@
 	}
 }
 
-// Dropped notes that the engine no longer holds a chat.
-func (p *Prefixes) Dropped(chat uint64) { p.table().Remove(chat) }
-
 // Len returns the number of chats remembered.
 func (p *Prefixes) Len() int { return p.table().Len() }
--- a/router/internal/sides/view.go
+++ b/router/internal/sides/view.go
@@ -200,18 +200,6 @@
 	v.usable = nil
 }
 
-// Back notes that a side which had left takes work again.
-func (v *View) Back(id settings.UpstreamID) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	a, ok := v.avoided[id]
-	if !ok {
-		return
-	}
-	a.until = 0
-	v.avoid(id, a)
-}
-
 // ViewStatus is what a view shows of itself.
 type ViewStatus struct {
 	Revision settings.Revision     `json:"revision"`
