--- /dev/null
+++ b/core/affinity/directory.go
@@ -0,0 +1,188 @@
+package affinity
+
+import (
+	"sync"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"rattantrack.dev/core/call"
+	"rattantrack.dev/core/clock"
+	"rattantrack.dev/core/settings"
+)
+
+// Bounds of what is remembered.
+const (
+	// maxParts bounds the parts; one takes about 200 bytes.
+	maxParts = 50_000
+	// maxHolders bounds the upstreams remembered for one part.
+	maxHolders = 16
+	// keepTime is how long a part is taken as cached after its last use.
+	keepTime = 60 * time.Second
+	// renewTime is how often the use of a part is told to other routers again.
+	renewTime = 5 * time.Second
+)
+
+// Holding is one upstream that has read a part.
+type Holding struct {
+	Part     call.PartID
+	Upstream settings.UpstreamID
+	// Age is the time since the last use.
+	Age time.Duration
+}
+
+type holder struct {
+	upstream settings.UpstreamID
+	used     clock.Instant
+	told     clock.Instant
+}
+
+// Directory maps parts to their holders; its zero value is empty.
+type Directory struct {
+	mu    sync.Mutex
+	parts *simplelru.LRU[call.PartID, []holder]
+	news  []Holding
+	stamp []clock.Instant
+}
+
+func (d *Directory) table() *simplelru.LRU[call.PartID, []holder] {
+	if d.parts == nil {
+		// The size is a positive constant, the only thing that can be refused.
+		d.parts, _ = simplelru.NewLRU[call.PartID, []holder](maxParts, nil)
+	}
+	return d.parts
+}
+
+// Used notes that an upstream reads the shared parts of a prompt now.
+func (d *Directory) Used(now clock.Instant, parts []call.Part, upstream settings.UpstreamID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, p := range parts {
+		h := d.note(p.ID, upstream, now)
+		if h.told == 0 || now.Sub(h.told) >= renewTime {
+			h.told = now
+			d.news = append(d.news, Holding{Part: p.ID, Upstream: upstream})
+			d.stamp = append(d.stamp, now)
+		}
+	}
+}
+
+// note sets the last use of a part at an upstream.
+func (d *Directory) note(part call.PartID, upstream settings.UpstreamID, used clock.Instant) *holder {
+	table := d.table()
+	list, _ := table.Get(part)
+	for i := range list {
+		if list[i].upstream == upstream {
+			list[i].used = max(list[i].used, used)
+			return &list[i]
+		}
+	}
+	fresh := holder{upstream: upstream, used: used}
+	if len(list) < maxHolders {
+		list = append(list, fresh)
+		table.Add(part, list)
+		return &list[len(list)-1]
+	}
+	oldest := 0
+	for i := range list {
+		if list[i].used < list[oldest].used {
+			oldest = i
+		}
+	}
+	list[oldest] = fresh
+	return &list[oldest]
+}
+
+// Learn takes in what another router told.
+func (d *Directory) Learn(now clock.Instant, news []Holding) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, n := range news {
+		h := d.note(n.Part, n.Upstream, now.Add(-n.Age))
+		// The other routers have heard it too.
+		h.told = max(h.told, now.Add(-n.Age))
+	}
+}
+
+// News returns and clears what other routers should hear.
+func (d *Directory) News(now clock.Instant) []Holding {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	news := d.news
+	for i := range news {
+		news[i].Age = now.Sub(d.stamp[i])
+	}
+	d.news, d.stamp = nil, nil
+	return news
+}
+
+// Recent returns the newest holdings, at most n, for a router that has just started.
+func (d *Directory) Recent(now clock.Instant, n int) []Holding {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var list []Holding
+	keys := d.table().Keys()
+	for i := len(keys) - 1; i >= 0 && len(list) < n; i-- {
+		holders, _ := d.table().Peek(keys[i])
+		for _, h := range holders {
+			if age := now.Sub(h.used); age < keepTime {
+				list = append(list, Holding{Part: keys[i], Upstream: h.upstream, Age: age})
+			}
+		}
+	}
+	return list
+}
+
+// Held returns, for each upstream in the order given, the tokens of the prompt that it need not read again.
+func (d *Directory) Held(now clock.Instant, parts []call.Part, upstreams []settings.UpstreamID) []settings.Tokens {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	held := make([]settings.Tokens, len(upstreams))
+	whole := make([]bool, len(upstreams))
+	for i := range whole {
+		whole[i] = true
+	}
+	for _, p := range parts {
+		list, _ := d.table().Get(p.ID)
+		for i, id := range upstreams {
+			whole[i] = whole[i] && holds(list, id, now)
+			if whole[i] {
+				held[i] += p.Tokens
+			}
+		}
+	}
+	return held
+}
+
+func holds(list []holder, upstream settings.UpstreamID, now clock.Instant) bool {
+	for _, h := range list {
+		if h.upstream == upstream {
+			return now.Sub(h.used) < keepTime
+		}
+	}
+	return false
+}
+
+// Forget drops everything that an upstream held, after its end or restart.
+func (d *Directory) Forget(upstream settings.UpstreamID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	table := d.table()
+	for _, part := range table.Keys() {
+		list, _ := table.Peek(part)
+		for i := range list {
+			if list[i].upstream == upstream {
+				list[i] = list[len(list)-1]
+				table.Add(part, list[:len(list)-1])
+				break
+			}
+		}
+	}
+}
+
+// Size returns the number of parts that are remembered.
+func (d *Directory) Size() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.table().Len()
+}
--- /dev/null
+++ b/core/affinity/doc.go
@@ -0,0 +1,2 @@
+// Package affinity remembers which upstreams have read which parts of prompts.
+package affinity
--- /dev/null
+++ b/core/call/call.go
@@ -0,0 +1,78 @@
+package call
+
+import (
+	"time"
+
+	"rattantrack.dev/core/settings"
+)
+
+// ID identifies one request of a client through all its attempts.
+type ID string
+
+// PartID identifies a part of a prompt; requests with the same part share its tokens.
+type PartID uint64
+
+// Part is one part of a prompt, in order from its start.
+type Part struct {
+	ID     PartID
+	Tokens settings.Tokens
+}
+
+// Request is what a client says of its request.
+type Request struct {
+	ID ID
+	// Left is how long the client waits, 0 where it does not say.
+	Left time.Duration
+	// Key is the client's API key, empty for none.
+	Key string
+	// Parts are the parts of the prompt, of which the last belongs to the request or its session.
+	Parts []Part
+	// PromptTokens and MaxTokens are the sizes of the prompt and, at most, of the answer.
+	PromptTokens settings.Tokens
+	MaxTokens    settings.Tokens
+	// LastEvent is the id of the last event that the client has of an earlier answer, empty for none.
+	LastEvent EventID
+}
+
+// EventID is the id of an event of a stream.
+type EventID string
+
+// Shared returns the tokens of the parts that other requests may share.
+func (r *Request) Shared() settings.Tokens {
+	var sum settings.Tokens
+	for i := 0; i+1 < len(r.Parts); i++ {
+		sum += r.Parts[i].Tokens
+	}
+	return sum
+}
+
+// Attempt is what an upstream is told of one attempt.
+type Attempt struct {
+	// Upstream is the instance that is meant; another one at its address must refuse.
+	Upstream settings.UpstreamID
+	// Left is how long the upstream may work.
+	Left time.Duration
+	// Team owns the client's key, empty on public routes.
+	Team settings.TeamID
+	// LastEvent is the event after which a stream goes on, empty for a whole answer.
+	LastEvent EventID
+}
+
+// Load is what an upstream says of its load.
+type Load struct {
+	Running, Waiting, Slots int
+}
+
+// Answer is what an upstream says beside the status and the body.
+type Answer struct {
+	// ID is the request that is answered, empty where the upstream does not say.
+	ID ID
+	// NotRun is the upstream's statement that it did not run the request and will not.
+	NotRun bool
+	// Misdirected says that another instance has the address.
+	Misdirected bool
+	// Load is the upstream's load, nil where it does not say.
+	Load *Load
+	// IdleTime is how long the upstream keeps the connection without use, 0 where it does not say.
+	IdleTime time.Duration
+}
--- /dev/null
+++ b/core/members/book.go
@@ -0,0 +1,322 @@
+package members
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"rattantrack.dev/core/clock"
+	"rattantrack.dev/core/settings"
+)
+
+// Revision orders the changes of an instance's entry.
+type Revision uint64
+
+// Incarnation tells the lives of an upstream under one id apart: the Unix time of its start in milliseconds.
+type Incarnation int64
+
+// Instance is one upstream process as the platform lists it.
+type Instance struct {
+	ID         settings.UpstreamID
+	Service    settings.ServiceName
+	Address    string
+	DataCentre settings.DataCentre
+	// Slots is the number of requests that the instance runs at a time.
+	Slots    int
+	Draining bool
+	// Cold is how much longer the instance is slow after its start, counted from when its entry was read.
+	Cold        time.Duration
+	Incarnation Incarnation
+}
+
+// Change is a new state of one instance's entry.
+type Change struct {
+	ID       settings.UpstreamID
+	Revision Revision
+	// Removed says that the entry is gone; Instance is then empty.
+	Removed  bool
+	Instance Instance
+}
+
+// Event is a change of what the book believes of an instance.
+type Event struct {
+	ID   settings.UpstreamID
+	Kind EventKind
+	// Instance is the present state, or the last one of an instance that is gone.
+	Instance Instance
+	Revision Revision
+}
+
+// EventKind tells the events of the book apart.
+type EventKind string
+
+// The kinds of event.
+const (
+	EventAdded     EventKind = "added"
+	EventRestarted EventKind = "restarted"
+	EventDraining  EventKind = "draining"
+	EventChanged   EventKind = "changed"
+	EventRemoved   EventKind = "removed"
+	// EventMissing is an entry that vanished around an outage of the directory and may come back.
+	EventMissing EventKind = "missing"
+)
+
+// returnTime is how long after an outage of the directory a missing entry may still come back: the platform's "about
+// two seconds" with a margin.
+const returnTime = 2300 * time.Millisecond
+
+// entry is an instance with the state of its listing.
+type entry struct {
+	instance Instance
+	revision Revision
+	coldEnd  clock.Instant
+	// missingUntil is when an entry that vanished around an outage is taken as gone, 0 while it is listed.
+	missingUntil clock.Instant
+}
+
+// Book holds the instances that may be used; its zero value is empty.
+type Book struct {
+	mu       sync.Mutex
+	entries  map[settings.UpstreamID]*entry
+	removed  map[settings.UpstreamID]Revision
+	services map[settings.ServiceName][]Instance
+	// outage is set while the directory cannot be read, and returned is when it last came back.
+	outage   bool
+	returned clock.Instant
+	known    bool
+}
+
+// maxRemoved bounds the removed ids that are remembered so that older news of them is not taken.
+const maxRemoved = 8192
+
+// Outage notes whether the directory can be read.
+func (b *Book) Outage(now clock.Instant, down bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.outage && !down {
+		b.returned = now
+	}
+	b.outage = down
+}
+
+// unsettled reports whether an entry that vanishes now may have lapsed in an outage.
+func (b *Book) unsettled(now clock.Instant) bool {
+	return b.outage || (b.returned != 0 && now.Sub(b.returned) < returnTime)
+}
+
+// Replace takes in a whole listing that is complete up to the given revision.
+func (b *Book) Replace(now clock.Instant, at Revision, listed []Change) []Event {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var events []Event
+	present := make(map[settings.UpstreamID]bool, len(listed))
+	for _, c := range listed {
+		present[c.ID] = true
+		events = append(events, b.apply(now, c)...)
+	}
+	for id, e := range b.entries {
+		if present[id] || e.revision > at {
+			continue
+		}
+		events = append(events, b.remove(now, id, max(e.revision, at))...)
+	}
+	b.known = true
+	b.services = nil
+	return events
+}
+
+// Apply takes in single changes, in any order; older news than what is known is ignored.
+func (b *Book) Apply(now clock.Instant, changes []Change) []Event {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var events []Event
+	for _, c := range changes {
+		events = append(events, b.apply(now, c)...)
+	}
+	if len(events) > 0 {
+		b.services = nil
+	}
+	return events
+}
+
+func (b *Book) apply(now clock.Instant, c Change) []Event {
+	if b.entries == nil {
+		b.entries = make(map[settings.UpstreamID]*entry)
+		b.removed = make(map[settings.UpstreamID]Revision)
+	}
+	e := b.entries[c.ID]
+	if c.Revision <= b.removed[c.ID] || (e != nil && c.Revision <= e.revision) {
+		if e != nil && !c.Removed && c.Revision == e.revision {
+			e.missingUntil = 0
+		}
+		return nil
+	}
+	if c.Removed {
+		return b.remove(now, c.ID, c.Revision)
+	}
+	next := &entry{instance: c.Instance, revision: c.Revision, coldEnd: now.Add(c.Instance.Cold)}
+	b.entries[c.ID] = next
+	delete(b.removed, c.ID)
+	kind := EventChanged
+	switch {
+	case e == nil:
+		kind = EventAdded
+	case e.instance.Incarnation != c.Instance.Incarnation:
+		kind = EventRestarted
+	case !e.instance.Draining && c.Instance.Draining:
+		kind = EventDraining
+	case e.instance == c.Instance:
+		return nil
+	}
+	return []Event{{ID: c.ID, Kind: kind, Instance: c.Instance, Revision: c.Revision}}
+}
+
+// remove drops an instance, or marks it missing while entries may have lapsed in an outage.
+func (b *Book) remove(now clock.Instant, id settings.UpstreamID, at Revision) []Event {
+	e := b.entries[id]
+	if e == nil {
+		b.forget(id, at)
+		return nil
+	}
+	if b.unsettled(now) && !e.instance.Draining {
+		if e.missingUntil != 0 {
+			return nil
+		}
+		e.missingUntil = max(now, b.returned).Add(returnTime)
+		return []Event{{ID: id, Kind: EventMissing, Instance: e.instance, Revision: at}}
+	}
+	delete(b.entries, id)
+	b.forget(id, at)
+	return []Event{{ID: id, Kind: EventRemoved, Instance: e.instance, Revision: at}}
+}
+
+func (b *Book) forget(id settings.UpstreamID, at Revision) {
+	if len(b.removed) >= maxRemoved {
+		clear(b.removed)
+	}
+	b.removed[id] = max(b.removed[id], at)
+}
+
+// Expire drops the missing instances whose time to come back has passed.
+func (b *Book) Expire(now clock.Instant) []Event {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.outage {
+		return nil
+	}
+	var events []Event
+	for id, e := range b.entries {
+		if e.missingUntil == 0 || now.Before(max(e.missingUntil, b.returned.Add(returnTime))) {
+			continue
+		}
+		delete(b.entries, id)
+		b.forget(id, e.revision)
+		events = append(events, Event{ID: id, Kind: EventRemoved, Instance: e.instance, Revision: e.revision})
+	}
+	if len(events) > 0 {
+		b.services = nil
+	}
+	return events
+}
+
+// Known reports whether a whole listing has been taken in.
+func (b *Book) Known() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.known
+}
+
+// MarkKnown notes that another router's whole listing has been taken in.
+func (b *Book) MarkKnown() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.known = true
+}
+
+// Serving returns the instances of a service that may get new requests, sorted by id; callers must not change it.
+func (b *Book) Serving(name settings.ServiceName) []Instance {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.services == nil {
+		b.index()
+	}
+	return b.services[name]
+}
+
+func (b *Book) index() {
+	b.services = make(map[settings.ServiceName][]Instance)
+	for _, e := range b.entries {
+		if !e.instance.Draining {
+			b.services[e.instance.Service] = append(b.services[e.instance.Service], e.instance)
+		}
+	}
+	for _, list := range b.services {
+		slices.SortFunc(list, func(x, y Instance) int { return cmp.Compare(x.ID, y.ID) })
+	}
+}
+
+// Cold returns how much longer an instance is slow after its start.
+func (b *Book) Cold(now clock.Instant, id settings.UpstreamID) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e := b.entries[id]
+	if e == nil {
+		return 0
+	}
+	return max(0, e.coldEnd.Sub(now))
+}
+
+// Drop removes an instance that another one has replaced at its address, until its entry changes.
+func (b *Book) Drop(id settings.UpstreamID) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e := b.entries[id]
+	if e == nil {
+		return
+	}
+	delete(b.entries, id)
+	b.forget(id, e.revision)
+	b.services = nil
+}
+
+// Listing returns every entry and every removal that is remembered, for a router that has just started.
+func (b *Book) Listing() []Change {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	list := make([]Change, 0, len(b.entries))
+	for id, e := range b.entries {
+		list = append(list, Change{ID: id, Revision: e.revision, Instance: e.instance})
+	}
+	return list
+}
+
+// Status is what the book shows of one instance.
+type Status struct {
+	ID         settings.UpstreamID  `json:"id"`
+	Service    settings.ServiceName `json:"service"`
+	Address    string               `json:"address"`
+	DataCentre settings.DataCentre  `json:"data_centre"`
+	Draining   bool                 `json:"draining,omitempty"`
+	Missing    bool                 `json:"missing,omitempty"`
+	Revision   Revision             `json:"revision"`
+}
+
+// String returns the name under which the book is dumped.
+func (b *Book) String() string { return "members" }
+
+// Dump returns the instances, sorted by id.
+func (b *Book) Dump() any {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	list := make([]Status, 0, len(b.entries))
+	for id, e := range b.entries {
+		i := e.instance
+		list = append(list, Status{
+			ID: id, Service: i.Service, Address: i.Address, DataCentre: i.DataCentre,
+			Draining: i.Draining, Missing: e.missingUntil != 0, Revision: e.revision,
+		})
+	}
+	slices.SortFunc(list, func(x, y Status) int { return cmp.Compare(x.ID, y.ID) })
+	return list
+}
--- a/core/operator/main.go
+++ b/core/operator/main.go
@@ -39,7 +39,9 @@
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(gcPercent)
 	}
-	l := NewLog(os.Stderr, name)
+	w := NewBoundedWriter(os.Stdout)
+	defer w.Close()
+	l := NewLog(w, name)
 	return ExitCode(l, start(ctx, f.Config, l))
 }
 
--- a/core/peer/message.go
+++ b/core/peer/message.go
@@ -45,6 +45,7 @@
 	KindClaim
 	KindLeaving
 	KindFetch
+	KindRouterState
 )
 
 // Message is one typed message of the protocol.
@@ -416,6 +417,9 @@
 // Kind returns KindLeaving.
 func (*Leaving) Kind() Kind { return KindLeaving }
 
+// Kind returns KindRouterState.
+func (*RouterState) Kind() Kind { return KindRouterState }
+
 // empty returns a new message of a kind, or nil for an unknown kind.
 func empty(k Kind) Message {
 	switch k {
@@ -471,6 +475,8 @@
 		return &Leaving{}
 	case KindFetch:
 		return &Fetch{}
+	case KindRouterState:
+		return &RouterState{}
 	}
 	return nil
 }
--- /dev/null
+++ b/core/peer/router.go
@@ -0,0 +1,25 @@
+package peer
+
+import (
+	"rattantrack.dev/core/affinity"
+	"rattantrack.dev/core/inflight"
+	"rattantrack.dev/core/members"
+)
+
+// RouterState is what one router tells another, and the answer to it.
+type RouterState struct {
+	Router inflight.RouterID
+	// Address is where the router is reached, Incarnation its life.
+	Address     string
+	Incarnation Incarnation
+	// Open is the number of requests that it has open at each upstream.
+	Open inflight.Counts
+	// Holdings are the prompts that upstreams have read through it since it told the other router last.
+	Holdings []affinity.Holding
+	// Members are the changes of instances that it has heard of since then.
+	Members []members.Change
+	// Listed says that Members holds every instance that it knows.
+	Listed bool
+	// Routers are the addresses of the routers that it exchanges with.
+	Routers []string
+}
--- a/core/settings/defaults.go
+++ b/core/settings/defaults.go
@@ -28,6 +28,12 @@
 	for id, t := range f.Teams {
 		f.Teams[id] = defaultTeam(t)
 	}
+	for name, r := range f.Routes {
+		f.Routes[name] = defaultRoute(r)
+	}
+	for name, l := range f.Limits {
+		f.Limits[name] = defaultClientLimits(l)
+	}
 }
 
 func defaultProfile(p Profile) Profile {
--- a/core/settings/document.go
+++ b/core/settings/document.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"maps"
+	"reflect"
 	"sort"
 	"strings"
 
@@ -30,6 +31,8 @@
 	kindServices  = "services"
 	kindUpstreams = "upstreams"
 	kindTeams     = "teams"
+	kindRoutes    = "routes"
+	kindLimits    = "limits"
 )
 
 // UpstreamOf returns the upstream that a document declares, if it declares one.
@@ -65,6 +68,12 @@
 	for id, t := range f.Teams {
 		add(kindTeams, string(id), t)
 	}
+	for name, r := range f.Routes {
+		add(kindRoutes, string(name), r)
+	}
+	for name, l := range f.Limits {
+		add(kindLimits, string(name), l)
+	}
 	sort.Slice(docs, func(i, j int) bool { return docs[i].Key < docs[j].Key })
 	return docs, err
 }
@@ -97,6 +106,8 @@
 	maps.Copy(next.Services, f.Services)
 	maps.Copy(next.Upstreams, f.Upstreams)
 	maps.Copy(next.Teams, f.Teams)
+	maps.Copy(next.Routes, f.Routes)
+	maps.Copy(next.Limits, f.Limits)
 	return next
 }
 
@@ -106,6 +117,8 @@
 		Services:  make(map[ServiceName]Service),
 		Upstreams: make(map[UpstreamID]Upstream),
 		Teams:     make(map[TeamID]Team),
+		Routes:    make(map[RouteName]Route),
+		Limits:    make(map[LimitsName]ClientLimits),
 	}
 }
 
@@ -124,6 +137,10 @@
 		return applyTo(f.Upstreams, UpstreamID(name), d, func(u Upstream) Upstream { return u })
 	case kindTeams:
 		return applyTo(f.Teams, TeamID(name), d, defaultTeam)
+	case kindRoutes:
+		return applyTo(f.Routes, RouteName(name), d, defaultRoute)
+	case kindLimits:
+		return applyTo(f.Limits, LimitsName(name), d, defaultClientLimits)
 	}
 	return errors.Newf("unknown kind of declaration %q", kind)
 }
@@ -147,3 +164,49 @@
 	dec.KnownFields(true)
 	return dec.Decode(v)
 }
+
+// Changes returns the documents that lead from one set of declarations to the next, stamped with the revision.
+func Changes(from, to *Fleet, r Revision) ([]Document, error) {
+	if from == nil {
+		from = newFleet()
+	}
+	changed, removed := diff(from, to)
+	docs, err := changed.Documents()
+	if err != nil {
+		return nil, errors.Wrap(err, "encoding declarations")
+	}
+	for _, key := range removed {
+		docs = append(docs, Document{Key: key, Deleted: true})
+	}
+	for i := range docs {
+		docs[i].Revision = r
+	}
+	return docs, nil
+}
+
+// diff returns the declarations that are new or different in to, and the keys of those that it lacks.
+func diff(from, to *Fleet) (*Fleet, []DocumentKey) {
+	changed := newFleet()
+	var removed []DocumentKey
+	removed = diffKind(removed, kindProfiles, from.Profiles, to.Profiles, changed.Profiles)
+	removed = diffKind(removed, kindServices, from.Services, to.Services, changed.Services)
+	removed = diffKind(removed, kindUpstreams, from.Upstreams, to.Upstreams, changed.Upstreams)
+	removed = diffKind(removed, kindTeams, from.Teams, to.Teams, changed.Teams)
+	removed = diffKind(removed, kindRoutes, from.Routes, to.Routes, changed.Routes)
+	removed = diffKind(removed, kindLimits, from.Limits, to.Limits, changed.Limits)
+	return changed, removed
+}
+
+func diffKind[K ~string, V any](removed []DocumentKey, kind string, from, to, changed map[K]V) []DocumentKey {
+	for name, v := range to {
+		if have, ok := from[name]; !ok || !reflect.DeepEqual(have, v) {
+			changed[name] = v
+		}
+	}
+	for name := range from {
+		if _, ok := to[name]; !ok {
+			removed = append(removed, DocumentKey(kind+"/"+string(name)))
+		}
+	}
+	return removed
+}
--- a/core/settings/fleet.go
+++ b/core/settings/fleet.go
@@ -57,6 +57,8 @@
 	CacheTokens Tokens `yaml:"cache_tokens"`
 	// KVTransfer says that the engines export and import KV cache.
 	KVTransfer bool `yaml:"kv_transfer"`
+	// MaxConnections is the number of connections that one upstream takes from all routers together, 0 for no bound.
+	MaxConnections int `yaml:"max_connections,omitempty"`
 }
 
 // Upstream declares one upstream and the address of its side process.
@@ -75,6 +77,10 @@
 	Share int `yaml:"share"`
 	// MaxOpen is the number of requests the team may have open at one router.
 	MaxOpen int `yaml:"max_open"`
+	// Keys are the digests of the API keys that identify the team's clients.
+	Keys []KeyDigest `yaml:"keys,omitempty"`
+	// Rank takes precedence over the rank of a route, where it is set.
+	Rank *int `yaml:"rank,omitempty"`
 }
 
 // Fleet is one whole set of declarations.
@@ -83,6 +89,20 @@
 	Services  map[ServiceName]Service `yaml:"services"`
 	Upstreams map[UpstreamID]Upstream `yaml:"upstreams"`
 	Teams     map[TeamID]Team         `yaml:"teams"`
+	// Routes and Limits serve clients that are routed by host and path.
+	Routes map[RouteName]Route         `yaml:"routes"`
+	Limits map[LimitsName]ClientLimits `yaml:"limits"`
+}
+
+// LimitsName names a set of limits; ClientLimitsName is the one in use.
+type LimitsName string
+
+// ClientLimitsName is the name under which the limits for clients are declared.
+const ClientLimitsName LimitsName = "clients"
+
+// ClientLimits returns the limits in force.
+func (f *Fleet) ClientLimits() ClientLimits {
+	return defaultClientLimits(f.Limits[ClientLimitsName])
 }
 
 // UpstreamsOf returns the declared upstreams of a service that are not destroyed, in no particular order.
--- a/core/settings/load.go
+++ b/core/settings/load.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -12,7 +13,10 @@
 	"go.yaml.in/yaml/v3"
 )
 
-var declarationFiles = []string{kindProfiles, kindServices, kindUpstreams, kindTeams}
+var declarationFiles = []string{kindProfiles, kindServices, kindUpstreams, kindTeams, kindRoutes, kindLimits}
+
+// optionalFiles hold declarations that only some fleets have.
+var optionalFiles = []string{kindRoutes, kindLimits}
 
 // LoadFleet reads the declarations below dir and returns every fault at once as Problems.
 func LoadFleet(dir string) (*Fleet, error) {
@@ -42,6 +46,9 @@
 	path := filepath.Join(dir, kind+".yaml")
 	text, err := os.ReadFile(path)
 	if errors.Is(err, os.ErrNotExist) {
+		if slices.Contains(optionalFiles, kind) {
+			return nil, nil
+		}
 		return Problems{{File: path, Found: "no such file", Allowed: "a file of " + kind}}, nil
 	}
 	if err != nil {
@@ -63,6 +70,10 @@
 		return &f.Services
 	case kindUpstreams:
 		return &f.Upstreams
+	case kindRoutes:
+		return &f.Routes
+	case kindLimits:
+		return &f.Limits
 	}
 	return &f.Teams
 }
--- a/core/settings/process.go
+++ b/core/settings/process.go
@@ -29,6 +29,28 @@
 	// PeerTLS is used between processes, CallerTLS towards callers (who need no certificate), where files are named.
 	PeerTLS   TLS `yaml:"peer_tls"`
 	CallerTLS TLS `yaml:"caller_tls"`
+	// Direct serves clients that are routed by host and path to upstreams without a side, where it is set.
+	Direct *Direct `yaml:"direct"`
+}
+
+// Direct is the settings of a router that reaches the upstreams itself.
+type Direct struct {
+	// Directory is the base URL of the platform's directory of declarations and instances.
+	Directory string `yaml:"directory"`
+	// Readiness is the address at which the balancer asks whether the router takes connections.
+	Readiness string `yaml:"readiness"`
+	// MemoryMB is the memory of the VM for this process, 0 for no bound.
+	MemoryMB int64 `yaml:"memory_mb"`
+	// Repeats bounds the repeats of all routers together.
+	Repeats Repeats `yaml:"repeats"`
+}
+
+// Repeats bounds how many requests the routers send once more, for each service.
+type Repeats struct {
+	// Ratio is the number of repeats for each request, Slack the number besides, both within Window.
+	Ratio  float64       `yaml:"ratio"`
+	Slack  float64       `yaml:"slack"`
+	Window time.Duration `yaml:"window"`
 }
 
 // TLS names the files of a process's certificate, its key, and the authority that issues its peers' certificates.
@@ -74,6 +96,10 @@
 	DefaultHeaderTime  = 5 * time.Second
 	DefaultIdleTime    = 60 * time.Second
 	DefaultOpenCalls   = 4096
+
+	DefaultRepeatRatio  = 0.1
+	DefaultRepeatSlack  = 10.0
+	DefaultRepeatWindow = 10 * time.Second
 )
 
 // DefaultAllow admits processes of the same machine only.
@@ -89,6 +115,11 @@
 	setDefault(&r.Limits.HeaderTime, DefaultHeaderTime)
 	setDefault(&r.Limits.IdleTime, DefaultIdleTime)
 	setDefault(&r.Limits.OpenCalls, DefaultOpenCalls)
+	if r.Direct != nil {
+		setDefault(&r.Direct.Repeats.Ratio, DefaultRepeatRatio)
+		setDefault(&r.Direct.Repeats.Slack, DefaultRepeatSlack)
+		setDefault(&r.Direct.Repeats.Window, DefaultRepeatWindow)
+	}
 	if len(r.Allow) == 0 {
 		r.Allow = DefaultAllow
 	}
@@ -111,8 +142,12 @@
 	c.address("operator", r.Operator)
 	c.address("peer", r.Peer)
 	c.address("advertise", r.Advertise)
-	c.url("configuration", r.Configuration)
-	c.url("vm_list", r.VMList)
+	if r.Direct == nil {
+		c.url("configuration", r.Configuration)
+		c.url("vm_list", r.VMList)
+	} else {
+		c.direct(r.Direct)
+	}
 	c.peers(r.Peers)
 	c.networks(r.Allow)
 	c.positive("notice_time", r.NoticeTime > 0, r.NoticeTime)
@@ -185,6 +220,14 @@
 	}
 }
 
+func (c *processChecker) direct(d *Direct) {
+	c.url("direct.directory", d.Directory)
+	c.address("direct.readiness", d.Readiness)
+	c.positive("direct.repeats.ratio", d.Repeats.Ratio > 0, d.Repeats.Ratio)
+	c.positive("direct.repeats.slack", d.Repeats.Slack > 0, d.Repeats.Slack)
+	c.positive("direct.repeats.window", d.Repeats.Window > 0, d.Repeats.Window)
+}
+
 // tls refuses settings that name some of the files only.
 func (c *processChecker) tls(field string, t TLS, authority bool) {
 	if !t.Used() {
--- a/core/settings/validate.go
+++ b/core/settings/validate.go
@@ -61,6 +61,12 @@
 	for id, t := range f.Teams {
 		validateTeam(c, string(id), t)
 	}
+	for name, r := range f.Routes {
+		f.validateRoute(c, string(name), r)
+	}
+	for name, l := range f.Limits {
+		validateLimits(c, string(name), l)
+	}
 	f.validateAddresses(c)
 	return c.sorted()
 }
@@ -96,6 +102,10 @@
 		f.validateUpstream(c, name, f.Upstreams[UpstreamID(name)])
 	case kindTeams:
 		validateTeam(c, name, f.Teams[TeamID(name)])
+	case kindRoutes:
+		f.validateRoute(c, name, f.Routes[RouteName(name)])
+	case kindLimits:
+		validateLimits(c, name, f.Limits[LimitsName(name)])
 	}
 }
 
@@ -163,6 +173,37 @@
 	}
 }
 
+var routeKinds = []RouteKind{RouteIdempotent, RouteOnce, RouteStream}
+
+func (f *Fleet) validateRoute(c *checker, name string, r Route) {
+	const kind = kindRoutes
+	c.check(namePattern.MatchString(name), kind, name, "", name, nameRule)
+	c.check(r.Host != "", kind, name, "host", quote(r.Host), "a host name")
+	whole := strings.HasPrefix(r.PathPrefix, "/") && strings.HasSuffix(r.PathPrefix, "/")
+	c.check(whole, kind, name, "path_prefix", quote(r.PathPrefix), "a path that begins and ends with a slash")
+	c.check(slices.Contains(routeKinds, r.Kind), kind, name, "kind", quote(r.Kind), "idempotent, once or stream")
+	c.check(!r.Resumable || r.Kind == RouteStream, kind, name, "resumable", r.Resumable, "false unless kind is stream")
+	c.check(r.Attempts >= 1 && r.Attempts <= maxRetries, kind, name, "attempts", r.Attempts, "1 to 10")
+	c.check(r.Timeout > 0 && r.Timeout <= maxDeadline, kind, name, "timeout", r.Timeout, "more than 0s, at most 1h")
+	c.check(r.Rank >= 0, kind, name, "rank", r.Rank, "at least 0")
+	weight := 0
+	for _, b := range r.Backends {
+		_, known := f.Services[b.Service]
+		c.check(known, kind, name, "backends", quote(b.Service), "the name of a declared service")
+		c.check(b.Weight >= 0, kind, name, "backends", b.Weight, "a weight of at least 0")
+		weight += b.Weight
+	}
+	c.check(weight > 0, kind, name, "backends", weight, "a service with a weight above 0")
+}
+
+func validateLimits(c *checker, name string, l ClientLimits) {
+	const kind = kindLimits
+	c.check(l.HeaderBytes > 0, kind, name, "header_bytes", l.HeaderBytes, "more than 0")
+	c.check(l.BodyBytes > 0, kind, name, "body_bytes", l.BodyBytes, "more than 0")
+	c.check(l.HeaderTime > 0, kind, name, "header_time", l.HeaderTime, "more than 0s")
+	c.check(l.IdleTime > 0, kind, name, "idle_time", l.IdleTime, "more than 0s")
+}
+
 func quote[T ~string](v T) string {
 	return fmt.Sprintf("%q", string(v))
 }
--- /dev/null
+++ b/router/internal/app/direct.go
@@ -0,0 +1,326 @@
+package app
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/google/uuid"
+
+	"rattantrack.dev/core/affinity"
+	"rattantrack.dev/core/clock"
+	"rattantrack.dev/core/inflight"
+	"rattantrack.dev/core/kernel"
+	"rattantrack.dev/core/members"
+	"rattantrack.dev/core/operator"
+	"rattantrack.dev/core/outlier"
+	"rattantrack.dev/core/peer"
+	"rattantrack.dev/core/retry"
+	"rattantrack.dev/core/revision"
+	"rattantrack.dev/core/routing"
+	"rattantrack.dev/core/settings"
+	"rattantrack.dev/core/spread"
+	"rattantrack.dev/core/waiting"
+	"rattantrack.dev/platform"
+	"rattantrack.dev/router/internal/client"
+	"rattantrack.dev/router/internal/direct"
+	"rattantrack.dev/router/internal/directory"
+	"rattantrack.dev/router/internal/routers"
+	"rattantrack.dev/router/internal/upstream"
+)
+
+// Memory and garbage collection of a direct router.
+const (
+	// memoryShare is the part of the VM's memory that the heap may take; stacks and socket buffers need the rest.
+	memoryShare = 0.7
+	// gcPercent trades memory for processor time, within the limit above.
+	gcPercent = 100
+)
+
+// Times towards the directory.
+const (
+	directoryDialTime   = 500 * time.Millisecond
+	directorySilentTime = 1500 * time.Millisecond
+	directoryIdleTime   = 30 * time.Second
+)
+
+// Direct is one router process that reaches the upstreams itself.
+type Direct struct {
+	cfg     settings.Router
+	file    string
+	log     *log.Logger
+	metrics *operator.Metrics
+
+	store       *revision.Store
+	members     *members.Book
+	affinity    *affinity.Directory
+	outliers    *outlier.Detector
+	connections *upstream.Pool
+	endpoint    *peer.Endpoint
+	spread      *spread.Service
+	routers     *routers.Service
+	client      *client.Server
+	watch       *directory.Watch
+	readiness   *readiness
+	announcer   *operator.Announcer
+}
+
+// NewDirect returns a router process with the given settings.
+func NewDirect(cfg settings.Router, file string, l *log.Logger) (*Direct, error) {
+	allow, err := peer.ParseNetworks(cfg.Allow)
+	if err != nil {
+		return nil, err
+	}
+	identity, err := peer.IdentityOf(cfg.PeerTLS)
+	if err != nil {
+		return nil, err
+	}
+	limitMemory(cfg.Direct.MemoryMB)
+	d := &Direct{
+		cfg:      cfg,
+		file:     file,
+		log:      l,
+		metrics:  operator.NewMetrics("router"),
+		store:    &revision.Store{},
+		members:  &members.Book{},
+		affinity: &affinity.Directory{},
+		outliers: &outlier.Detector{},
+	}
+	incarnation := peer.Incarnation(uuid.NewString())
+	d.endpoint = &peer.Endpoint{
+		Local:    func() peer.Hello { return d.hello(incarnation) },
+		Handler:  d,
+		Allow:    allow,
+		Identity: identity,
+		OnReject: func(err error) { l.Warn("peer turned away", "error", err) },
+	}
+	d.connect(incarnation)
+	return d, nil
+}
+
+func limitMemory(mb int64) {
+	if mb <= 0 {
+		return
+	}
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(int64(memoryShare * float64(mb<<20)))
+}
+
+// connect makes the services and ties them to each other.
+func (d *Direct) connect(incarnation peer.Incarnation) {
+	scope := d.metrics.Scope
+	ledger := &inflight.Ledger{}
+	d.connections = &upstream.Pool{Dialect: platform.Dialect{}, OnDial: func(_ members.Instance, err error) {
+		scope.Tagged(map[string]string{"ok": yesNo(err == nil)}).Counter("upstream_connections").Inc(1)
+	}}
+	d.routers = &routers.Service{
+		ID:          inflight.RouterID(d.cfg.ID),
+		Address:     d.cfg.Advertise,
+		Incarnation: incarnation,
+		Seeds:       d.cfg.Peers,
+		Dialer:      d.endpoint,
+		Ledger:      ledger,
+		Affinity:    d.affinity,
+		Members:     d.members,
+		Clock:       clock.Boot{},
+		Log:         d.log,
+		Scope:       scope,
+		OnEvents:    d.changed,
+	}
+	d.spread = &spread.Service{Store: d.store, Dialer: d.endpoint, Log: d.log, Candidates: d.routers.Known}
+	d.watch = &directory.Watch{
+		Source:   &platform.Store{URL: d.cfg.Direct.Directory, HTTP: directoryClient()},
+		Store:    d.store,
+		Offer:    d.spread,
+		Members:  d.members,
+		Clock:    clock.Boot{},
+		Log:      d.log,
+		Scope:    scope,
+		OnEvents: d.changed,
+		Tell:     d.routers.Tell,
+	}
+	repeats := d.cfg.Direct.Repeats
+	d.client = &client.Server{
+		Address:    d.cfg.Caller,
+		NoticeTime: d.cfg.NoticeTime,
+		DrainTime:  d.cfg.DrainTime,
+		Dispatcher: &direct.Dispatcher{
+			DataCentre:  d.cfg.DataCentre,
+			Members:     d.members,
+			Ledger:      ledger,
+			Affinity:    d.affinity,
+			Outliers:    d.outliers,
+			Room:        &waiting.Room{},
+			Budget:      &retry.Window{Terms: retry.Terms{Ratio: repeats.Ratio, Slack: repeats.Slack, Window: repeats.Window}},
+			Connections: d.connections,
+			Dialect:     platform.Dialect{},
+			Clock:       clock.Boot{},
+			Log:         d.log,
+			Scope:       scope,
+		},
+		Dialect: platform.Dialect{},
+		Clock:   clock.Boot{},
+		Log:     d.log,
+		Scope:   scope,
+	}
+	d.readiness = &readiness{address: d.cfg.Direct.Readiness, path: platform.ReadyPath, ready: d.ready}
+	d.announcer = &operator.Announcer{Log: d.log, Message: "router ready"}
+}
+
+func yesNo(b bool) string {
+	if b {
+		return "yes"
+	}
+	return "no"
+}
+
+// directoryClient returns an HTTP client whose connections end soon after their path has died.
+func directoryClient() *http.Client {
+	dialer := &net.Dialer{
+		Timeout:         directoryDialTime,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
+		Control:         upstream.UserTimeout(directorySilentTime),
+	}
+	return &http.Client{Transport: &http.Transport{
+		DialContext:        dialer.DialContext,
+		DisableCompression: true,
+		IdleConnTimeout:    directoryIdleTime,
+	}}
+}
+
+func (d *Direct) hello(incarnation peer.Incarnation) peer.Hello {
+	v, _ := d.store.Current()
+	return peer.Hello{
+		Protocol:    peer.ProtocolVersion,
+		Role:        peer.RoleRouter,
+		ID:          d.cfg.ID,
+		DataCentre:  d.cfg.DataCentre,
+		Incarnation: incarnation,
+		Revision:    v.Revision,
+		Sent:        clock.Boot{}.Now(),
+	}
+}
+
+// changed takes in changes of instances.
+func (d *Direct) changed(source string, events []members.Event) {
+	for _, e := range events {
+		d.log.Info("instance", "upstream", e.ID, "change", e.Kind, "service", e.Instance.Service, "address", e.Instance.Address,
+			"entry_revision", e.Revision, "source", source)
+		switch e.Kind {
+		case members.EventRemoved:
+			d.connections.Forget(e.Instance)
+			d.affinity.Forget(e.ID)
+			d.outliers.Forget(e.ID)
+		case members.EventRestarted:
+			d.affinity.Forget(e.ID)
+			d.outliers.Forget(e.ID)
+		case members.EventDraining:
+			d.connections.Forget(e.Instance)
+		}
+	}
+}
+
+// declare puts an accepted version of the declarations in force.
+func (d *Direct) declare(c revision.Change) {
+	d.client.SetTable(routing.New(c.Fleet, c.Version.Revision))
+}
+
+// ready reports whether the balancer should send connections.
+func (d *Direct) ready() bool {
+	return d.client.Known() && d.members.Known() && !d.client.Leaving()
+}
+
+// Serve gives a peer's message to the service that answers it.
+func (d *Direct) Serve(ctx context.Context, st *peer.Stream, m peer.Message) {
+	if d.routers.Serve(ctx, st, m) || d.spread.Serve(ctx, st, m) {
+		return
+	}
+	d.log.Warn("unexpected message", "kind", m.Kind(), "peer", st.Link().Remote().ID)
+}
+
+// Run runs the process until ctx ends and all its requests are answered.
+func (d *Direct) Run(ctx context.Context) error {
+	defer func() { _ = d.metrics.Close() }()
+	d.store.Watch(d.declare)
+	stop := d.reloadOnHangup()
+	defer stop()
+	k := &kernel.Kernel{}
+	// Clients are answered from the start, so that one who comes early is told when to come back.
+	k.Add(
+		&operator.Server{
+			Address: d.cfg.Operator,
+			Metrics: d.metrics,
+			Ready:   d.ready,
+			Dumpers: []operator.Dumper{d.client, d.members, d.routers, d.spread, &operator.Links{Endpoint: d.endpoint}},
+		},
+		d.readiness,
+		&peer.Listener{Address: d.cfg.Peer, Endpoint: d.endpoint, IdleTime: idleLinkTime},
+		d.connections,
+		d.routers,
+		d.watch,
+		d.client,
+		d.spread,
+		d.announcer,
+	)
+	return k.Run(ctx)
+}
+
+// reloadOnHangup reads the settings anew at each SIGHUP.
+func (d *Direct) reloadOnHangup() (stop func()) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	go func() {
+		for range signals {
+			d.reload()
+		}
+	}()
+	return func() {
+		signal.Stop(signals)
+		close(signals)
+	}
+}
+
+// reload takes over the settings that can change while the process runs; the others need a restart.
+func (d *Direct) reload() {
+	cfg, err := load(d.file)
+	if err != nil {
+		d.log.Error("settings refused, the old ones stay in force", "error", err)
+		return
+	}
+	d.routers.SetSeeds(cfg.Peers)
+	d.log.Info("settings reloaded", "peers", len(cfg.Peers))
+}
+
+// readiness answers the balancer.
+type readiness struct {
+	address, path string
+	ready         func() bool
+}
+
+// readinessStopTime bounds the answers that are still open at the end.
+const readinessStopTime = 100 * time.Millisecond
+
+// String returns the service's name.
+func (r *readiness) String() string { return "readiness" }
+
+// Run serves until ctx ends.
+func (r *readiness) Run(ctx context.Context, ready func()) error {
+	srv := &http.Server{Handler: r, ReadHeaderTimeout: settings.DefaultHeaderTime}
+	return operator.ServeHTTP(ctx, srv, r.address, readinessStopTime, ready)
+}
+
+// ServeHTTP answers one question.
+func (r *readiness) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	switch {
+	case req.URL.Path != r.path:
+		w.WriteHeader(http.StatusNotFound)
+	case !r.ready():
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
--- /dev/null
+++ b/router/internal/client/answer.go
@@ -0,0 +1,97 @@
+package client
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"time"
+
+	"rattantrack.dev/core/peer"
+	"rattantrack.dev/router/internal/direct"
+)
+
+// writeTime is how long a client may leave an answer unread.
+const writeTime = 10 * time.Second
+
+// hopHeaders concern one connection only (RFC 9110, section 7.6.1); lengths are set anew on each connection.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding", "Te", "Trailer", "Upgrade", "Content-Length",
+	"Expect",
+}
+
+// forwarded returns the header fields that are passed on.
+func forwarded(h http.Header) http.Header {
+	out := h.Clone()
+	for _, list := range h["Connection"] {
+		for _, name := range strings.Split(list, ",") {
+			out.Del(textproto.TrimString(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		out.Del(name)
+	}
+	return out
+}
+
+// sink writes an answer to the client.
+type sink struct {
+	w       http.ResponseWriter
+	control *http.ResponseController
+}
+
+// Head begins the answer.
+func (s *sink) Head(status int, h http.Header, length int64) error {
+	out := s.w.Header()
+	for name, values := range forwarded(h) {
+		out[name] = values
+	}
+	if out["Content-Type"] == nil {
+		// A nil value keeps the server from guessing a type.
+		out["Content-Type"] = nil
+	}
+	if length >= 0 {
+		out.Set("Content-Length", strconv.FormatInt(length, 10))
+	}
+	s.w.WriteHeader(status)
+	return nil
+}
+
+// Write adds to the body.
+func (s *sink) Write(data []byte, flush bool) error {
+	if err := s.control.SetWriteDeadline(time.Now().Add(writeTime)); err != nil {
+		return err
+	}
+	if _, err := s.w.Write(data); err != nil {
+		return err
+	}
+	if !flush {
+		return nil
+	}
+	return s.control.Flush()
+}
+
+// refuse answers with a failure at once.
+func (s *Server) refuse(w http.ResponseWriter, r *direct.Request, f *refusal, outcome peer.Outcome) {
+	s.Scope.Tagged(map[string]string{"code": f.code}).Counter("refusals").Inc(1)
+	s.Log.Info("refused", "request", r.ID, "route", r.Route, "revision", r.Revision, "status", f.status, "code", f.code,
+		"outcome", outcome, "retry_after_ms", f.retryAfter.Milliseconds())
+	body, err := json.Marshal(failureBody{Error: failureError{Outcome: outcome, Code: f.code, Request: r.ID}})
+	if err != nil {
+		s.Log.Error("encoding a failure", "request", r.ID, "error", err)
+	}
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	if f.status == http.StatusUnauthorized {
+		h.Set("WWW-Authenticate", s.Dialect.Challenge())
+	}
+	if f.retryAfter > 0 {
+		h.Set("Retry-After", s.Dialect.RetryAfter(f.retryAfter))
+	}
+	w.WriteHeader(f.status)
+	if _, err := w.Write(body); err != nil {
+		s.Log.Debug("client gone before its failure", "request", r.ID, "error", err)
+	}
+}
--- /dev/null
+++ b/router/internal/client/doc.go
@@ -0,0 +1,2 @@
+// Package client serves clients whose requests are routed by host and path prefix.
+package client
--- /dev/null
+++ b/router/internal/client/serve.go
@@ -0,0 +1,181 @@
+package client
+
+import (
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"rattantrack.dev/core/call"
+	"rattantrack.dev/core/peer"
+	"rattantrack.dev/core/routing"
+	"rattantrack.dev/core/settings"
+	"rattantrack.dev/router/internal/direct"
+	"rattantrack.dev/router/internal/upstream"
+)
+
+// unreadyRetryAfter is when a client should come back to a router that has no declarations yet.
+const unreadyRetryAfter = 500 * time.Millisecond
+
+// refusal is a failure that the router answers itself.
+type refusal struct {
+	status     int
+	code       string
+	retryAfter time.Duration
+}
+
+// ServeHTTP answers one request of a client.
+func (s *Server) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	s.open.Add(1)
+	defer s.open.Add(-1)
+	if s.Leaving() {
+		w.Header().Set("Connection", "close")
+	}
+	arrived := s.Clock.Now()
+	r, refused := s.admit(req)
+	if refused == nil {
+		refused = s.readBody(w, req, r)
+	}
+	if refused != nil {
+		s.refuse(w, r, refused, peer.OutcomeNotRun)
+		return
+	}
+	r.Arrived = arrived
+	r.Deadline = arrived.Add(deadline(r))
+	s.dispatch(w, req, r)
+}
+
+// deadline is how long the request may take: the client's own time within the route's timeout.
+func deadline(r *direct.Request) time.Duration {
+	if r.Left == 0 {
+		return r.Terms.Timeout
+	}
+	return min(r.Left, r.Terms.Timeout)
+}
+
+// admit finds the route and the team of a request.
+func (s *Server) admit(req *http.Request) (*direct.Request, *refusal) {
+	r := &direct.Request{}
+	read, err := s.Dialect.ReadRequest(req.Header)
+	r.Request = read
+	if err != nil {
+		s.Log.Warn("malformed request", "request", read.ID, "error", err)
+		return r, &refusal{status: http.StatusBadRequest, code: "malformed_header"}
+	}
+	table := s.table.Load()
+	if table == nil {
+		return r, &refusal{status: http.StatusServiceUnavailable, code: "no_declarations", retryAfter: unreadyRetryAfter}
+	}
+	r.Revision = table.Revision
+	uri := target(req)
+	path, _, _ := strings.Cut(uri, "?")
+	match, ok := table.Match(req.Host, path)
+	if !ok {
+		return r, &refusal{status: http.StatusNotFound, code: "unknown_route"}
+	}
+	r.Route, r.Terms = match.Name, match.Route
+	if refused := authorize(table, r, &match.Route); refused != nil {
+		return r, refused
+	}
+	r.Rank = table.Rank(r.Team, &match.Route)
+	r.Service = routing.Pick(&match.Route, rand.Float64())
+	r.Out = upstream.Request{
+		ID: r.ID, Method: req.Method, URI: uri, Host: req.Host, Header: forwarded(req.Header),
+	}
+	return r, nil
+}
+
+// authorize finds the team of the request's key.
+func authorize(table *routing.Table, r *direct.Request, route *settings.Route) *refusal {
+	if route.Public || !table.Keyed() {
+		return nil
+	}
+	team, ok := table.Team(r.Key)
+	if !ok {
+		return &refusal{status: http.StatusUnauthorized, code: "unknown_key"}
+	}
+	r.Team = team
+	return nil
+}
+
+// target returns path and query as the client sent them.
+func target(req *http.Request) string {
+	if strings.HasPrefix(req.RequestURI, "/") {
+		return req.RequestURI
+	}
+	return req.URL.RequestURI()
+}
+
+// readBody reads the request's body within the limits.
+func (s *Server) readBody(w http.ResponseWriter, req *http.Request, r *direct.Request) *refusal {
+	if req.ContentLength == 0 {
+		r.Out.HasBody = req.Header.Get("Content-Length") != "" || req.Method == http.MethodPost || req.Method == http.MethodPut
+		return nil
+	}
+	limits := s.table.Load().Limits
+	control := http.NewResponseController(w)
+	if err := control.SetReadDeadline(time.Now().Add(limits.IdleTime)); err != nil {
+		s.Log.Debug("setting a read deadline", "error", err)
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, limits.BodyBytes))
+	if err != nil {
+		var large *http.MaxBytesError
+		if errors.As(err, &large) {
+			return &refusal{status: http.StatusRequestEntityTooLarge, code: "body_too_large"}
+		}
+		return &refusal{status: http.StatusBadRequest, code: "malformed_body"}
+	}
+	if err := control.SetReadDeadline(time.Time{}); err != nil {
+		s.Log.Debug("clearing a read deadline", "error", err)
+	}
+	r.Out.Body, r.Out.HasBody = body, true
+	return nil
+}
+
+// dispatch takes the request to an upstream and logs what became of it.
+func (s *Server) dispatch(w http.ResponseWriter, req *http.Request, r *direct.Request) {
+	sink := &sink{w: w, control: http.NewResponseController(w)}
+	res := s.Dispatcher.Do(req.Context(), r, sink)
+	took := s.Clock.Now().Sub(r.Arrived)
+	s.Scope.Tagged(map[string]string{"kind": string(r.Terms.Kind)}).Timer("request_duration").Record(took)
+	s.Log.Info("request",
+		"request", r.ID, "route", r.Route, "revision", r.Revision, "service", r.Service, "team", r.Team,
+		"upstream", res.Upstream, "outcome", res.Outcome, "code", res.Code, "status", res.Status,
+		"runs", res.Runs, "tries", res.Tries, "events", res.Events,
+		"waited_ms", res.Waited.Milliseconds(), "first_ms", res.FirstByte.Milliseconds(), "duration_ms", took.Milliseconds(),
+		"left_ms", r.Deadline.Sub(s.Clock.Now()).Milliseconds())
+	switch {
+	case res.Outcome == peer.OutcomeDone:
+	case res.Code == direct.CodeClientGone || res.Headed:
+		// The answer cannot become whole, and its end must not look complete.
+		panic(http.ErrAbortHandler)
+	default:
+		s.refuse(w, r, refusalOf(res), res.Outcome)
+	}
+}
+
+// refusalOf turns a result into an answer. Statuses that promise that the request did not run are kept for those that
+// did not.
+func refusalOf(res direct.Result) *refusal {
+	switch {
+	case res.Outcome == peer.OutcomeNotRun:
+		return &refusal{status: http.StatusServiceUnavailable, code: res.Code, retryAfter: res.RetryAfter}
+	case res.Code == direct.CodeDeadline:
+		return &refusal{status: http.StatusGatewayTimeout, code: res.Code}
+	}
+	return &refusal{status: http.StatusBadGateway, code: res.Code}
+}
+
+// failureBody is the body of a failure, the same as on the product's other interfaces.
+type failureBody struct {
+	Error failureError `json:"error"`
+}
+
+type failureError struct {
+	Outcome peer.Outcome `json:"outcome"`
+	Code    string       `json:"code"`
+	Request call.ID      `json:"request,omitempty"`
+}
--- /dev/null
+++ b/router/internal/client/server.go
@@ -0,0 +1,153 @@
+package client
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
+
+	"rattantrack.dev/core/call"
+	"rattantrack.dev/core/clock"
+	"rattantrack.dev/core/routing"
+	"rattantrack.dev/core/settings"
+	"rattantrack.dev/router/internal/direct"
+)
+
+// Dispatcher takes requests to upstreams.
+type Dispatcher interface {
+	Do(ctx context.Context, r *direct.Request, sink direct.Sink) direct.Result
+}
+
+// Dialect reads what clients say and writes what they are told.
+type Dialect interface {
+	ReadRequest(h http.Header) (call.Request, error)
+	RetryAfter(d time.Duration) string
+	Challenge() string
+}
+
+// Clock gives the present instant.
+type Clock interface {
+	Now() clock.Instant
+}
+
+// Server is the HTTP service for clients.
+type Server struct {
+	Address string
+	// NoticeTime is how long a stopping server still takes connections, so that the balancer can see it leave.
+	NoticeTime time.Duration
+	// DrainTime is how long open requests may take after that.
+	DrainTime  time.Duration
+	Dispatcher Dispatcher
+	Dialect    Dialect
+	Clock      Clock
+	Log        *log.Logger
+	Scope      tally.Scope
+
+	table   atomic.Pointer[routing.Table]
+	leaving atomic.Bool
+	open    atomic.Int64
+	idle    idleConns
+}
+
+// String returns the service's name.
+func (s *Server) String() string { return "client" }
+
+// SetTable puts a version of the declarations in force.
+func (s *Server) SetTable(t *routing.Table) { s.table.Store(t) }
+
+// Leaving reports whether the server is about to stop.
+func (s *Server) Leaving() bool { return s.leaving.Load() }
+
+// Known reports whether declarations are in force.
+func (s *Server) Known() bool { return s.table.Load() != nil }
+
+// Run serves until ctx ends, lets the balancer see it leave, and then lets open requests end.
+func (s *Server) Run(ctx context.Context, ready func()) error {
+	ln, err := net.Listen("tcp", s.Address)
+	if err != nil {
+		return errors.Wrapf(err, "listening on %s", s.Address)
+	}
+	srv := &http.Server{
+		Handler:           s,
+		ReadHeaderTimeout: settings.DefaultHeaderTime,
+		MaxHeaderBytes:    settings.DefaultHeaderBytes,
+		ConnState:         s.idle.note,
+	}
+	s.idle.limit = s.idleTime
+	served := make(chan error, 1)
+	go func() { served <- srv.Serve(ln) }()
+	ready()
+	select {
+	case err := <-served:
+		return errors.Wrapf(err, "serving on %s", s.Address)
+	case <-ctx.Done():
+	}
+	s.leaving.Store(true)
+	// Idle connections stay open meanwhile, since a client may be sending on one of them at this moment.
+	time.Sleep(s.NoticeTime)
+	stopCtx, cancel := context.WithTimeout(context.Background(), s.DrainTime)
+	defer cancel()
+	if err := srv.Shutdown(stopCtx); err != nil {
+		s.Log.Warn("requests cut by the stop", "open", s.open.Load(), "error", err)
+		_ = srv.Close()
+	}
+	<-served
+	return nil
+}
+
+// idleFactor lengthens the declared idle time, since a client counts from when it read the last answer.
+const idleFactor = 1.2
+
+// idleTime is how long an unused connection of a client is kept.
+func (s *Server) idleTime() time.Duration {
+	t := s.table.Load()
+	if t == nil {
+		return settings.DefaultIdleTime
+	}
+	return time.Duration(idleFactor * float64(t.Limits.IdleTime))
+}
+
+// idleConns closes connections that were unused for too long. The time follows the declarations, which the server of
+// the standard library cannot do.
+type idleConns struct {
+	limit  func() time.Duration
+	mu     sync.Mutex
+	timers map[net.Conn]*time.Timer
+}
+
+func (c *idleConns) note(conn net.Conn, state http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.timers == nil {
+		c.timers = make(map[net.Conn]*time.Timer)
+	}
+	if t := c.timers[conn]; t != nil {
+		t.Stop()
+		delete(c.timers, conn)
+	}
+	if state == http.StateIdle {
+		c.timers[conn] = time.AfterFunc(c.limit(), func() { _ = conn.Close() })
+	}
+}
+
+// Status is what the server shows of itself.
+type Status struct {
+	Leaving  bool              `json:"leaving"`
+	Open     int64             `json:"open_requests"`
+	Revision settings.Revision `json:"revision"`
+}
+
+// Dump returns the server's state.
+func (s *Server) Dump() any {
+	status := Status{Leaving: s.Leaving(), Open: s.open.Load()}
+	if t := s.table.Load(); t != nil {
+		status.Revision = t.Revision
+	}
+	return status
+}
--- /dev/null
+++ b/router/internal/direct/attempt.go
@@ -0,0 +1,258 @@
+package direct
+
+import (
+	"context"
+	"io"
+	"maps"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"rattantrack.dev/core/attempt"
+	"rattantrack.dev/core/call"
+	"rattantrack.dev/core/members"
+	"rattantrack.dev/core/settings"
+	"rattantrack.dev/router/internal/upstream"
+)
+
+// Limits of one attempt.
+const (
+	// maxBuffered is the largest answer that is read whole before the client gets any of it, so that it can be repeated.
+	maxBuffered = 256 << 10
+	// slowFactor is how many objectives a repeatable request waits for its answer before it is repeated elsewhere.
+	slowFactor = 2
+	// minSlow and minStall bound from below how long a repeatable request waits for an answer or for an event.
+	minSlow  = 250 * time.Millisecond
+	minStall = 1200 * time.Millisecond
+	// stallFactor is how many pause objectives a resumable stream may stand still before it is resumed elsewhere.
+	stallFactor = 4
+)
+
+// attempt sends the request to one upstream and relays its answer.
+func (x *exchange) attempt(ctx context.Context, i members.Instance) attempt.Ending {
+	d := x.d
+	now := d.Clock.Now()
+	d.Ledger.Begin(i.ID)
+	defer func() {
+		d.Ledger.End(i.ID)
+		d.Room.Ended(d.Clock.Now(), x.Service)
+	}()
+	conn, err := d.Connections.Get(ctx, i, !x.Terms.Repeatable())
+	if err != nil {
+		if ctx.Err() != nil {
+			return attempt.ClientGone
+		}
+		return attempt.NotSent
+	}
+	x.res.Upstream = i.ID
+	if x.Terms.Affinity {
+		d.Affinity.Used(now, x.Parts, i.ID)
+	}
+	stop := context.AfterFunc(ctx, conn.Close)
+	watch := x.watch(conn)
+	res, err := conn.Do(x.outgoing(i))
+	if err != nil {
+		watch.Stop()
+		stop()
+		conn.Close()
+		return x.unanswered(ctx, i, err)
+	}
+	if x.res.FirstByte == 0 {
+		x.res.FirstByte = d.Clock.Now().Sub(x.Arrived)
+	}
+	ending, whole := x.answered(ctx, i, res, watch)
+	watch.Stop()
+	// A connection that ctx has closed cannot carry another request.
+	if !stop() || !whole {
+		conn.Close()
+		return ending
+	}
+	d.Connections.Put(conn, res)
+	return ending
+}
+
+// outgoing returns the request as this attempt sends it.
+func (x *exchange) outgoing(i members.Instance) *upstream.Request {
+	out := x.Out
+	out.Header = maps.Clone(x.Out.Header)
+	x.d.Dialect.WriteAttempt(out.Header, call.Attempt{
+		Upstream:  i.ID,
+		Left:      x.TimeLeft(x.d.Clock.Now()),
+		Team:      x.Team,
+		LastEvent: x.relay.last,
+	})
+	return &out
+}
+
+// unanswered classifies an attempt without the head of an answer.
+func (x *exchange) unanswered(ctx context.Context, i members.Instance, err error) attempt.Ending {
+	var notSent *upstream.NotSentError
+	if errors.As(err, &notSent) {
+		return attempt.NotSent
+	}
+	x.res.Runs++
+	if ctx.Err() != nil {
+		return attempt.ClientGone
+	}
+	x.d.Log.Warn("answer lost", "request", x.ID, "upstream", i.ID, "error", err)
+	return attempt.Lost
+}
+
+// answered relays an answer; whole reports whether it was read to its end.
+func (x *exchange) answered(ctx context.Context, i members.Instance, res *upstream.Response, watch *watch) (ending attempt.Ending, whole bool) {
+	if res.Answer.NotRun || res.Answer.Misdirected {
+		if res.Answer.Misdirected {
+			x.misdirected(i, res)
+		}
+		_, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxBuffered))
+		return attempt.Refused, err == nil
+	}
+	x.res.Runs++
+	x.res.Status = res.StatusCode
+	if res.StatusCode >= http.StatusBadRequest {
+		return x.failed(ctx, i, res)
+	}
+	if x.Terms.Kind == settings.RouteStream && res.StatusCode == http.StatusOK {
+		return x.stream(ctx, i, res, watch)
+	}
+	return x.body(ctx, i, res)
+}
+
+func (x *exchange) misdirected(i members.Instance, res *upstream.Response) {
+	// The upstream may also answer so for other reasons than its identity, so the entry stays until the platform
+	// changes it; the request does not go there again.
+	x.d.Log.Warn("misdirected", "request", x.ID, "upstream", i.ID, "address", i.Address, "status", res.StatusCode)
+	x.d.Outliers.Unreachable(x.d.Clock.Now(), i.ID, i.Service)
+}
+
+// failed keeps a failure that the upstream answered whole, to be passed on if nothing better follows.
+func (x *exchange) failed(ctx context.Context, i members.Instance, res *upstream.Response) (attempt.Ending, bool) {
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxBuffered))
+	if err != nil || len(body) == maxBuffered {
+		return x.broken(ctx, i, err), false
+	}
+	x.failure = &wholeAnswer{status: res.StatusCode, header: res.Header, body: body}
+	if res.StatusCode < http.StatusInternalServerError {
+		// The upstream's word on the request itself, which another upstream would repeat.
+		if err := x.failure.send(x.sink); err != nil {
+			return attempt.ClientGone, true
+		}
+		x.relay.headed = true
+		return attempt.Whole, true
+	}
+	x.d.Log.Info("upstream failure", "request", x.ID, "upstream", i.ID, "status", res.StatusCode)
+	return attempt.Failed, true
+}
+
+func (x *exchange) broken(ctx context.Context, i members.Instance, err error) attempt.Ending {
+	if ctx.Err() != nil {
+		return attempt.ClientGone
+	}
+	x.d.Log.Warn("answer broken off", "request", x.ID, "upstream", i.ID, "events", x.relay.events, "error", err)
+	if x.relay.headed {
+		return attempt.Cut
+	}
+	return attempt.Lost
+}
+
+// body relays an answer that is no stream, reading it whole first where it is small.
+func (x *exchange) body(ctx context.Context, i members.Instance, res *upstream.Response) (attempt.Ending, bool) {
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxBuffered))
+	if err != nil {
+		return x.broken(ctx, i, err), false
+	}
+	if len(body) < maxBuffered {
+		whole := &wholeAnswer{status: res.StatusCode, header: res.Header, body: body}
+		x.relay.headed = true
+		if err := whole.send(x.sink); err != nil {
+			return attempt.ClientGone, true
+		}
+		return attempt.Whole, true
+	}
+	x.relay.headed = true
+	if err := x.sink.Head(res.StatusCode, res.Header, res.ContentLength); err != nil {
+		return attempt.ClientGone, false
+	}
+	if err := x.sink.Write(body, false); err != nil {
+		return attempt.ClientGone, false
+	}
+	return x.copyRest(ctx, i, res)
+}
+
+func (x *exchange) copyRest(ctx context.Context, i members.Instance, res *upstream.Response) (attempt.Ending, bool) {
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := res.Body.Read(buf)
+		if n > 0 {
+			if err := x.sink.Write(buf[:n], false); err != nil {
+				return attempt.ClientGone, false
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return attempt.Whole, true
+		}
+		if err != nil {
+			return x.broken(ctx, i, err), false
+		}
+	}
+}
+
+// stream relays events until the stream ends.
+func (x *exchange) stream(ctx context.Context, i members.Instance, res *upstream.Response, watch *watch) (attempt.Ending, bool) {
+	events := upstream.NewEvents(res.Body)
+	for {
+		e, err := events.Next()
+		if errors.Is(err, io.EOF) {
+			if err := x.relay.end(res); err != nil {
+				return attempt.ClientGone, true
+			}
+			return attempt.Whole, true
+		}
+		if err != nil {
+			return x.broken(ctx, i, err), false
+		}
+		watch.progress()
+		if err := x.relay.event(res, e, !events.Buffered()); err != nil {
+			var order *orderError
+			if errors.As(err, &order) {
+				return x.broken(ctx, i, err), false
+			}
+			return attempt.ClientGone, false
+		}
+	}
+}
+
+// watch closes the connection of a repeatable request that stands still for too long.
+type watch struct {
+	timer *time.Timer
+	pause time.Duration
+}
+
+func (x *exchange) watch(conn *upstream.Conn) *watch {
+	if !x.Terms.Repeatable() || x.res.Runs+1 >= x.Terms.Attempts {
+		return &watch{}
+	}
+	slow := max(minSlow, slowFactor*x.Terms.Objective)
+	if x.Terms.Kind == settings.RouteStream {
+		slow = max(minStall, slow)
+	}
+	return &watch{
+		timer: time.AfterFunc(slow, conn.Close),
+		pause: max(minStall, stallFactor*x.Terms.PauseObjective),
+	}
+}
+
+// progress restarts the time, after the first event with the limit for pauses.
+func (w *watch) progress() {
+	if w.timer != nil {
+		w.timer.Reset(w.pause)
+	}
+}
+
+// Stop ends the watch.
+func (w *watch) Stop() {
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+}
--- /dev/null
+++ b/router/internal/direct/place.go
@@ -0,0 +1,111 @@
+package direct
+
+import (
+	"slices"
+
+	"rattantrack.dev/core/call"
+	"rattantrack.dev/core/clock"
+	"rattantrack.dev/core/members"
+	"rattantrack.dev/core/placement"
+	"rattantrack.dev/core/rank"
+	"rattantrack.dev/core/settings"
+)
+
+// enginePolicy places requests whose prompts the upstreams cache.
+var enginePolicy = placement.Policy{
+	// The fleet's bound on one upstream is twice the mean and three requests more. Counts of other routers are some
+	// hundred milliseconds old, so the bounds here are lower; a long cached prompt is worth more of the room.
+	Multiple: 1.4, Slack: 2,
+	LongMultiple: 1.75, LongSlack: 2.5,
+	LongPrefix: 2000,
+	// Reading 300 tokens takes an engine as long as a few steps of a batch with one request more.
+	TokensPerRequest: 300,
+	RankCost:         2,
+	DistanceCost:     0.25,
+	ColdCost:         3,
+	Overcommit:       1,
+}
+
+// plainPolicy places requests of services without a cache, which answer in tens of milliseconds.
+var plainPolicy = placement.Policy{
+	Multiple: 1.6, Slack: 2,
+	DistanceCost: 0.9,
+	ColdCost:     2,
+	// A request that waits at the upstream behind one other for each slot is still on time.
+	Overcommit: 2,
+}
+
+// place chooses the upstream of an attempt; tried are those at which the request failed.
+func (d *Dispatcher) place(now clock.Instant, r *Request, tried []settings.UpstreamID) (members.Instance, placement.Choice) {
+	serving := d.Members.Serving(r.Service)
+	if len(serving) == 0 {
+		return members.Instance{}, placement.Choice{Reason: placement.NoUpstream}
+	}
+	ids := make([]settings.UpstreamID, len(serving))
+	for i := range serving {
+		ids[i] = serving[i].ID
+	}
+	candidates := d.candidates(now, r, serving, ids)
+	for i := range candidates {
+		candidates[i].Excluded = candidates[i].Excluded || slices.Contains(tried, ids[i])
+	}
+	policy := &plainPolicy
+	if r.Terms.Affinity {
+		policy = &enginePolicy
+	}
+	request := &placement.Request{DataCentre: d.DataCentre, Shared: r.Shared(), Affinity: r.Terms.Affinity}
+	choice := placement.Choose(policy, request, candidates)
+	if choice.Reason != placement.Chosen {
+		return members.Instance{}, choice
+	}
+	return serving[choice.Index], choice
+}
+
+func (d *Dispatcher) candidates(now clock.Instant, r *Request, serving []members.Instance, ids []settings.UpstreamID) []placement.Candidate {
+	loads := d.Ledger.Loads(now, ids)
+	ejected := d.Outliers.Ejected(now, ids)
+	var held []settings.Tokens
+	ranks := make([]int, len(ids))
+	if r.Terms.Affinity {
+		held = d.Affinity.Held(now, r.sharedParts(), ids)
+		ranks = d.ranks(r, ids)
+	}
+	candidates := make([]placement.Candidate, len(serving))
+	for i := range serving {
+		candidates[i] = placement.Candidate{
+			ID:         ids[i],
+			DataCentre: serving[i].DataCentre,
+			Load:       loads[i],
+			Slots:      serving[i].Slots,
+			Rank:       ranks[i],
+			Cold:       serving[i].Cold > 0 && d.Members.Cold(now, ids[i]) > 0,
+			Excluded:   ejected[i],
+		}
+		if held != nil {
+			candidates[i].Held = held[i]
+		}
+	}
+	return candidates
+}
+
+// sharedParts returns the parts of the prompt that other requests may share.
+func (r *Request) sharedParts() []call.Part {
+	return r.Parts[:max(0, len(r.Parts)-1)]
+}
+
+// ranks returns the place of each upstream in the rendezvous order of the longest shared part: 0 for the first, 1 for
+// all others.
+func (d *Dispatcher) ranks(r *Request, ids []settings.UpstreamID) []int {
+	ranks := make([]int, len(ids))
+	parts := r.sharedParts()
+	if len(parts) == 0 {
+		return ranks
+	}
+	home, ok := rank.New(ids).Home(uint64(parts[len(parts)-1].ID))
+	for i, id := range ids {
+		if !ok || id != home {
+			ranks[i] = 1
+		}
+	}
+	return ranks
+}
--- /dev/null
+++ b/router/internal/directory/doc.go
@@ -0,0 +1,2 @@
+// Package directory follows the platform's directory: declarations and instances.
+package directory
--- /dev/null
+++ b/router/internal/directory/watch.go
@@ -0,0 +1,242 @@
+package directory
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
+
+	"rattantrack.dev/core/clock"
+	"rattantrack.dev/core/directory"
+	"rattantrack.dev/core/members"
+	"rattantrack.dev/core/revision"
+	"rattantrack.dev/core/settings"
+)
+
+// Times of reading.
+const (
+	// waitTime is how long a watch waits for a change.
+	waitTime = 5 * time.Second
+	// pauseTime collects the changes that come in quick succession, so that one call returns several.
+	pauseTime = 150 * time.Millisecond
+	// readTime bounds a read of the whole directory.
+	readTime = 2 * time.Second
+	// firstRetry and maxRetry bound the pause after a failed call, doubling each time.
+	firstRetry = 50 * time.Millisecond
+	maxRetry   = 800 * time.Millisecond
+	// outageTime is how long the directory must be out of reach until entries may have lapsed meanwhile: the platform
+	// drops an entry after three heartbeats.
+	outageTime = 2500 * time.Millisecond
+	// expireInterval is how often missing instances are looked at.
+	expireInterval = 200 * time.Millisecond
+)
+
+// Source reads the platform's directory.
+type Source interface {
+	Read(ctx context.Context) (*directory.Update, error)
+	Watch(ctx context.Context, after directory.Position, wait time.Duration) (*directory.Update, error)
+}
+
+// Offerer takes versions of the declarations.
+type Offerer interface {
+	Offer(d revision.Delta) revision.Result
+}
+
+// Clock gives the present instant.
+type Clock interface {
+	Now() clock.Instant
+}
+
+// Watch follows the directory and keeps members and declarations in step.
+type Watch struct {
+	Source  Source
+	Store   *revision.Store
+	Offer   Offerer
+	Members *members.Book
+	Clock   Clock
+	Log     *log.Logger
+	Scope   tally.Scope
+	// OnEvents hears of changed instances, Tell of the changes that other routers should hear.
+	OnEvents func(source string, events []members.Event)
+	Tell     func(changes []members.Change)
+
+	at        directory.Position
+	whole     bool
+	succeeded clock.Instant
+	failing   bool
+	retry     time.Duration
+}
+
+// String returns the service's name.
+func (w *Watch) String() string { return "directory" }
+
+// Run reads until ctx ends; it is ready at once, since the directory may be down for long.
+func (w *Watch) Run(ctx context.Context, ready func()) error {
+	ready()
+	w.succeeded = w.Clock.Now()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		w.expire(ctx)
+	}()
+	for ctx.Err() == nil {
+		w.step(ctx)
+	}
+	<-done
+	return nil
+}
+
+func (w *Watch) expire(ctx context.Context) {
+	t := time.NewTicker(expireInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		if events := w.Members.Expire(w.Clock.Now()); len(events) > 0 {
+			w.OnEvents("expiry", events)
+		}
+	}
+}
+
+// step makes one call and the pause after it.
+func (w *Watch) step(ctx context.Context) {
+	u, err := w.call(ctx)
+	if ctx.Err() != nil {
+		return
+	}
+	if err != nil {
+		w.failed(ctx, err)
+		return
+	}
+	w.Scope.Counter("directory_reads").Inc(1)
+	w.took()
+	w.apply(u)
+	if !u.Whole {
+		sleep(ctx, pauseTime)
+	}
+}
+
+func (w *Watch) call(ctx context.Context) (*directory.Update, error) {
+	if w.whole {
+		return w.Source.Watch(ctx, w.at, waitTime)
+	}
+	ctx, cancel := context.WithTimeout(ctx, readTime)
+	defer cancel()
+	return w.Source.Read(ctx)
+}
+
+// took notes a call that succeeded.
+func (w *Watch) took() {
+	now := w.Clock.Now()
+	w.Members.Outage(now, false)
+	if w.failing {
+		w.Log.Info("directory regained", "after_ms", now.Sub(w.succeeded).Milliseconds())
+	}
+	w.succeeded, w.failing, w.retry = now, false, 0
+}
+
+// failed notes a call that failed and waits before the next.
+func (w *Watch) failed(ctx context.Context, err error) {
+	w.Scope.Counter("directory_failures").Inc(1)
+	var lost *directory.HistoryLostError
+	if errors.As(err, &lost) {
+		w.Log.Info("directory history lost", "after", lost.After)
+		w.whole = false
+		return
+	}
+	now := w.Clock.Now()
+	if !w.failing {
+		w.Log.Warn("directory lost", "error", err)
+		w.failing = true
+	}
+	if now.Sub(w.succeeded) > outageTime {
+		w.Members.Outage(now, true)
+		// Entries may have changed and the history may be gone, so everything is read anew.
+		w.whole = false
+	}
+	w.retry = min(maxRetry, max(firstRetry, 2*w.retry))
+	pause := w.retry/2 + rand.N(w.retry)
+	var unavailable *directory.UnavailableError
+	if errors.As(err, &unavailable) {
+		pause = max(pause, min(maxRetry, unavailable.RetryAfter))
+	}
+	sleep(ctx, pause)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// apply takes an update in.
+func (w *Watch) apply(u *directory.Update) {
+	for i := range u.Invalid {
+		w.Log.Warn("directory entry refused", "error", &u.Invalid[i])
+		w.Scope.Counter("directory_invalid_entries").Inc(1)
+	}
+	now := w.Clock.Now()
+	var events []members.Event
+	if u.Whole {
+		events = w.Members.Replace(now, members.Revision(u.At), u.Instances)
+		w.whole = true
+	} else {
+		events = w.Members.Apply(now, u.Instances)
+	}
+	w.at = u.At
+	if len(events) > 0 {
+		w.OnEvents("directory", events)
+		w.Tell(changesOf(events, u.Instances))
+	}
+	if u.Declarations != nil {
+		w.offer(u.Declarations, u.Revision)
+	}
+}
+
+// changesOf returns the changes behind events, for other routers.
+func changesOf(events []members.Event, listed []members.Change) []members.Change {
+	byID := make(map[settings.UpstreamID]members.Change, len(listed))
+	for _, c := range listed {
+		byID[c.ID] = c
+	}
+	var changes []members.Change
+	for _, e := range events {
+		if c, ok := byID[e.ID]; ok {
+			changes = append(changes, c)
+			continue
+		}
+		if e.Kind == members.EventRemoved {
+			changes = append(changes, members.Change{ID: e.ID, Revision: e.Revision, Removed: true})
+		}
+	}
+	return changes
+}
+
+// offer gives a version to the store, as the change from the version in force.
+func (w *Watch) offer(next *settings.Fleet, r settings.Revision) {
+	for range 2 {
+		have, fleet := w.Store.Current()
+		if r <= have.Revision || w.Store.Refused(r) {
+			return
+		}
+		docs, err := settings.Changes(fleet, next, r)
+		if err != nil {
+			w.Log.Error("declarations refused", "revision", r, "error", err)
+			return
+		}
+		d := revision.Delta{From: have.Revision, To: revision.Version{Revision: r}, Documents: docs}
+		// Another router may have brought a newer version between the two steps.
+		if w.Offer.Offer(d) != revision.Gap {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/router/internal/routers/service.go
@@ -0,0 +1,367 @@
+package routers
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
+
+	"rattantrack.dev/core/affinity"
+	"rattantrack.dev/core/clock"
+	"rattantrack.dev/core/inflight"
+	"rattantrack.dev/core/members"
+	"rattantrack.dev/core/peer"
+)
+
+// Times and sizes of the exchange.
+const (
+	// minInterval is the time between two exchanges with one router in a small fleet.
+	minInterval = 50 * time.Millisecond
+	// perRouter lengthens the interval with the number of routers, so that the exchanges of one router stay below a
+	// hundred a second.
+	perRouter = 12 * time.Millisecond
+	// answerTime is how long an exchange may take; a link that is slower is made anew.
+	answerTime = 700 * time.Millisecond
+	// retryTime is the pause after a failed exchange.
+	retryTime = 500 * time.Millisecond
+	// forgetTime is how long a router that does not answer is remembered, unless the settings name it.
+	forgetTime = 30 * time.Second
+	// maxPending bounds the news kept for one router; above it, the router gets everything anew.
+	maxPending = 4096
+	// maxRecent bounds the cached prompts that a router is told at first.
+	maxRecent = 2048
+)
+
+// Clock gives the present instant.
+type Clock interface {
+	Now() clock.Instant
+}
+
+// Dialer gives links to addresses.
+type Dialer interface {
+	Dial(ctx context.Context, address string) (*peer.Link, error)
+	DialFresh(ctx context.Context, address string, old *peer.Link) (*peer.Link, error)
+}
+
+// router is another router with the news that it has not heard yet.
+type router struct {
+	address     string
+	seed        bool
+	incarnation peer.Incarnation
+	// greeted says that it has got everything once.
+	greeted  bool
+	holdings []affinity.Holding
+	stamps   []clock.Instant
+	members  []members.Change
+	// met is the last exchange that succeeded, heard the last message of the other side.
+	met, heard, since clock.Instant
+	lost              bool
+	running           bool
+}
+
+// Service exchanges states with every other router.
+type Service struct {
+	ID          inflight.RouterID
+	Address     string
+	Incarnation peer.Incarnation
+	Seeds       []string
+	Dialer      Dialer
+	Ledger      *inflight.Ledger
+	Affinity    *affinity.Directory
+	Members     *members.Book
+	Clock       Clock
+	Log         *log.Logger
+	Scope       tally.Scope
+	// OnEvents hears of what another router's news changed.
+	OnEvents func(source string, events []members.Event)
+
+	mu      sync.Mutex
+	routers map[string]*router
+	wg      sync.WaitGroup
+}
+
+// String returns the service's name.
+func (s *Service) String() string { return "routers" }
+
+// Run exchanges states until ctx ends.
+func (s *Service) Run(ctx context.Context, ready func()) error {
+	s.SetSeeds(s.Seeds)
+	ready()
+	t := time.NewTicker(minInterval)
+	defer t.Stop()
+	defer s.wg.Wait()
+	for {
+		s.startAll(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		}
+	}
+}
+
+// SetSeeds replaces the routers that the settings name.
+func (s *Service) SetSeeds(addresses []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.routers {
+		r.seed = slices.Contains(addresses, r.address)
+	}
+	for _, address := range addresses {
+		s.add(address).seed = true
+	}
+}
+
+// add returns the router at an address; the caller holds the lock.
+func (s *Service) add(address string) *router {
+	if s.routers == nil {
+		s.routers = make(map[string]*router)
+	}
+	r := s.routers[address]
+	if r == nil {
+		r = &router{address: address, since: s.Clock.Now()}
+		s.routers[address] = r
+	}
+	return r
+}
+
+// interval is the time between two exchanges with one router.
+func (s *Service) interval() time.Duration {
+	return max(minInterval, time.Duration(len(s.routers))*perRouter)
+}
+
+// startAll begins the exchanges that are due, each beside the others.
+func (s *Service) startAll(ctx context.Context) {
+	s.spreadHoldings()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Clock.Now()
+	interval := s.interval()
+	for address, r := range s.routers {
+		if address == s.Address || r.running {
+			continue
+		}
+		if !r.seed && now.Sub(max(r.met, r.heard, r.since)) > forgetTime {
+			delete(s.routers, address)
+			continue
+		}
+		due := max(r.met, r.heard).Add(interval)
+		if r.lost {
+			due = r.since.Add(retryTime)
+		}
+		if now.Before(due) {
+			continue
+		}
+		r.running = true
+		s.wg.Add(1)
+		go func() {
+			defer s.wg.Done()
+			s.exchange(ctx, r)
+		}()
+	}
+}
+
+// spreadHoldings queues what this router has learnt of cached prompts for every other router.
+func (s *Service) spreadHoldings() {
+	now := s.Clock.Now()
+	news := s.Affinity.News(now)
+	if len(news) == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.routers {
+		for _, n := range news {
+			r.holdings = append(r.holdings, n)
+			r.stamps = append(r.stamps, now)
+		}
+		if len(r.holdings) > maxPending {
+			r.holdings, r.stamps, r.greeted = nil, nil, false
+		}
+	}
+}
+
+// Tell queues changes of instances for every other router.
+func (s *Service) Tell(changes []members.Change) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.routers {
+		r.members = append(r.members, changes...)
+		if len(r.members) > maxPending {
+			r.members, r.greeted = nil, false
+		}
+	}
+}
+
+// exchange tells one router the state here and takes in its own.
+func (s *Service) exchange(ctx context.Context, r *router) {
+	ctx, cancel := context.WithTimeout(ctx, answerTime)
+	defer cancel()
+	state := s.state(r, true)
+	answer, err := s.ask(ctx, r.address, state)
+	now := s.Clock.Now()
+	s.mu.Lock()
+	r.running = false
+	if err != nil {
+		s.requeue(r, state, now)
+		s.mu.Unlock()
+		return
+	}
+	r.greeted = true
+	s.meet(r, now)
+	s.mu.Unlock()
+	s.learn(answer)
+}
+
+func (s *Service) ask(ctx context.Context, address string, state *peer.RouterState) (*peer.RouterState, error) {
+	l, err := s.Dialer.Dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	answer, err := peer.Ask[*peer.RouterState](ctx, l, state, answerTime)
+	if err != nil {
+		// The link may have lost its path without an end; the next exchange makes a new one.
+		l.Close(err)
+	}
+	return answer, err
+}
+
+// meet notes an exchange that succeeded; the caller holds the lock.
+func (s *Service) meet(r *router, now clock.Instant) {
+	if r.lost || r.met == 0 {
+		s.Log.Info("router met", "router", r.address, "lost", r.lost)
+	}
+	r.met, r.lost = now, false
+}
+
+// requeue keeps the news of a failed exchange for the next one; the caller holds the lock.
+func (s *Service) requeue(r *router, state *peer.RouterState, now clock.Instant) {
+	if !r.lost {
+		s.Log.Warn("router lost", "router", r.address)
+		s.Scope.Counter("routers_lost").Inc(1)
+	}
+	r.lost, r.since = true, now
+	// The router may have taken in a part; everything is news to it once.
+	r.greeted = false
+}
+
+// state returns what another router should hear now.
+func (s *Service) state(r *router, asking bool) *peer.RouterState {
+	now := s.Clock.Now()
+	state := &peer.RouterState{
+		Router: s.ID, Address: s.Address, Incarnation: s.Incarnation, Open: s.Ledger.Own(),
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for address, other := range s.routers {
+		if address != r.address && !other.lost && other.met != 0 {
+			state.Routers = append(state.Routers, address)
+		}
+	}
+	if !r.greeted {
+		state.Listed = s.Members.Known()
+		state.Members = s.Members.Listing()
+		state.Holdings = s.Affinity.Recent(now, maxRecent)
+		r.greeted = !asking
+	} else {
+		state.Members = r.members
+		state.Holdings = r.holdings
+		for i := range state.Holdings {
+			state.Holdings[i].Age += now.Sub(r.stamps[i])
+		}
+	}
+	r.members, r.holdings, r.stamps = nil, nil, nil
+	return state
+}
+
+// learn takes in another router's state.
+func (s *Service) learn(m *peer.RouterState) {
+	now := s.Clock.Now()
+	s.Ledger.Report(now, m.Router, m.Open)
+	s.Affinity.Learn(now, m.Holdings)
+	events := s.Members.Apply(now, m.Members)
+	if m.Listed && !s.Members.Known() {
+		s.Members.MarkKnown()
+		s.Log.Info("instances learnt from a router", "router", m.Router, "instances", len(m.Members))
+	}
+	if len(events) > 0 {
+		s.OnEvents(string(m.Router), events)
+		s.Tell(changed(m.Members, events))
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, address := range m.Routers {
+		if address != s.Address {
+			s.add(address)
+		}
+	}
+}
+
+// changed returns the changes that were news here, which other routers may lack too.
+func changed(all []members.Change, events []members.Event) []members.Change {
+	var list []members.Change
+	for _, c := range all {
+		if slices.ContainsFunc(events, func(e members.Event) bool { return e.ID == c.ID }) {
+			list = append(list, c)
+		}
+	}
+	return list
+}
+
+// Serve answers another router's state; it reports false for messages of other services.
+func (s *Service) Serve(ctx context.Context, st *peer.Stream, m peer.Message) bool {
+	v, ok := m.(*peer.RouterState)
+	if !ok {
+		return false
+	}
+	s.mu.Lock()
+	r := s.add(v.Address)
+	if r.incarnation != v.Incarnation {
+		r.incarnation, r.greeted = v.Incarnation, false
+	}
+	r.heard = s.Clock.Now()
+	s.mu.Unlock()
+	s.learn(v)
+	if err := st.Send(ctx, s.state(r, false)); err != nil {
+		s.Log.Debug("answering a router", "router", v.Router, "error", err)
+	}
+	return true
+}
+
+// Known returns the addresses of the other routers.
+func (s *Service) Known() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []string
+	for address := range s.routers {
+		if address != s.Address {
+			list = append(list, address)
+		}
+	}
+	return list
+}
+
+// Status is what the service shows of one router.
+type Status struct {
+	Address string `json:"address"`
+	Lost    bool   `json:"lost"`
+	MetMS   int64  `json:"met_ms_ago"`
+	Pending int    `json:"pending_news"`
+}
+
+// Dump returns the other routers.
+func (s *Service) Dump() any {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Clock.Now()
+	var list []Status
+	for address, r := range s.routers {
+		list = append(list, Status{
+			Address: address, Lost: r.lost, MetMS: now.Sub(r.met).Milliseconds(), Pending: len(r.holdings) + len(r.members),
+		})
+	}
+	return list
+}
--- /dev/null
+++ b/router/internal/upstream/events.go
@@ -0,0 +1,72 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+
+	"github.com/cockroachdb/errors"
+
+	"rattantrack.dev/core/call"
+)
+
+// maxEventBytes bounds one event of a stream.
+const maxEventBytes = 1 << 20
+
+// Event is one whole event of a stream, with the bytes that carried it.
+type Event struct {
+	ID  call.EventID
+	Raw []byte
+}
+
+// Events splits a stream into whole events (WHATWG HTML, section 9.2).
+type Events struct {
+	r   *bufio.Reader
+	raw []byte
+	id  call.EventID
+}
+
+// NewEvents returns the events of a body.
+func NewEvents(body io.Reader) *Events {
+	return &Events{r: bufio.NewReaderSize(body, readBufferBytes)}
+}
+
+// Buffered reports whether bytes of the next event have arrived.
+func (e *Events) Buffered() bool { return e.r.Buffered() > 0 }
+
+// Next returns the next whole event, which is valid until the call after it. io.EOF means that the stream has ended
+// after an event; io.ErrUnexpectedEOF that it ended within one.
+func (e *Events) Next() (Event, error) {
+	e.raw, e.id = e.raw[:0], ""
+	for {
+		line, err := e.line()
+		if errors.Is(err, io.EOF) && len(e.raw) > 0 {
+			return Event{}, io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return Event{}, err
+		}
+		if len(line) == 0 {
+			return Event{ID: e.id, Raw: e.raw}, nil
+		}
+		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			e.id = call.EventID(bytes.TrimSpace(value))
+		}
+	}
+}
+
+// line appends the next line to the event and returns it without its end.
+func (e *Events) line() ([]byte, error) {
+	start := len(e.raw)
+	for {
+		piece, err := e.r.ReadSlice('\n')
+		e.raw = append(e.raw, piece...)
+		if len(e.raw) > maxEventBytes {
+			return nil, errors.Newf("an event exceeds %d bytes", maxEventBytes)
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
+			continue
+		}
+		return bytes.TrimRight(e.raw[start:], "\r\n"), err
+	}
+}
--- a/standin/internal/fleet/process.go
+++ b/standin/internal/fleet/process.go
@@ -51,7 +51,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	cmd := exec.Command(p.path, p.args...)
-	cmd.Stderr = &lockedWriter{p: p}
+	cmd.Stdout, cmd.Stderr = &lockedWriter{p: p}, &lockedWriter{p: p}
 	if err := cmd.Start(); err != nil {
 		return errors.Wrapf(err, "starting %s", p.Name)
 	}
