fix(members): removals after a router's own outage are heeded in time; the log writer reports the length it was given

Two routers in an outage told each other an older listing for ever.

Change: a removal that is watched is kept for 1.2 s at most, one that another router tells not at all; a missing entry comes back only with a newer revision.

--- a/core/members/book.go
+++ b/core/members/book.go
@@ -66,6 +66,10 @@
 // two seconds" with a margin.
 const returnTime = 2300 * time.Millisecond
 
+// lapseTime is how long an instance stays in use whose entry is removed while others are still coming back. It lies below
+// the time within which a leaving instance must get no more requests.
+const lapseTime = 1200 * time.Millisecond
+
 // entry is an instance with the state of its listing.
 type entry struct {
 	instance Instance
@@ -90,6 +94,9 @@
 // maxRemoved bounds the removed ids that are remembered so that older news of them is not taken.
 const maxRemoved = 8192
 
+// maxListing bounds a listing for another router, of which the instances come first.
+const maxListing = 10_000
+
 // Outage notes whether the directory can be read.
 func (b *Book) Outage(now clock.Instant, down bool) {
 	b.mu.Lock()
@@ -111,28 +118,38 @@
 	defer b.mu.Unlock()
 	var events []Event
 	present := make(map[settings.UpstreamID]bool, len(listed))
+	until := max(now, b.returned).Add(returnTime)
 	for _, c := range listed {
 		present[c.ID] = true
-		events = append(events, b.apply(now, c)...)
+		events = append(events, b.apply(now, c, until)...)
 	}
 	for id, e := range b.entries {
 		if present[id] || e.revision > at {
 			continue
 		}
-		events = append(events, b.remove(now, id, max(e.revision, at))...)
+		events = append(events, b.remove(now, id, max(e.revision, at), until)...)
 	}
 	b.known = true
 	b.services = nil
 	return events
 }
 
-// Apply takes in single changes, in any order; older news than what is known is ignored.
+// Apply takes in single changes from the directory, in any order; older news than what is known is ignored.
 func (b *Book) Apply(now clock.Instant, changes []Change) []Event {
+	return b.applyAll(now, changes, now.Add(lapseTime))
+}
+
+// Learn takes in changes from another router, which has already waited for entries that may come back.
+func (b *Book) Learn(now clock.Instant, changes []Change) []Event {
+	return b.applyAll(now, changes, now)
+}
+
+func (b *Book) applyAll(now clock.Instant, changes []Change, until clock.Instant) []Event {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var events []Event
 	for _, c := range changes {
-		events = append(events, b.apply(now, c)...)
+		events = append(events, b.apply(now, c, until)...)
 	}
 	if len(events) > 0 {
 		b.services = nil
@@ -140,20 +157,18 @@
 	return events
 }
 
-func (b *Book) apply(now clock.Instant, c Change) []Event {
+// apply takes in one change; an entry that may have lapsed is kept until the given time.
+func (b *Book) apply(now clock.Instant, c Change, until clock.Instant) []Event {
 	if b.entries == nil {
 		b.entries = make(map[settings.UpstreamID]*entry)
 		b.removed = make(map[settings.UpstreamID]Revision)
 	}
 	e := b.entries[c.ID]
 	if c.Revision <= b.removed[c.ID] || (e != nil && c.Revision <= e.revision) {
-		if e != nil && !c.Removed && c.Revision == e.revision {
-			e.missingUntil = 0
-		}
 		return nil
 	}
 	if c.Removed {
-		return b.remove(now, c.ID, c.Revision)
+		return b.remove(now, c.ID, c.Revision, until)
 	}
 	next := &entry{instance: c.Instance, revision: c.Revision, coldEnd: now.Add(c.Instance.Cold)}
 	b.entries[c.ID] = next
@@ -173,17 +188,19 @@
 }
 
 // remove drops an instance, or marks it missing while entries may have lapsed in an outage.
-func (b *Book) remove(now clock.Instant, id settings.UpstreamID, at Revision) []Event {
+func (b *Book) remove(now clock.Instant, id settings.UpstreamID, at Revision, until clock.Instant) []Event {
 	e := b.entries[id]
 	if e == nil {
 		b.forget(id, at)
 		return nil
 	}
-	if b.unsettled(now) && !e.instance.Draining {
+	if b.unsettled(now) && !e.instance.Draining && until > now {
+		// From now on only an entry that was written later brings the instance back.
+		e.revision = max(e.revision, at)
 		if e.missingUntil != 0 {
 			return nil
 		}
-		e.missingUntil = max(now, b.returned).Add(returnTime)
+		e.missingUntil = until
 		return []Event{{ID: id, Kind: EventMissing, Instance: e.instance, Revision: at}}
 	}
 	delete(b.entries, id)
@@ -202,12 +219,9 @@
 func (b *Book) Expire(now clock.Instant) []Event {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.outage {
-		return nil
-	}
 	var events []Event
 	for id, e := range b.entries {
-		if e.missingUntil == 0 || now.Before(max(e.missingUntil, b.returned.Add(returnTime))) {
+		if e.missingUntil == 0 || now.Before(e.missingUntil) {
 			continue
 		}
 		delete(b.entries, id)
@@ -286,7 +300,15 @@
 	defer b.mu.Unlock()
 	list := make([]Change, 0, len(b.entries))
 	for id, e := range b.entries {
-		list = append(list, Change{ID: id, Revision: e.revision, Instance: e.instance})
+		if e.missingUntil == 0 {
+			list = append(list, Change{ID: id, Revision: e.revision, Instance: e.instance})
+		}
+	}
+	for id, at := range b.removed {
+		if len(list) >= maxListing {
+			break
+		}
+		list = append(list, Change{ID: id, Revision: at, Removed: true})
 	}
 	return list
 }
--- a/core/operator/bounded.go
+++ b/core/operator/bounded.go
@@ -47,12 +47,13 @@
 	if w.stopped {
 		return w.out.Write(line)
 	}
+	n := len(line)
 	now := time.Now()
 	w.allowed = min(maxBurst, w.allowed+maxLinesPerSecond*now.Sub(w.last).Seconds())
 	w.last = now
 	if w.allowed < 1 || len(w.lines) == cap(w.lines) {
 		w.dropped++
-		return len(line), nil
+		return n, nil
 	}
 	w.allowed--
 	if w.dropped > 0 {
@@ -62,7 +63,7 @@
 		line = append([]byte(nil), line...)
 	}
 	w.lines <- line
-	return len(line), nil
+	return n, nil
 }
 
 // run writes what is queued, several lines at a time.
--- a/router/internal/directory/watch.go
+++ b/router/internal/directory/watch.go
@@ -100,6 +100,7 @@
 		}
 		if events := w.Members.Expire(w.Clock.Now()); len(events) > 0 {
 			w.OnEvents("expiry", events)
+			w.Tell(changesOf(events, nil))
 		}
 	}
 }
@@ -210,6 +211,10 @@
 	}
 	var changes []members.Change
 	for _, e := range events {
+		if e.Kind == members.EventMissing {
+			// The entry may come back; other routers that read the directory decide for themselves.
+			continue
+		}
 		if c, ok := byID[e.ID]; ok {
 			changes = append(changes, c)
 			continue
--- a/router/internal/routers/service.go
+++ b/router/internal/routers/service.go
@@ -282,7 +282,7 @@
 	now := s.Clock.Now()
 	s.Ledger.Report(now, m.Router, m.Open)
 	s.Affinity.Learn(now, m.Holdings)
-	events := s.Members.Apply(now, m.Members)
+	events := s.Members.Learn(now, m.Members)
 	if m.Listed && !s.Members.Known() {
 		s.Members.MarkKnown()
 		s.Log.Info("instances learnt from a router", "router", m.Router, "instances", len(m.Members))
