feat(engines): cached prompts are learnt from the engines after a restart of all routers; watches end within a second

Ruled out: a directory of cached prompts in every router alone (lost by all at once).

Change: one router asks each engine for its cached parts after such a restart and tells the others; a long prompt is retried where it is cached; a watch waits 0.9 s.

--- a/core/call/call.go
+++ b/core/call/call.go
@@ -1,6 +1,7 @@
 package call
 
 import (
+	"strconv"
 	"time"
 
 	"rattantrack.dev/core/settings"
@@ -12,6 +13,9 @@
 // PartID identifies a part of a prompt; requests with the same part share its tokens.
 type PartID uint64
 
+// String returns the id in hexadecimal.
+func (p PartID) String() string { return strconv.FormatUint(uint64(p), 16) }
+
 // Part is one part of a prompt, in order from its start.
 type Part struct {
 	ID     PartID
@@ -46,6 +50,14 @@
 	return sum
 }
 
+// SharedID returns the id of the last part that other requests may share, 0 for none.
+func (r *Request) SharedID() PartID {
+	if len(r.Parts) < 2 {
+		return 0
+	}
+	return r.Parts[len(r.Parts)-2].ID
+}
+
 // Attempt is what an upstream is told of one attempt.
 type Attempt struct {
 	// Upstream is the instance that is meant; another one at its address must refuse.
--- a/core/members/book_test.go
+++ b/core/members/book_test.go
@@ -16,7 +16,9 @@
 	return Change{ID: id, Revision: r, Instance: Instance{ID: id, Service: "letters", Address: "10.0.0.1:80", Slots: 4}}
 }
 
-func removed(id settings.UpstreamID, r Revision) Change { return Change{ID: id, Revision: r, Removed: true} }
+func removed(id settings.UpstreamID, r Revision) Change {
+	return Change{ID: id, Revision: r, Removed: true}
+}
 
 func ids(b *Book) []settings.UpstreamID {
 	var list []settings.UpstreamID
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -16,7 +16,9 @@
 	Rank int
 	// Cold says that it has just started and is slow.
 	Cold bool
-	// Excluded says that the request must not go there: it failed there, or the upstream is ejected.
+	// Failed says that the request failed there before.
+	Failed bool
+	// Excluded says that the request must not go there: it found no connection there, or the upstream is ejected.
 	Excluded bool
 }
 
@@ -43,6 +45,9 @@
 	RankCost float64
 	// DistanceCost is the cost of another data centre, and ColdCost that of an upstream that has just started.
 	DistanceCost, ColdCost float64
+	// FailedCost is the cost of an upstream at which the request failed before: a long prompt that is cached there is
+	// worth a second try at the same place.
+	FailedCost float64
 	// Overcommit is how many requests an upstream may hold for each of its slots.
 	Overcommit float64
 }
@@ -64,8 +69,11 @@
 	Reason Reason
 	// Index is the place of the chosen candidate.
 	Index int
-	// Mean and Bound are the inputs of the load bound, for the log.
+	// Mean and Bound are the mean load and the bound on the chosen candidate.
 	Mean, Bound float64
+	// Load and Held are those of the chosen candidate.
+	Load int
+	Held settings.Tokens
 }
 
 // Choose returns the candidate with the least cost within the load bound. Two load patterns set the costs: sessions that
@@ -97,6 +105,7 @@
 		if choice.Reason != Chosen || cost < best {
 			choice.Reason, choice.Index, best = Chosen, i, cost
 			choice.Bound = p.bound(r, c, choice.Mean)
+			choice.Load, choice.Held = c.Load, c.Held
 		}
 	}
 	return choice
@@ -127,6 +136,9 @@
 	if c.DataCentre != r.DataCentre {
 		cost += p.DistanceCost
 	}
+	if c.Failed {
+		cost += p.FailedCost
+	}
 	if c.Cold {
 		cost += p.ColdCost
 	}
--- a/core/settings/process.go
+++ b/core/settings/process.go
@@ -39,6 +39,8 @@
 	Directory string `yaml:"directory"`
 	// Readiness is the address at which the balancer asks whether the router takes connections.
 	Readiness string `yaml:"readiness"`
+	// FirstStart says that the whole system starts for the first time, so that no engine has cached anything.
+	FirstStart bool `yaml:"first_start"`
 	// MemoryMB is the memory of the VM for this process, 0 for no bound.
 	MemoryMB int64 `yaml:"memory_mb"`
 	// Repeats bounds the repeats of all routers together.
--- a/router/internal/app/direct.go
+++ b/router/internal/app/direct.go
@@ -31,6 +31,7 @@
 	"rattantrack.dev/router/internal/client"
 	"rattantrack.dev/router/internal/direct"
 	"rattantrack.dev/router/internal/directory"
+	"rattantrack.dev/router/internal/engines"
 	"rattantrack.dev/router/internal/routers"
 	"rattantrack.dev/router/internal/upstream"
 )
@@ -67,6 +68,7 @@
 	routers     *routers.Service
 	client      *client.Server
 	watch       *directory.Watch
+	inventory   *engines.Inventory
 	readiness   *readiness
 	announcer   *operator.Announcer
 }
@@ -169,10 +171,37 @@
 		Log:     d.log,
 		Scope:   scope,
 	}
+	d.inventory = &engines.Inventory{
+		Address:    d.cfg.Advertise,
+		FirstStart: d.cfg.Direct.FirstStart,
+		Asker:      platform.Engines{HTTP: &http.Client{}},
+		Routers:    d.routers,
+		Members:    d.members,
+		Services:   d.cachingServices,
+		Affinity:   d.affinity,
+		Clock:      clock.Boot{},
+		Log:        d.log,
+		Scope:      scope,
+	}
 	d.readiness = &readiness{address: d.cfg.Direct.Readiness, path: platform.ReadyPath, ready: d.ready}
 	d.announcer = &operator.Announcer{Log: d.log, Message: "router ready"}
 }
 
+// cachingServices returns the services whose upstreams cache prompts, nil while there are no declarations.
+func (d *Direct) cachingServices() []settings.ServiceName {
+	_, fleet := d.store.Current()
+	if fleet == nil {
+		return nil
+	}
+	list := []settings.ServiceName{}
+	for name, s := range fleet.Services {
+		if s.Kind == settings.KindModel {
+			list = append(list, name)
+		}
+	}
+	return list
+}
+
 func yesNo(b bool) string {
 	if b {
 		return "yes"
@@ -233,7 +262,7 @@
 
 // ready reports whether the balancer should send connections.
 func (d *Direct) ready() bool {
-	return d.client.Known() && d.members.Known() && !d.client.Leaving()
+	return d.client.Known() && d.members.Known() && d.inventory.Warm() && !d.client.Leaving()
 }
 
 // Serve gives a peer's message to the service that answers it.
@@ -264,6 +293,7 @@
 		d.connections,
 		d.routers,
 		d.watch,
+		d.inventory,
 		d.client,
 		d.spread,
 		d.announcer,
--- a/router/internal/client/serve.go
+++ b/router/internal/client/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -145,6 +146,8 @@
 		"request", r.ID, "route", r.Route, "revision", r.Revision, "service", r.Service, "team", r.Team,
 		"upstream", res.Upstream, "outcome", res.Outcome, "code", res.Code, "status", res.Status,
 		"runs", res.Runs, "tries", res.Tries, "events", res.Events,
+		"load", res.Choice.Load, "mean_load", round(res.Choice.Mean), "load_bound", round(res.Choice.Bound),
+		"prompt", r.SharedID().String(), "shared_tokens", int(r.Shared()), "cached_tokens", int(res.Choice.Held),
 		"waited_ms", res.Waited.Milliseconds(), "first_ms", res.FirstByte.Milliseconds(), "duration_ms", took.Milliseconds(),
 		"left_ms", r.Deadline.Sub(s.Clock.Now()).Milliseconds())
 	switch {
@@ -157,6 +160,9 @@
 	}
 }
 
+// round keeps one decimal for the log.
+func round(v float64) float64 { return math.Round(v*10) / 10 }
+
 // refusalOf turns a result into an answer. Statuses that promise that the request did not run are kept for those that
 // did not.
 func refusalOf(res direct.Result) *refusal {
--- a/router/internal/direct/attempt.go
+++ b/router/internal/direct/attempt.go
@@ -5,6 +5,7 @@
 	"io"
 	"maps"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -53,7 +54,7 @@
 	watch := x.watch(conn)
 	res, err := conn.Do(x.outgoing(i))
 	if err != nil {
-		watch.Stop()
+		x.stalled = watch.Stop()
 		stop()
 		conn.Close()
 		return x.unanswered(ctx, i, err)
@@ -62,7 +63,7 @@
 		x.res.FirstByte = d.Clock.Now().Sub(x.Arrived)
 	}
 	ending, whole := x.answered(ctx, i, res, watch)
-	watch.Stop()
+	x.stalled = watch.Stop()
 	// A connection that ctx has closed cannot carry another request.
 	if !stop() || !whole {
 		conn.Close()
@@ -227,6 +228,7 @@
 type watch struct {
 	timer *time.Timer
 	pause time.Duration
+	fired atomic.Bool
 }
 
 func (x *exchange) watch(conn *upstream.Conn) *watch {
@@ -237,10 +239,12 @@
 	if x.Terms.Kind == settings.RouteStream {
 		slow = max(minStall, slow)
 	}
-	return &watch{
-		timer: time.AfterFunc(slow, conn.Close),
-		pause: max(minStall, stallFactor*x.Terms.PauseObjective),
-	}
+	w := &watch{pause: max(minStall, stallFactor*x.Terms.PauseObjective)}
+	w.timer = time.AfterFunc(slow, func() {
+		w.fired.Store(true)
+		conn.Close()
+	})
+	return w
 }
 
 // progress restarts the time, after the first event with the limit for pauses.
@@ -250,9 +254,10 @@
 	}
 }
 
-// Stop ends the watch.
-func (w *watch) Stop() {
+// Stop ends the watch and reports whether it has closed the connection.
+func (w *watch) Stop() bool {
 	if w.timer != nil {
 		w.timer.Stop()
 	}
+	return w.fired.Load()
 }
--- a/router/internal/direct/dispatch.go
+++ b/router/internal/direct/dispatch.go
@@ -70,9 +70,11 @@
 	*Request
 	d     *Dispatcher
 	sink  Sink
-	tried []settings.UpstreamID
-	res   Result
-	relay relay
+	tried tried
+	// stalled says that the last attempt was ended for standing still.
+	stalled bool
+	res     Result
+	relay   relay
 	// failure is the last failure that an upstream answered whole.
 	failure *wholeAnswer
 }
@@ -133,12 +135,13 @@
 	begun := x.d.Clock.Now()
 	for {
 		now := x.d.Clock.Now()
-		instance, choice := x.d.place(now, x.Request, x.tried)
+		instance, choice := x.d.place(now, x.Request, &x.tried)
 		switch {
 		case choice.Reason == placement.Chosen:
 			x.res.Waited += now.Sub(begun)
+			x.res.Choice = choice
 			return instance, true
-		case choice.Reason == placement.NoUpstream && len(x.tried) > 0:
+		case choice.Reason == placement.NoUpstream && x.res.Tries > 0:
 			// Every upstream has failed this request; one that has only refused may take it on a second try.
 			x.giveUp(ctx, CodeNoUpstream, defaultRetryAfter)
 			return members.Instance{}, false
@@ -247,9 +250,7 @@
 // note remembers what an ending says about the upstream.
 func (x *exchange) note(ctx context.Context, i members.Instance, ending attempt.Ending) {
 	now := x.d.Clock.Now()
-	if ending != attempt.Whole && ending != attempt.ClientGone {
-		x.tried = append(x.tried, i.ID)
-	}
+	x.tried.note(i.ID, ending, x.stalled)
 	switch ending {
 	case attempt.NotSent:
 		retreat := x.d.Outliers.Unreachable(now, i.ID, i.Service)
--- a/router/internal/direct/place.go
+++ b/router/internal/direct/place.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"rattantrack.dev/core/attempt"
 	"rattantrack.dev/core/call"
 	"rattantrack.dev/core/clock"
 	"rattantrack.dev/core/members"
@@ -11,6 +12,28 @@
 	"rattantrack.dev/core/settings"
 )
 
+// tried is what a request has met at the upstreams.
+type tried struct {
+	// unusable are those that it did not reach, that refused it or that stood still.
+	unusable []settings.UpstreamID
+	// failed are those that ran it and failed once.
+	failed []settings.UpstreamID
+}
+
+// note takes in the ending of an attempt.
+func (t *tried) note(id settings.UpstreamID, ending attempt.Ending, stalled bool) {
+	switch ending {
+	case attempt.NotSent, attempt.Refused:
+		t.unusable = append(t.unusable, id)
+	case attempt.Failed, attempt.Lost, attempt.Cut:
+		if stalled || slices.Contains(t.failed, id) {
+			t.unusable = append(t.unusable, id)
+			return
+		}
+		t.failed = append(t.failed, id)
+	}
+}
+
 // enginePolicy places requests whose prompts the upstreams cache.
 var enginePolicy = placement.Policy{
 	// The fleet's bound on one upstream is twice the mean and three requests more. Counts of other routers are some
@@ -23,6 +46,7 @@
 	RankCost:         2,
 	DistanceCost:     0.25,
 	ColdCost:         3,
+	FailedCost:       12,
 	Overcommit:       1,
 }
 
@@ -31,12 +55,13 @@
 	Multiple: 1.6, Slack: 2,
 	DistanceCost: 0.9,
 	ColdCost:     2,
+	FailedCost:   1000,
 	// A request that waits at the upstream behind one other for each slot is still on time.
 	Overcommit: 2,
 }
 
-// place chooses the upstream of an attempt; tried are those at which the request failed.
-func (d *Dispatcher) place(now clock.Instant, r *Request, tried []settings.UpstreamID) (members.Instance, placement.Choice) {
+// place chooses the upstream of an attempt.
+func (d *Dispatcher) place(now clock.Instant, r *Request, t *tried) (members.Instance, placement.Choice) {
 	serving := d.Members.Serving(r.Service)
 	if len(serving) == 0 {
 		return members.Instance{}, placement.Choice{Reason: placement.NoUpstream}
@@ -47,7 +72,8 @@
 	}
 	candidates := d.candidates(now, r, serving, ids)
 	for i := range candidates {
-		candidates[i].Excluded = candidates[i].Excluded || slices.Contains(tried, ids[i])
+		candidates[i].Excluded = candidates[i].Excluded || slices.Contains(t.unusable, ids[i])
+		candidates[i].Failed = slices.Contains(t.failed, ids[i])
 	}
 	policy := &plainPolicy
 	if r.Terms.Affinity {
--- a/router/internal/direct/request.go
+++ b/router/internal/direct/request.go
@@ -8,6 +8,7 @@
 	"rattantrack.dev/core/call"
 	"rattantrack.dev/core/clock"
 	"rattantrack.dev/core/peer"
+	"rattantrack.dev/core/placement"
 	"rattantrack.dev/core/settings"
 	"rattantrack.dev/router/internal/upstream"
 )
@@ -66,6 +67,7 @@
 	Waited, FirstByte time.Duration
 	// Headed says that the client has got the head of an answer.
 	Headed bool
-	// Last is the ending of the last attempt.
-	Last attempt.Ending
+	// Last is the ending of the last attempt, Choice what decided its upstream.
+	Last   attempt.Ending
+	Choice placement.Choice
 }
--- a/router/internal/directory/watch.go
+++ b/router/internal/directory/watch.go
@@ -18,8 +18,9 @@
 
 // Times of reading.
 const (
-	// waitTime is how long a watch waits for a change.
-	waitTime = 5 * time.Second
+	// waitTime is how long a watch waits for a change. A watch can be cut off without a sign, so it must end within the
+	// time in which a change has to be in force.
+	waitTime = 900 * time.Millisecond
 	// pauseTime collects the changes that come in quick succession, so that one call returns several.
 	pauseTime = 150 * time.Millisecond
 	// readTime bounds a read of the whole directory.
--- /dev/null
+++ b/router/internal/engines/inventory.go
@@ -0,0 +1,157 @@
+package engines
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
+
+	"rattantrack.dev/core/affinity"
+	"rattantrack.dev/core/call"
+	"rattantrack.dev/core/clock"
+	"rattantrack.dev/core/members"
+	"rattantrack.dev/core/rank"
+	"rattantrack.dev/core/settings"
+)
+
+// Times of the inventory.
+const (
+	// meetTime is how long a router that starts waits for others that may remember the prompts.
+	meetTime = 150 * time.Millisecond
+	// askTime bounds the question to one engine, and warmTime how long requests wait for the whole inventory.
+	askTime  = 400 * time.Millisecond
+	warmTime = 500 * time.Millisecond
+	// pollTime is how often the router looks whether it knows the instances.
+	pollTime = 20 * time.Millisecond
+)
+
+// maxAsking bounds the questions that are open at one time.
+const maxAsking = 8
+
+// Asker asks an engine which parts of prompts it keeps.
+type Asker interface {
+	Held(ctx context.Context, i members.Instance) ([]call.Part, error)
+}
+
+// Routers knows the other routers.
+type Routers interface {
+	Met() []string
+}
+
+// Inventory recovers the directory of cached prompts after all routers have restarted at once. Each engine is asked by
+// one router, the first in the rendezvous order of the engine, which tells the others.
+type Inventory struct {
+	// Address is where this router is reached.
+	Address string
+	// FirstStart says that the whole system starts for the first time, with empty caches.
+	FirstStart bool
+	Asker      Asker
+	Routers    Routers
+	Members    *members.Book
+	// Services returns the services whose upstreams cache prompts, nil while they are not known.
+	Services func() []settings.ServiceName
+	Affinity *affinity.Directory
+	Clock    interface{ Now() clock.Instant }
+	Log      *log.Logger
+	Scope    tally.Scope
+
+	warm atomic.Bool
+}
+
+// String returns the service's name.
+func (v *Inventory) String() string { return "inventory" }
+
+// Warm reports whether the router may take requests.
+func (v *Inventory) Warm() bool { return v.warm.Load() }
+
+// Run makes one inventory and waits for ctx.
+func (v *Inventory) Run(ctx context.Context, ready func()) error {
+	ready()
+	if v.FirstStart {
+		v.warm.Store(true)
+	}
+	v.once(ctx)
+	v.warm.Store(true)
+	<-ctx.Done()
+	return nil
+}
+
+func (v *Inventory) once(ctx context.Context) {
+	if v.FirstStart || !v.known(ctx) {
+		return
+	}
+	// The routers that still remember tell it at the first exchange.
+	if !sleep(ctx, meetTime) || v.Affinity.Size() > 0 {
+		return
+	}
+	timer := time.AfterFunc(warmTime, func() { v.warm.Store(true) })
+	defer timer.Stop()
+	mine := v.share()
+	asking := make(chan struct{}, maxAsking)
+	var wg sync.WaitGroup
+	for _, i := range mine {
+		wg.Add(1)
+		asking <- struct{}{}
+		go func() {
+			defer wg.Done()
+			v.ask(ctx, i)
+			<-asking
+		}()
+	}
+	wg.Wait()
+	v.Log.Info("inventory made", "engines", len(mine), "parts", v.Affinity.Size())
+}
+
+// known waits until declarations and instances are there.
+func (v *Inventory) known(ctx context.Context) bool {
+	for !v.Members.Known() || v.Services() == nil {
+		if !sleep(ctx, pollTime) {
+			return false
+		}
+	}
+	return true
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// share returns the engines that this router asks.
+func (v *Inventory) share() []members.Instance {
+	addresses := []settings.UpstreamID{settings.UpstreamID(v.Address)}
+	for _, address := range v.Routers.Met() {
+		addresses = append(addresses, settings.UpstreamID(address))
+	}
+	routers := rank.New(addresses)
+	var mine []members.Instance
+	for _, service := range v.Services() {
+		for _, i := range v.Members.Serving(service) {
+			if owner, ok := routers.Home(xxhash.Sum64String(string(i.ID))); ok && string(owner) == v.Address {
+				mine = append(mine, i)
+			}
+		}
+	}
+	return mine
+}
+
+func (v *Inventory) ask(ctx context.Context, i members.Instance) {
+	ctx, cancel := context.WithTimeout(ctx, askTime)
+	defer cancel()
+	v.Scope.Counter("inventory_questions").Inc(1)
+	parts, err := v.Asker.Held(ctx, i)
+	if err != nil {
+		v.Log.Warn("engine not in the inventory", "upstream", i.ID, "error", err)
+		return
+	}
+	v.Affinity.Used(v.Clock.Now(), slices.Clip(parts), i.ID)
+}
--- a/router/internal/routers/service.go
+++ b/router/internal/routers/service.go
@@ -30,9 +30,9 @@
 	// forgetTime is how long a router that does not answer is remembered, unless the settings name it.
 	forgetTime = 30 * time.Second
 	// maxPending bounds the news kept for one router; above it, the router gets everything anew.
-	maxPending = 4096
+	maxPending = 16_384
 	// maxRecent bounds the cached prompts that a router is told at first.
-	maxRecent = 2048
+	maxRecent = 8192
 )
 
 // Clock gives the present instant.
@@ -344,6 +344,19 @@
 	return list
 }
 
+// Met returns the addresses of the other routers that answered last.
+func (s *Service) Met() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []string
+	for address, r := range s.routers {
+		if address != s.Address && !r.lost && r.met != 0 {
+			list = append(list, address)
+		}
+	}
+	return list
+}
+
 // Status is what the service shows of one router.
 type Status struct {
 	Address string `json:"address"`
