fix(engines): a router that served before its inventory still makes it

Change: routers tell each other whether they know the cached prompts; requests with a long prompt wait up to 250 ms.

--- a/core/peer/router.go
+++ b/core/peer/router.go
@@ -14,6 +14,8 @@
 	Incarnation Incarnation
 	// Open is the number of requests that it has open at each upstream.
 	Open inflight.Counts
+	// Warm says that it knows which prompts are cached where, from its own time or from the engines.
+	Warm bool
 	// Holdings are the prompts that upstreams have read through it since it told the other router last.
 	Holdings []affinity.Holding
 	// Members are the changes of instances that it has heard of since then.
--- a/router/internal/app/direct.go
+++ b/router/internal/app/direct.go
@@ -133,6 +133,7 @@
 		Clock:       clock.Boot{},
 		Log:         d.log,
 		Scope:       scope,
+		Warm:        func() bool { return d.inventory.Warm() },
 		OnEvents:    d.changed,
 	}
 	d.spread = &spread.Service{Store: d.store, Dialer: d.endpoint, Log: d.log, Candidates: d.routers.Known}
@@ -147,6 +148,18 @@
 		OnEvents: d.changed,
 		Tell:     d.routers.Tell,
 	}
+	d.inventory = &engines.Inventory{
+		Address:    d.cfg.Advertise,
+		FirstStart: d.cfg.Direct.FirstStart,
+		Asker:      platform.Engines{HTTP: &http.Client{}},
+		Routers:    d.routers,
+		Members:    d.members,
+		Services:   d.cachingServices,
+		Affinity:   d.affinity,
+		Clock:      clock.Boot{},
+		Log:        d.log,
+		Scope:      scope,
+	}
 	repeats := d.cfg.Direct.Repeats
 	d.client = &client.Server{
 		Address:    d.cfg.Caller,
@@ -162,6 +175,7 @@
 			Budget:      &retry.Window{Terms: retry.Terms{Ratio: repeats.Ratio, Slack: repeats.Slack, Window: repeats.Window}},
 			Connections: d.connections,
 			Dialect:     platform.Dialect{},
+			Cached:      d.inventory,
 			Clock:       clock.Boot{},
 			Log:         d.log,
 			Scope:       scope,
@@ -171,18 +185,6 @@
 		Log:     d.log,
 		Scope:   scope,
 	}
-	d.inventory = &engines.Inventory{
-		Address:    d.cfg.Advertise,
-		FirstStart: d.cfg.Direct.FirstStart,
-		Asker:      platform.Engines{HTTP: &http.Client{}},
-		Routers:    d.routers,
-		Members:    d.members,
-		Services:   d.cachingServices,
-		Affinity:   d.affinity,
-		Clock:      clock.Boot{},
-		Log:        d.log,
-		Scope:      scope,
-	}
 	d.readiness = &readiness{address: d.cfg.Direct.Readiness, path: platform.ReadyPath, ready: d.ready}
 	d.announcer = &operator.Announcer{Log: d.log, Message: "router ready"}
 }
--- a/router/internal/direct/dispatch.go
+++ b/router/internal/direct/dispatch.go
@@ -41,6 +41,11 @@
 	Put(c *upstream.Conn, res *upstream.Response)
 }
 
+// Cached waits until it is known which upstreams cache which prompts.
+type Cached interface {
+	Wait(ctx context.Context, limit time.Duration)
+}
+
 // Dispatcher takes requests to upstreams.
 type Dispatcher struct {
 	DataCentre  settings.DataCentre
@@ -52,6 +57,7 @@
 	Budget      *retry.Window
 	Connections Connections
 	Dialect     Dialect
+	Cached      Cached
 	Clock       Clock
 	Log         *log.Logger
 	Scope       tally.Scope
@@ -63,6 +69,9 @@
 	waitPoll = 20 * time.Millisecond
 	// defaultRetryAfter is when a client should come back whose request found no upstream.
 	defaultRetryAfter = 500 * time.Millisecond
+	// warmWait is how long a request with a long prompt waits after a restart until the cached prompts are known.
+	// Reading such a prompt again takes an engine about as long.
+	warmWait = 250 * time.Millisecond
 )
 
 // exchange is one request on its way through its attempts.
@@ -94,6 +103,9 @@
 }
 
 func (x *exchange) run(ctx context.Context) {
+	if x.Terms.Affinity && x.Shared() >= enginePolicy.LongPrefix {
+		x.d.Cached.Wait(ctx, warmWait)
+	}
 	for {
 		instance, ok := x.upstream(ctx)
 		if !ok {
--- a/router/internal/engines/inventory.go
+++ b/router/internal/engines/inventory.go
@@ -22,7 +22,7 @@
 // Times of the inventory.
 const (
 	// meetTime is how long a router that starts waits for others that may remember the prompts.
-	meetTime = 150 * time.Millisecond
+	meetTime = 100 * time.Millisecond
 	// askTime bounds the question to one engine, and warmTime how long requests wait for the whole inventory.
 	askTime  = 400 * time.Millisecond
 	warmTime = 500 * time.Millisecond
@@ -41,6 +41,8 @@
 // Routers knows the other routers.
 type Routers interface {
 	Met() []string
+	// MetWarm reports whether one of them has told what it knows of cached prompts.
+	MetWarm() bool
 }
 
 // Inventory recovers the directory of cached prompts after all routers have restarted at once. Each engine is asked by
@@ -60,7 +62,37 @@
 	Log      *log.Logger
 	Scope    tally.Scope
 
-	warm atomic.Bool
+	warm    atomic.Bool
+	warmed  chan struct{}
+	prepare sync.Once
+	finish  sync.Once
+}
+
+// done is closed when the router may take requests.
+func (v *Inventory) done() chan struct{} {
+	v.prepare.Do(func() { v.warmed = make(chan struct{}) })
+	return v.warmed
+}
+
+func (v *Inventory) setWarm() {
+	v.finish.Do(func() {
+		v.warm.Store(true)
+		close(v.done())
+	})
+}
+
+// Wait waits until the cached prompts are known, ctx ends or the time is up.
+func (v *Inventory) Wait(ctx context.Context, limit time.Duration) {
+	if v.warm.Load() {
+		return
+	}
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-v.done():
+	case <-timer.C:
+	case <-ctx.Done():
+	}
 }
 
 // String returns the service's name.
@@ -72,11 +104,8 @@
 // Run makes one inventory and waits for ctx.
 func (v *Inventory) Run(ctx context.Context, ready func()) error {
 	ready()
-	if v.FirstStart {
-		v.warm.Store(true)
-	}
 	v.once(ctx)
-	v.warm.Store(true)
+	v.setWarm()
 	<-ctx.Done()
 	return nil
 }
@@ -85,11 +114,21 @@
 	if v.FirstStart || !v.known(ctx) {
 		return
 	}
-	// The routers that still remember tell it at the first exchange.
-	if !sleep(ctx, meetTime) || v.Affinity.Size() > 0 {
-		return
+	// A router that still remembers tells it at the first exchange.
+	for begun := v.Clock.Now(); !v.Routers.MetWarm(); {
+		if v.Clock.Now().Sub(begun) >= meetTime {
+			v.ask(ctx)
+			return
+		}
+		if !sleep(ctx, pollTime) {
+			return
+		}
 	}
-	timer := time.AfterFunc(warmTime, func() { v.warm.Store(true) })
+}
+
+// ask asks the engines that are this router's share.
+func (v *Inventory) ask(ctx context.Context) {
+	timer := time.AfterFunc(warmTime, v.setWarm)
 	defer timer.Stop()
 	mine := v.share()
 	asking := make(chan struct{}, maxAsking)
@@ -99,7 +138,7 @@
 		asking <- struct{}{}
 		go func() {
 			defer wg.Done()
-			v.ask(ctx, i)
+			v.askOne(ctx, i)
 			<-asking
 		}()
 	}
@@ -144,7 +183,7 @@
 	return mine
 }
 
-func (v *Inventory) ask(ctx context.Context, i members.Instance) {
+func (v *Inventory) askOne(ctx context.Context, i members.Instance) {
 	ctx, cancel := context.WithTimeout(ctx, askTime)
 	defer cancel()
 	v.Scope.Counter("inventory_questions").Inc(1)
--- a/router/internal/routers/service.go
+++ b/router/internal/routers/service.go
@@ -75,12 +75,16 @@
 	Clock       Clock
 	Log         *log.Logger
 	Scope       tally.Scope
+	// Warm reports whether this router knows which prompts are cached where.
+	Warm func() bool
 	// OnEvents hears of what another router's news changed.
 	OnEvents func(source string, events []members.Event)
 
 	mu      sync.Mutex
 	routers map[string]*router
 	wg      sync.WaitGroup
+	// metWarm says that a router that knows the cached prompts has told them.
+	metWarm bool
 }
 
 // String returns the service's name.
@@ -252,7 +256,7 @@
 func (s *Service) state(r *router, asking bool) *peer.RouterState {
 	now := s.Clock.Now()
 	state := &peer.RouterState{
-		Router: s.ID, Address: s.Address, Incarnation: s.Incarnation, Open: s.Ledger.Own(),
+		Router: s.ID, Address: s.Address, Incarnation: s.Incarnation, Open: s.Ledger.Own(), Warm: s.Warm(),
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -293,6 +297,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.metWarm = s.metWarm || m.Warm
 	for _, address := range m.Routers {
 		if address != s.Address {
 			s.add(address)
@@ -357,6 +362,13 @@
 	return list
 }
 
+// MetWarm reports whether a router that knows the cached prompts has told them.
+func (s *Service) MetWarm() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.metWarm
+}
+
 // Status is what the service shows of one router.
 type Status struct {
 	Address string `json:"address"`
