--- a/router/internal/app/direct.go
+++ b/router/internal/app/direct.go
@@ -259,7 +259,10 @@
 
 // declare puts an accepted version of the declarations in force.
 func (d *Direct) declare(c revision.Change) {
-	d.client.SetTable(routing.New(c.Fleet, c.Version.Revision))
+	table := routing.New(c.Fleet, c.Version.Revision)
+	d.client.SetTable(table)
+	d.log.Info("declarations in force", "revision", c.Version.Revision, "changed", len(c.Documents), "routes", len(c.Fleet.Routes),
+		"teams", len(c.Fleet.Teams), "idle_time", table.Limits.IdleTime, "header_time", table.Limits.HeaderTime)
 }
 
 // ready reports whether the balancer should send connections.
