--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -74,6 +74,8 @@
 	// Load and Held are those of the chosen candidate.
 	Load int
 	Held settings.Tokens
+	// Holder is the candidate that holds most of the prompt, where that is not the chosen one; nil for none.
+	Holder *Candidate
 }
 
 // Choose returns the candidate with the least cost within the load bound. Two load patterns set the costs: sessions that
@@ -90,8 +92,12 @@
 	}
 	choice := Choice{Reason: NoUpstream, Mean: float64(sum) / float64(n)}
 	best := 0.0
+	var holder *Candidate
 	for i := range candidates {
 		c := &candidates[i]
+		if c.Held > 0 && (holder == nil || c.Held > holder.Held) {
+			holder = c
+		}
 		if c.Excluded {
 			continue
 		}
@@ -108,6 +114,9 @@
 			choice.Load, choice.Held = c.Load, c.Held
 		}
 	}
+	if holder != nil && holder.Held > choice.Held {
+		choice.Holder = holder
+	}
 	return choice
 }
 
