--- a/router/internal/app/direct.go
+++ b/router/internal/app/direct.go
@@ -41,7 +41,7 @@
 	// memoryShare is the part of the VM's memory that the heap may take; stacks and socket buffers need the rest.
 	memoryShare = 0.7
 	// gcPercent trades memory for processor time, within the limit above.
-	gcPercent = 100
+	gcPercent = 50
 )
 
 // Times towards the directory.
--- a/router/internal/upstream/conn.go
+++ b/router/internal/upstream/conn.go
@@ -34,7 +34,7 @@
 	// silentTime is how long sent bytes may stay unacknowledged; then the path is taken as dead.
 	silentTime = 2500 * time.Millisecond
 	// defaultIdleTime is how long an unused connection is kept where the upstream names no time.
-	defaultIdleTime = 4 * time.Second
+	defaultIdleTime = 12 * time.Second
 	// idleMargin is how long before the upstream's own time an unused connection is given up.
 	idleMargin = 700 * time.Millisecond
 )
