fix(affinity): the beginning that all prompts share no longer hides what follows it

Cause: a part kept at most 16 holders; of the prefix that all prompts share, the holders beyond those were forgotten, and with them every longer part behind it.

Ruled out: processor time of the exchange (0.018 cores), routers that lose each other (none after the start). Also mended: a router that only others call was not told to further routers.

Change: a part with more holders than are remembered counts as held everywhere; 64 holders are remembered.

--- a/core/affinity/directory.go
+++ b/core/affinity/directory.go
@@ -1,6 +1,7 @@
 package affinity
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -15,8 +16,9 @@
 const (
 	// maxParts bounds the parts; one takes about 200 bytes.
 	maxParts = 50_000
-	// maxHolders bounds the upstreams remembered for one part.
-	maxHolders = 16
+	// maxHolders bounds the upstreams remembered for one part. A part with more holders, such as the beginning that all
+	// prompts of a service share, counts as held everywhere.
+	maxHolders = 64
 	// keepTime is how long a part is taken as cached after its last use.
 	keepTime = 60 * time.Second
 	// renewTime is how often the use of a part is told to other routers again.
@@ -37,18 +39,24 @@
 	told     clock.Instant
 }
 
+// entry is what is known of one part.
+type entry struct {
+	holders    []holder
+	everywhere bool
+}
+
 // Directory maps parts to their holders; its zero value is empty.
 type Directory struct {
 	mu    sync.Mutex
-	parts *simplelru.LRU[call.PartID, []holder]
+	parts *simplelru.LRU[call.PartID, *entry]
 	news  []Holding
 	stamp []clock.Instant
 }
 
-func (d *Directory) table() *simplelru.LRU[call.PartID, []holder] {
+func (d *Directory) table() *simplelru.LRU[call.PartID, *entry] {
 	if d.parts == nil {
 		// The size is a positive constant, the only thing that can be refused.
-		d.parts, _ = simplelru.NewLRU[call.PartID, []holder](maxParts, nil)
+		d.parts, _ = simplelru.NewLRU[call.PartID, *entry](maxParts, nil)
 	}
 	return d.parts
 }
@@ -70,27 +78,31 @@
 // note sets the last use of a part at an upstream.
 func (d *Directory) note(part call.PartID, upstream settings.UpstreamID, used clock.Instant) *holder {
 	table := d.table()
-	list, _ := table.Get(part)
-	for i := range list {
-		if list[i].upstream == upstream {
-			list[i].used = max(list[i].used, used)
-			return &list[i]
+	e, ok := table.Get(part)
+	if !ok {
+		e = &entry{}
+		table.Add(part, e)
+	}
+	for i := range e.holders {
+		if e.holders[i].upstream == upstream {
+			e.holders[i].used = max(e.holders[i].used, used)
+			return &e.holders[i]
 		}
 	}
 	fresh := holder{upstream: upstream, used: used}
-	if len(list) < maxHolders {
-		list = append(list, fresh)
-		table.Add(part, list)
-		return &list[len(list)-1]
+	if len(e.holders) < maxHolders {
+		e.holders = append(e.holders, fresh)
+		return &e.holders[len(e.holders)-1]
 	}
-	oldest := 0
-	for i := range list {
-		if list[i].used < list[oldest].used {
-			oldest = i
+	e.everywhere = true
+	oldest := &e.holders[0]
+	for i := range e.holders {
+		if e.holders[i].used < oldest.used {
+			oldest = &e.holders[i]
 		}
 	}
-	list[oldest] = fresh
-	return &list[oldest]
+	*oldest = fresh
+	return oldest
 }
 
 // Learn takes in what another router told.
@@ -123,8 +135,8 @@
 	var list []Holding
 	keys := d.table().Keys()
 	for i := len(keys) - 1; i >= 0 && len(list) < n; i-- {
-		holders, _ := d.table().Peek(keys[i])
-		for _, h := range holders {
+		e, _ := d.table().Peek(keys[i])
+		for _, h := range e.holders {
 			if age := now.Sub(h.used); age < keepTime {
 				list = append(list, Holding{Part: keys[i], Upstream: h.upstream, Age: age})
 			}
@@ -143,9 +155,9 @@
 		whole[i] = true
 	}
 	for _, p := range parts {
-		list, _ := d.table().Get(p.ID)
+		e, _ := d.table().Get(p.ID)
 		for i, id := range upstreams {
-			whole[i] = whole[i] && holds(list, id, now)
+			whole[i] = whole[i] && e.holds(id, now)
 			if whole[i] {
 				held[i] += p.Tokens
 			}
@@ -154,8 +166,14 @@
 	return held
 }
 
-func holds(list []holder, upstream settings.UpstreamID, now clock.Instant) bool {
-	for _, h := range list {
+func (e *entry) holds(upstream settings.UpstreamID, now clock.Instant) bool {
+	if e == nil {
+		return false
+	}
+	if e.everywhere {
+		return true
+	}
+	for _, h := range e.holders {
 		if h.upstream == upstream {
 			return now.Sub(h.used) < keepTime
 		}
@@ -169,14 +187,8 @@
 	defer d.mu.Unlock()
 	table := d.table()
 	for _, part := range table.Keys() {
-		list, _ := table.Peek(part)
-		for i := range list {
-			if list[i].upstream == upstream {
-				list[i] = list[len(list)-1]
-				table.Add(part, list[:len(list)-1])
-				break
-			}
-		}
+		e, _ := table.Peek(part)
+		e.holders = slices.DeleteFunc(e.holders, func(h holder) bool { return h.upstream == upstream })
 	}
 }
 
--- a/core/affinity/directory_test.go
+++ b/core/affinity/directory_test.go
@@ -1,6 +1,7 @@
 package affinity
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -55,3 +56,21 @@
 	d.Learn(second, []Holding{{Part: 1, Upstream: "a", Age: 2 * time.Second}})
 	d.Forget("a")
 }
+
+// TestBeginningOfAllPromptsIsHeldEverywhere replays a service with more upstreams than are remembered for one part: the
+// beginning that all prompts share must not hide the longer parts behind it.
+func TestBeginningOfAllPromptsIsHeldEverywhere(t *testing.T) {
+	c := qt.New(t)
+	var d Directory
+	common := call.Part{ID: 1, Tokens: 500}
+	last := settings.UpstreamID("")
+	for i := range 3 * maxHolders {
+		last = settings.UpstreamID(fmt.Sprintf("engine-%d", i))
+		d.Used(second, []call.Part{common, {ID: call.PartID(100 + i), Tokens: 10_000}}, last)
+	}
+	for i := range 3 * maxHolders {
+		id := settings.UpstreamID(fmt.Sprintf("engine-%d", i))
+		held := d.Held(second, []call.Part{common, {ID: call.PartID(100 + i), Tokens: 10_000}}, []settings.UpstreamID{id, "other"})
+		c.Assert(held, qt.DeepEquals, []settings.Tokens{10_500, 500})
+	}
+}
--- a/router/internal/routers/service.go
+++ b/router/internal/routers/service.go
@@ -62,6 +62,9 @@
 	running           bool
 }
 
+// alive reports whether the router has exchanged states with this one, whichever of the two began, and still does.
+func (r *router) alive() bool { return !r.lost && (r.met != 0 || r.heard != 0) }
+
 // Service exchanges states with every other router.
 type Service struct {
 	ID          inflight.RouterID
@@ -261,7 +264,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for address, other := range s.routers {
-		if address != r.address && !other.lost && other.met != 0 {
+		if address != r.address && other.alive() {
 			state.Routers = append(state.Routers, address)
 		}
 	}
@@ -355,7 +358,7 @@
 	defer s.mu.Unlock()
 	var list []string
 	for address, r := range s.routers {
-		if address != s.Address && !r.lost && r.met != 0 {
+		if address != s.Address && r.alive() {
 			list = append(list, address)
 		}
 	}
--- /dev/null
+++ b/router/internal/routers/service_test.go
@@ -0,0 +1,128 @@
+package routers
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	qt "github.com/frankban/quicktest"
+	"github.com/uber-go/tally/v4"
+
+	"rattantrack.dev/core/affinity"
+	"rattantrack.dev/core/call"
+	"rattantrack.dev/core/clock"
+	"rattantrack.dev/core/inflight"
+	"rattantrack.dev/core/members"
+	"rattantrack.dev/core/peer"
+	"rattantrack.dev/core/settings"
+)
+
+// node is one router with its listener.
+type node struct {
+	service  *Service
+	endpoint *peer.Endpoint
+	ledger   *inflight.Ledger
+	affinity *affinity.Directory
+	members  *members.Book
+	stop     func()
+}
+
+// Serve gives messages to the service.
+func (n *node) Serve(ctx context.Context, st *peer.Stream, m peer.Message) { n.service.Serve(ctx, st, m) }
+
+// startNodes starts n routers of which the settings name the first only.
+func startNodes(t *testing.T, n int) []*node {
+	t.Helper()
+	c := qt.New(t)
+	var nodes []*node
+	var seed string
+	for i := range n {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		c.Assert(err, qt.IsNil)
+		address := ln.Addr().String()
+		if seed == "" {
+			seed = address
+		}
+		one := &node{ledger: &inflight.Ledger{}, affinity: &affinity.Directory{}, members: &members.Book{}}
+		id := fmt.Sprintf("router-%d", i)
+		allow, err := peer.ParseNetworks([]string{"127.0.0.0/8"})
+		c.Assert(err, qt.IsNil)
+		one.endpoint = &peer.Endpoint{
+			Local:   func() peer.Hello { return peer.Hello{Protocol: peer.ProtocolVersion, Role: peer.RoleRouter, ID: id} },
+			Handler: one,
+			Allow:   allow,
+		}
+		one.service = &Service{
+			ID: inflight.RouterID(id), Address: address, Incarnation: peer.Incarnation(id), Seeds: []string{seed},
+			Dialer: one.endpoint, Ledger: one.ledger, Affinity: one.affinity, Members: one.members, Clock: clock.Boot{},
+			Log: log.New(io.Discard), Scope: tally.NoopScope, Warm: func() bool { return true },
+			OnEvents: func(string, []members.Event) {},
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = one.service.Run(ctx, func() {})
+		}()
+		listened := make(chan struct{})
+		go func() {
+			defer close(listened)
+			_ = one.endpoint.Listen(ctx, ln)
+		}()
+		one.stop = func() {
+			cancel()
+			one.endpoint.Close()
+			<-done
+			<-listened
+		}
+		t.Cleanup(one.stop)
+		nodes = append(nodes, one)
+	}
+	return nodes
+}
+
+// eventually waits until ok holds; the time is long enough for a busy machine.
+func eventually(t *testing.T, ok func() bool) {
+	t.Helper()
+	for range 1000 {
+		if ok() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("the condition did not come about")
+}
+
+// TestEveryRouterLearnsOfEveryOther replays a fleet that knows one router by its settings: all must see the requests of
+// all, or the load bound would be judged by a part of the load.
+func TestEveryRouterLearnsOfEveryOther(t *testing.T) {
+	nodes := startNodes(t, 5)
+	for _, n := range nodes {
+		n.ledger.Begin("engine-1")
+	}
+	eventually(t, func() bool {
+		return !slices.ContainsFunc(nodes, func(n *node) bool {
+			return n.ledger.Loads(clock.Boot{}.Now(), []settings.UpstreamID{"engine-1"})[0] != len(nodes)
+		})
+	})
+}
+
+func TestCachedPromptsAndInstancesAreTold(t *testing.T) {
+	nodes := startNodes(t, 3)
+	parts := []call.Part{{ID: 9, Tokens: 1000}}
+	nodes[1].affinity.Used(clock.Boot{}.Now(), parts, "engine-1")
+	change := members.Change{ID: "engine-1", Revision: 7, Instance: members.Instance{ID: "engine-1", Service: "letters"}}
+	nodes[1].members.Learn(clock.Boot{}.Now(), []members.Change{change})
+	nodes[1].service.Tell([]members.Change{change})
+	eventually(t, func() bool {
+		return !slices.ContainsFunc(nodes, func(n *node) bool {
+			held := n.affinity.Held(clock.Boot{}.Now(), parts, []settings.UpstreamID{"engine-1"})
+			return held[0] != 1000 || len(n.members.Serving("letters")) != 1
+		})
+	})
+}
