--- /dev/null
+++ b/core/attempt/next_test.go
@@ -0,0 +1,40 @@
+package attempt
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func TestNext(t *testing.T) {
+	base := State{Runs: 1, Attempts: 2, Tries: 1, Left: time.Second}
+	with := func(change func(*State)) State {
+		s := base
+		change(&s)
+		return s
+	}
+	tests := []struct {
+		name  string
+		state State
+		want  Step
+	}{
+		{"whole", with(func(s *State) { s.Ending, s.Repeatable = Whole, true }), Stop},
+		{"client gone", with(func(s *State) { s.Ending, s.Repeatable = ClientGone, true }), Stop},
+		{"not sent may go elsewhere", with(func(s *State) { s.Ending, s.Runs = NotSent, 0 }), Reconnect},
+		{"refused may go elsewhere", with(func(s *State) { s.Ending, s.Runs, s.Attempts = Refused, 0, 1 }), Again},
+		{"lost and not repeatable", with(func(s *State) { s.Ending = Lost }), Stop},
+		{"failed and not repeatable", with(func(s *State) { s.Ending = Failed }), Stop},
+		{"cut and not repeatable", with(func(s *State) { s.Ending = Cut }), Stop},
+		{"lost and repeatable", with(func(s *State) { s.Ending, s.Repeatable = Lost, true }), Again},
+		{"cut and resumable", with(func(s *State) { s.Ending, s.Repeatable = Cut, true }), Again},
+		{"attempts used up", with(func(s *State) { s.Ending, s.Repeatable, s.Runs = Lost, true, 2 }), Stop},
+		{"no time left", with(func(s *State) { s.Ending, s.Repeatable, s.Left = Lost, true, time.Millisecond }), Stop},
+		{"refused for ever", with(func(s *State) { s.Ending, s.Tries = Refused, maxTries }), Stop},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			qt.New(t).Assert(Next(tt.state), qt.Equals, tt.want)
+		})
+	}
+}
--- /dev/null
+++ b/core/outlier/detector_test.go
@@ -0,0 +1,68 @@
+package outlier
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"rattantrack.dev/core/clock"
+	"rattantrack.dev/core/settings"
+)
+
+var ids = []settings.UpstreamID{"a", "b", "c", "d"}
+
+const start = clock.Instant(time.Minute)
+
+func TestFailingUpstreamIsEjectedForATime(t *testing.T) {
+	c := qt.New(t)
+	var d Detector
+	for i := range 12 {
+		now := start.Add(time.Duration(i) * 50 * time.Millisecond)
+		for _, id := range ids {
+			d.Result(now, id, "letters", id == "b" && i%2 == 0)
+		}
+	}
+	now := start.Add(time.Second)
+	c.Assert(d.Ejected(now, ids), qt.DeepEquals, []bool{false, true, false, false})
+	c.Assert(d.Ejected(now.Add(ejectTime), ids), qt.DeepEquals, []bool{false, false, false, false})
+}
+
+// TestServiceWhoseRequestsFailEverywhereIsNotEmptied replays a service at which a part of all requests fails.
+func TestServiceWhoseRequestsFailEverywhereIsNotEmptied(t *testing.T) {
+	c := qt.New(t)
+	var d Detector
+	for i := range 40 {
+		now := start.Add(time.Duration(i) * 50 * time.Millisecond)
+		for _, id := range ids {
+			d.Result(now, id, "letters", i%2 == 0)
+		}
+	}
+	ejected := d.Ejected(start.Add(2*time.Second), ids)
+	n := 0
+	for _, e := range ejected {
+		if e {
+			n++
+		}
+	}
+	c.Assert(n <= len(ids)/2, qt.IsTrue)
+}
+
+func TestMostOfAServiceIsNeverEjected(t *testing.T) {
+	c := qt.New(t)
+	var d Detector
+	for _, id := range ids[:3] {
+		d.Unreachable(start, id, "letters")
+	}
+	c.Assert(d.Ejected(start, ids), qt.DeepEquals, []bool{false, false, false, false})
+}
+
+func TestUnreachableUpstreamIsLeftAloneForLonger(t *testing.T) {
+	c := qt.New(t)
+	var d Detector
+	first := d.Unreachable(start, "a", "letters")
+	second := d.Unreachable(start, "a", "letters")
+	c.Assert(second, qt.Equals, 2*first)
+	d.Result(start, "a", "letters", false)
+	c.Assert(d.Unreachable(start, "a", "letters"), qt.Equals, first)
+}
--- /dev/null
+++ b/core/placement/choose_test.go
@@ -0,0 +1,109 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"rattantrack.dev/core/settings"
+)
+
+// policy is like the one for engines.
+var policy = Policy{
+	Multiple: 1.4, Slack: 2, LongMultiple: 1.75, LongSlack: 2.5, LongPrefix: 2000,
+	TokensPerRequest: 300, RankCost: 2, DistanceCost: 0.25, ColdCost: 3, FailedCost: 12, Overcommit: 1,
+}
+
+func candidate(id string, load int, held settings.Tokens) Candidate {
+	return Candidate{ID: settings.UpstreamID(id), DataCentre: "kano", Load: load, Slots: 64, Held: held}
+}
+
+func TestChoose(t *testing.T) {
+	letter := Request{DataCentre: "kano", Shared: 10_500, Affinity: true}
+	query := Request{DataCentre: "kano", Shared: 600, Affinity: true}
+	excluded := candidate("b", 0, 10_500)
+	excluded.Excluded = true
+	failed := candidate("b", 4, 10_500)
+	failed.Failed = true
+	failedShort := candidate("b", 4, 600)
+	failedShort.Failed = true
+	full := candidate("a", 64, 0)
+	tests := []struct {
+		name       string
+		request    Request
+		candidates []Candidate
+		want       Reason
+		chosen     settings.UpstreamID
+	}{
+		{"nobody", letter, nil, NoUpstream, ""},
+		{"a long prompt stays where it is cached", letter, []Candidate{candidate("a", 2, 0), candidate("b", 8, 10_500)}, Chosen, "b"},
+		{"a short prompt leaves a loaded upstream", query, []Candidate{candidate("a", 2, 0), candidate("b", 8, 600)}, Chosen, "a"},
+		{"a long prompt leaves an upstream above the bound", letter,
+			[]Candidate{candidate("a", 2, 0), candidate("c", 2, 0), candidate("d", 2, 0), candidate("e", 2, 0), candidate("b", 14, 10_500)}, Chosen, "a"},
+		{"an excluded upstream gets nothing", letter, []Candidate{candidate("a", 9, 0), excluded}, Chosen, "a"},
+		{"only excluded ones", letter, []Candidate{excluded}, NoUpstream, ""},
+		{"a long prompt is tried again where it is cached", letter, []Candidate{candidate("a", 4, 0), failed}, Chosen, "b"},
+		{"a short prompt is tried elsewhere", query, []Candidate{candidate("a", 4, 0), failedShort}, Chosen, "a"},
+		{"all are full", letter, []Candidate{full, full}, Full, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			got := Choose(&policy, &tt.request, tt.candidates)
+			c.Assert(got.Reason, qt.Equals, tt.want)
+			if tt.want == Chosen {
+				c.Assert(tt.candidates[got.Index].ID, qt.Equals, tt.chosen)
+			}
+		})
+	}
+}
+
+// TestHotPromptStaysWithinTheBound replays a fifth of all requests for one long prompt: no upstream may hold more than
+// twice the mean and three requests, the bound that the operators set.
+func TestHotPromptStaysWithinTheBound(t *testing.T) {
+	c := qt.New(t)
+	r := rand.New(rand.NewPCG(1, 2))
+	const engines, open, steps = 18, 110, 20_000
+	held := make([]map[int]bool, engines)
+	loads := make([]int, engines)
+	for i := range held {
+		held[i] = make(map[int]bool)
+	}
+	var running []int
+	read, over := 0, 0
+	for range steps {
+		if len(running) >= open {
+			at := r.IntN(len(running))
+			loads[running[at]]--
+			running[at] = running[len(running)-1]
+			running = running[:len(running)-1]
+		}
+		prompt := r.IntN(76)
+		if r.Float64() < 0.2 {
+			prompt = 0
+		}
+		candidates := make([]Candidate, engines)
+		for i := range candidates {
+			candidates[i] = candidate(fmt.Sprint(i), loads[i], 0)
+			if held[i][prompt] {
+				candidates[i].Held = 10_500
+			}
+		}
+		choice := Choose(&policy, &Request{DataCentre: "kano", Shared: 10_500, Affinity: true}, candidates)
+		c.Assert(choice.Reason, qt.Equals, Chosen)
+		if !held[choice.Index][prompt] {
+			read++
+		}
+		held[choice.Index][prompt] = true
+		loads[choice.Index]++
+		running = append(running, choice.Index)
+		if float64(loads[choice.Index]) > 2*float64(len(running))/engines+3 {
+			over++
+		}
+	}
+	c.Assert(over, qt.Equals, 0)
+	// Each prompt is read at least once, and the hot one at several engines.
+	c.Assert(read < 10*76, qt.IsTrue, qt.Commentf("%d prompts read", read))
+}
--- /dev/null
+++ b/core/waiting/line_test.go
@@ -0,0 +1,84 @@
+package waiting
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"rattantrack.dev/core/clock"
+)
+
+const ms = clock.Instant(time.Millisecond)
+
+func woken(t *Ticket) bool {
+	select {
+	case <-t.Ready():
+		return true
+	default:
+		return false
+	}
+}
+
+func TestMostUrgentGoesFirstAndThenTheFirstCome(t *testing.T) {
+	c := qt.New(t)
+	var r Room
+	late := clock.Instant(time.Minute)
+	first := &Ticket{Rank: 1, Deadline: late}
+	second := &Ticket{Rank: 1, Deadline: late}
+	urgent := &Ticket{Rank: 0, Deadline: late}
+	for _, ticket := range []*Ticket{first, second, urgent} {
+		c.Assert(r.Enter(ms, "letters", ticket), qt.IsNil)
+	}
+	for i, ticket := range []*Ticket{urgent, first, second} {
+		c.Assert(woken(ticket), qt.IsFalse)
+		r.Ended(clock.Instant(i+2)*ms, "letters")
+		c.Assert(woken(ticket), qt.IsTrue)
+	}
+	c.Assert(r.Length("letters"), qt.Equals, 0)
+}
+
+// TestBurstAboveTheRoomIsRefusedAtOnce replays 400 requests at one moment at a service that ends one each 10 ms, with
+// 400 ms to wait: those that can have their turn wait, the others are told at once when the line will have passed.
+func TestBurstAboveTheRoomIsRefusedAtOnce(t *testing.T) {
+	c := qt.New(t)
+	var r Room
+	now := clock.Instant(time.Second)
+	for range 200 {
+		now = now.Add(10 * time.Millisecond)
+		r.Ended(now, "letters")
+	}
+	waiting := 0
+	for range 400 {
+		refusal := r.Enter(now, "letters", &Ticket{Deadline: now.Add(400 * time.Millisecond)})
+		if refusal == nil {
+			waiting++
+			continue
+		}
+		c.Assert(refusal.RetryAfter >= 400*time.Millisecond, qt.IsTrue)
+		c.Assert(refusal.RetryAfter <= maxRetryAfter, qt.IsTrue)
+	}
+	c.Assert(waiting >= 30 && waiting <= 41, qt.IsTrue, qt.Commentf("%d wait", waiting))
+}
+
+func TestUrgentRequestWaitsWhereOthersAreRefused(t *testing.T) {
+	c := qt.New(t)
+	var r Room
+	for range 40 {
+		c.Assert(r.Enter(ms, "letters", &Ticket{Rank: 2, Deadline: clock.Instant(time.Second)}), qt.IsNil)
+	}
+	c.Assert(r.Enter(ms, "letters", &Ticket{Rank: 2, Deadline: 500 * ms}), qt.IsNotNil)
+	c.Assert(r.Enter(ms, "letters", &Ticket{Rank: 0, Deadline: 500 * ms}), qt.IsNil)
+}
+
+func TestLeavingTheLine(t *testing.T) {
+	c := qt.New(t)
+	var r Room
+	a, b := &Ticket{Deadline: clock.Instant(time.Second)}, &Ticket{Deadline: clock.Instant(time.Second)}
+	c.Assert(r.Enter(ms, "letters", a), qt.IsNil)
+	c.Assert(r.Enter(ms, "letters", b), qt.IsNil)
+	r.Leave("letters", a)
+	r.Ended(2*ms, "letters")
+	c.Assert(woken(a), qt.IsFalse)
+	c.Assert(woken(b), qt.IsTrue)
+}
