--- a/Makefile
+++ b/Makefile
@@ -1,16 +1,26 @@
 # Every habit of the project, one target each.
-MODULES := core router side rattantrack standin
+MODULES := core platform router side rattantrack standin
 PROGRAMS := router side rattantrack standin
 BIN := bin
 
-.PHONY: build test lint fmt race fuzz-seeds examples demo failures verify-model bench bench-decisions bench-capacity known-red clean
+# Names of the platform's own, which must stay in platform/.
+PLATFORM_NAMES := Attempt-Id|Deadline-Ms|Target-Instance|Response-Seal|Not-Executed|Server-Load|Token-Usage|Prompt-Prefix|kv-range|kv-watch|kv-key|kv-list|route-type|target-latency|session-affinity|stream-resume|RATTANTRACK_NODE_FILE
+
+.PHONY: tools build test lint platform-names fmt race fuzz-seeds fuzz examples demo failures verify-model bench bench-decisions bench-capacity known-red clean
 
 build:
 	@mkdir -p $(BIN)
 	@for p in $(PROGRAMS); do go build -o $(BIN)/$$p ./$$p || exit 1; done
 
 # The whole test set, which CI runs.
-test: lint build examples verify-model race fuzz-seeds demo known-red
+test: tools lint build examples verify-model race fuzz-seeds demo known-red
+
+# What a fresh machine lacks.
+tools:
+	@command -v spin >/dev/null && command -v gcc >/dev/null || { apt-get update && apt-get install -y --no-install-recommends spin gcc libc6-dev; }
+
+platform-names:
+	@! grep -rnE '$(PLATFORM_NAMES)' --include=*.go --include=*.yaml core router side rattantrack standin examples || { echo "names of the platform outside platform/"; exit 1; }
 
 fmt:
 	@gofmt -w $(MODULES)
@@ -19,7 +29,7 @@
 	@mkdir -p $(BIN)
 	@cd tools && GOWORK=off go build -o ../$(BIN)/staticcheck honnef.co/go/tools/cmd/staticcheck
 
-lint: $(BIN)/staticcheck
+lint: $(BIN)/staticcheck platform-names
 	@test -z "$$(gofmt -l $(MODULES))" || { echo "not formatted:"; gofmt -l $(MODULES); exit 1; }
 	@for m in $(MODULES); do (cd $$m && go vet ./... && ../$(BIN)/staticcheck ./...) || exit 1; done
 	@echo "lint ok"
@@ -31,6 +41,13 @@
 # The seed corpora of the fuzz targets.
 fuzz-seeds:
 	@cd core && go test -count=1 -run '^Fuzz' ./...
+	@cd platform && go test -count=1 -run '^Fuzz' .
+
+# Each fuzz target for FUZZTIME.
+FUZZTIME ?= 60s
+fuzz:
+	@cd platform && for f in FuzzReadRequest FuzzDecodeInstance FuzzDecodeConfig; do go test -run '^$$' -fuzz "^$$f$$" -fuzztime $(FUZZTIME) . || exit 1; done
+	@cd router && go test -run '^$$' -fuzz '^FuzzEvents$$' -fuzztime $(FUZZTIME) ./internal/upstream
 
 examples: build
 	@for d in examples/*/; do $(BIN)/rattantrack check $$d || exit 1; done
--- a/router/internal/direct/attempt.go
+++ b/router/internal/direct/attempt.go
@@ -133,6 +133,11 @@
 	if err != nil || len(body) == maxBuffered {
 		return x.broken(ctx, i, err), false
 	}
+	if promisesNotRun(res.StatusCode) {
+		// The status promises the client what the upstream did not state.
+		x.d.Log.Warn("refusal without a statement", "request", x.ID, "upstream", i.ID, "status", res.StatusCode)
+		return attempt.Lost, true
+	}
 	x.failure = &wholeAnswer{status: res.StatusCode, header: res.Header, body: body}
 	if res.StatusCode < http.StatusInternalServerError {
 		// The upstream's word on the request itself, which another upstream would repeat.
@@ -146,6 +151,15 @@
 	return attempt.Failed, true
 }
 
+// promisesNotRun reports whether a status tells a client that its request was not run and never will be.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 func (x *exchange) broken(ctx context.Context, i members.Instance, err error) attempt.Ending {
 	if ctx.Err() != nil {
 		return attempt.ClientGone
--- a/router/internal/routers/service_test.go
+++ b/router/internal/routers/service_test.go
@@ -33,7 +33,9 @@
 }
 
 // Serve gives messages to the service.
-func (n *node) Serve(ctx context.Context, st *peer.Stream, m peer.Message) { n.service.Serve(ctx, st, m) }
+func (n *node) Serve(ctx context.Context, st *peer.Stream, m peer.Message) {
+	n.service.Serve(ctx, st, m)
+}
 
 // startNodes starts n routers of which the settings name the first only.
 func startNodes(t *testing.T, n int) []*node {
--- /dev/null
+++ b/router/internal/upstream/events_test.go
@@ -0,0 +1,66 @@
+package upstream
+
+import (
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	qt "github.com/frankban/quicktest"
+
+	"rattantrack.dev/core/call"
+)
+
+func TestEventsAreSplitWhole(t *testing.T) {
+	long := strings.Repeat("x", 3*readBufferBytes)
+	tests := []struct {
+		name, body string
+		ids        []call.EventID
+		end        error
+	}{
+		{"two events", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", []call.EventID{"1", "2"}, io.EOF},
+		{"carriage returns", "id: 1\r\ndata: a\r\n\r\n", []call.EventID{"1"}, io.EOF},
+		{"an end within an event", "id: 1\ndata: a\n\nid: 2\ndat", []call.EventID{"1"}, io.ErrUnexpectedEOF},
+		{"an end before the blank line", "id: 1\ndata: a\n", nil, io.ErrUnexpectedEOF},
+		{"a line longer than the buffer", "id: 1\ndata: " + long + "\n\nid: 2\n\n", []call.EventID{"1", "2"}, io.EOF},
+		{"nothing", "", nil, io.EOF},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			events := NewEvents(iotest.HalfReader(strings.NewReader(tt.body)))
+			var ids []call.EventID
+			var raw strings.Builder
+			for {
+				e, err := events.Next()
+				if err != nil {
+					c.Assert(errors.Is(err, tt.end), qt.IsTrue, qt.Commentf("%v", err))
+					break
+				}
+				ids = append(ids, e.ID)
+				raw.Write(e.Raw)
+			}
+			c.Assert(ids, qt.DeepEquals, tt.ids)
+			c.Assert(strings.HasPrefix(tt.body, raw.String()), qt.IsTrue)
+		})
+	}
+}
+
+func FuzzEvents(f *testing.F) {
+	f.Add("id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n")
+	f.Fuzz(func(t *testing.T, body string) {
+		events := NewEvents(strings.NewReader(body))
+		var raw strings.Builder
+		for {
+			e, err := events.Next()
+			if err != nil {
+				break
+			}
+			raw.Write(e.Raw)
+		}
+		if !strings.HasPrefix(body, raw.String()) {
+			t.Fatalf("events %q are no beginning of %q", raw.String(), body)
+		}
+	})
+}
