feat(readers): two routers read the directory, the others learn from them

Ruled out: stale reads, which may be seconds behind and so break the bounds for leaving upstreams. Change: the first two routers in a rendezvous order read; a router reads itself when the newest news is older than 1.6 s or those two cannot be reached or cannot read. Only a router's own reads count as news.

--- a/core/peer/router.go
+++ b/core/peer/router.go
@@ -1,6 +1,8 @@
 package peer
 
 import (
+	"time"
+
 	"rattantrack.dev/core/affinity"
 	"rattantrack.dev/core/inflight"
 	"rattantrack.dev/core/members"
@@ -22,6 +24,10 @@
 	Members []members.Change
 	// Listed says that Members holds every instance that it knows.
 	Listed bool
+	// DirectoryAge is how long ago the router itself has read the platform's directory.
+	DirectoryAge time.Duration
+	// DirectoryFailing says that the router cannot read the directory itself.
+	DirectoryFailing bool
 	// Routers are the addresses of the routers that it exchanges with.
 	Routers []string
 }
--- /dev/null
+++ b/core/readers/decide_test.go
@@ -0,0 +1,52 @@
+package readers
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func fleet(n int) []string {
+	var list []string
+	for i := range n {
+		list = append(list, fmt.Sprintf("10.0.0.%d:7400", i))
+	}
+	return list
+}
+
+// readers returns the routers that read when all see the same fleet.
+func readers(all []string, age time.Duration) []string {
+	var list []string
+	for i, self := range all {
+		others := slices.Delete(slices.Clone(all), i, i+1)
+		if Decide(State{Self: self, Others: others, Age: age}) {
+			list = append(list, self)
+		}
+	}
+	return list
+}
+
+// TestCallsDoNotGrowWithTheFleet replays fleets of one to four hundred routers.
+func TestCallsDoNotGrowWithTheFleet(t *testing.T) {
+	c := qt.New(t)
+	for _, n := range []int{1, 2, 5, 28, 400} {
+		c.Assert(len(readers(fleet(n), time.Second)), qt.Equals, min(n, count))
+	}
+}
+
+func TestAnotherRouterTakesTheReadersPlace(t *testing.T) {
+	c := qt.New(t)
+	all := fleet(5)
+	first := readers(all, 0)
+	left := slices.DeleteFunc(slices.Clone(all), func(a string) bool { return a == first[0] })
+	second := readers(left, 0)
+	c.Assert(second, qt.HasLen, count)
+	c.Assert(slices.Contains(second, first[1]), qt.IsTrue)
+}
+
+func TestEverybodyReadsWithoutNews(t *testing.T) {
+	qt.New(t).Assert(readers(fleet(5), maxAge+1), qt.HasLen, 5)
+}
--- a/router/internal/app/direct.go
+++ b/router/internal/app/direct.go
@@ -134,10 +134,13 @@
 		Log:         d.log,
 		Scope:       scope,
 		Warm:        func() bool { return d.inventory.Warm() },
+		Directory:   func() (time.Duration, bool) { return d.watch.State() },
 		OnEvents:    d.changed,
 	}
 	d.spread = &spread.Service{Store: d.store, Dialer: d.endpoint, Log: d.log, Candidates: d.routers.Known}
 	d.watch = &directory.Watch{
+		Self:     d.cfg.Advertise,
+		Others:   d.routers,
 		Source:   &platform.Store{URL: d.cfg.Direct.Directory, HTTP: directoryClient()},
 		Store:    d.store,
 		Offer:    d.spread,
--- a/router/internal/directory/watch.go
+++ b/router/internal/directory/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -12,6 +13,7 @@
 	"rattantrack.dev/core/clock"
 	"rattantrack.dev/core/directory"
 	"rattantrack.dev/core/members"
+	"rattantrack.dev/core/readers"
 	"rattantrack.dev/core/revision"
 	"rattantrack.dev/core/settings"
 )
@@ -31,6 +33,10 @@
 	// outageTime is how long the directory must be out of reach until entries may have lapsed meanwhile: the platform
 	// drops an entry after three heartbeats.
 	outageTime = 2500 * time.Millisecond
+	// idleTime is how often a router that does not read looks whether its turn has come.
+	idleTime = 100 * time.Millisecond
+	// unknownAge is the age that a router tells that has not read the directory yet.
+	unknownAge = time.Hour
 	// expireInterval is how often missing instances are looked at.
 	expireInterval = 200 * time.Millisecond
 )
@@ -51,8 +57,19 @@
 	Now() clock.Instant
 }
 
+// Others knows what the other routers tell of the directory.
+type Others interface {
+	// Readers returns the routers that can read it, by address.
+	Readers() []string
+	// Informed returns when, at the latest, one of them knew the whole directory.
+	Informed() clock.Instant
+}
+
 // Watch follows the directory and keeps members and declarations in step.
 type Watch struct {
+	// Self is the address at which other routers reach this one.
+	Self    string
+	Others  Others
 	Source  Source
 	Store   *revision.Store
 	Offer   Offerer
@@ -64,11 +81,15 @@
 	OnEvents func(source string, events []members.Event)
 	Tell     func(changes []members.Change)
 
-	at        directory.Position
-	whole     bool
-	succeeded clock.Instant
-	failing   bool
-	retry     time.Duration
+	at    directory.Position
+	whole bool
+	retry time.Duration
+	reads bool
+
+	mu sync.Mutex
+	// informed is when this router knew the whole directory, by itself or from others, and read when by itself.
+	informed, read clock.Instant
+	failing        bool
 }
 
 // String returns the service's name.
@@ -77,19 +98,56 @@
 // Run reads until ctx ends; it is ready at once, since the directory may be down for long.
 func (w *Watch) Run(ctx context.Context, ready func()) error {
 	ready()
-	w.succeeded = w.Clock.Now()
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		w.expire(ctx)
 	}()
 	for ctx.Err() == nil {
-		w.step(ctx)
+		if w.reader() {
+			w.step(ctx)
+			continue
+		}
+		// What is missed from now on is read anew if this router's turn comes.
+		w.whole = false
+		sleep(ctx, idleTime)
 	}
 	<-done
 	return nil
 }
 
+// reader reports whether this router reads the directory itself now.
+func (w *Watch) reader() bool {
+	now := w.Clock.Now()
+	told := w.Others.Informed()
+	w.mu.Lock()
+	w.informed = max(w.informed, told)
+	known := w.informed != 0
+	w.mu.Unlock()
+	_, fleet := w.Store.Current()
+	reads := !known || fleet == nil || !w.Members.Known() ||
+		readers.Decide(readers.State{Self: w.Self, Others: w.Others.Readers(), Age: now.Sub(told)})
+	if reads != w.reads {
+		w.reads = reads
+		w.Log.Info("directory reader", "reads", reads, "news_age_ms", now.Sub(told).Milliseconds())
+	}
+	if !reads {
+		w.Members.Outage(now, false)
+	}
+	return reads
+}
+
+// State returns how long ago this router has read the directory, and whether it cannot. What it was told does not count:
+// two routers that repeat each other's news would keep it young for ever.
+func (w *Watch) State() (age time.Duration, failing bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.read == 0 {
+		return unknownAge, w.failing
+	}
+	return w.Clock.Now().Sub(w.read), w.failing
+}
+
 func (w *Watch) expire(ctx context.Context) {
 	t := time.NewTicker(expireInterval)
 	defer t.Stop()
@@ -117,8 +175,12 @@
 		return
 	}
 	w.Scope.Counter("directory_reads").Inc(1)
-	w.took()
+	began := w.took()
 	w.apply(u)
+	w.mu.Lock()
+	w.read = began
+	w.informed = max(w.informed, began)
+	w.mu.Unlock()
 	if !u.Whole {
 		sleep(ctx, pauseTime)
 	}
@@ -133,14 +195,17 @@
 	return w.Source.Read(ctx)
 }
 
-// took notes a call that succeeded.
-func (w *Watch) took() {
+// took notes a call that succeeded and returns the present instant.
+func (w *Watch) took() clock.Instant {
 	now := w.Clock.Now()
 	w.Members.Outage(now, false)
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	if w.failing {
-		w.Log.Info("directory regained", "after_ms", now.Sub(w.succeeded).Milliseconds())
+		w.Log.Info("directory regained", "after_ms", now.Sub(w.informed).Milliseconds())
 	}
-	w.succeeded, w.failing, w.retry = now, false, 0
+	w.failing, w.retry = false, 0
+	return now
 }
 
 // failed notes a call that failed and waits before the next.
@@ -153,11 +218,14 @@
 		return
 	}
 	now := w.Clock.Now()
+	w.mu.Lock()
 	if !w.failing {
 		w.Log.Warn("directory lost", "error", err)
 		w.failing = true
 	}
-	if now.Sub(w.succeeded) > outageTime {
+	age := now.Sub(w.informed)
+	w.mu.Unlock()
+	if age > outageTime {
 		w.Members.Outage(now, true)
 		// Entries may have changed and the history may be gone, so everything is read anew.
 		w.whole = false
--- a/router/internal/routers/service.go
+++ b/router/internal/routers/service.go
@@ -60,6 +60,9 @@
 	met, heard, since clock.Instant
 	lost              bool
 	running           bool
+	// informed is when the router has read the directory, failing says that it cannot.
+	informed clock.Instant
+	failing  bool
 }
 
 // alive reports whether the router has exchanged states with this one, whichever of the two began, and still does.
@@ -80,6 +83,8 @@
 	Scope       tally.Scope
 	// Warm reports whether this router knows which prompts are cached where.
 	Warm func() bool
+	// Directory returns how long ago this router has read the directory, and whether it cannot.
+	Directory func() (age time.Duration, failing bool)
 	// OnEvents hears of what another router's news changed.
 	OnEvents func(source string, events []members.Event)
 
@@ -261,6 +266,8 @@
 	state := &peer.RouterState{
 		Router: s.ID, Address: s.Address, Incarnation: s.Incarnation, Open: s.Ledger.Own(), Warm: s.Warm(),
 	}
+	// The age is taken before the changes are, so that it never vouches for changes that are not told.
+	state.DirectoryAge, state.DirectoryFailing = s.Directory()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for address, other := range s.routers {
@@ -301,6 +308,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.metWarm = s.metWarm || m.Warm
+	from := s.add(m.Address)
+	from.failing = m.DirectoryFailing
+	from.informed = max(from.informed, now.Add(-m.DirectoryAge))
 	for _, address := range m.Routers {
 		if address != s.Address {
 			s.add(address)
@@ -365,6 +375,30 @@
 	return list
 }
 
+// Readers returns the addresses of the other routers that answered last and can read the directory.
+func (s *Service) Readers() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []string
+	for address, r := range s.routers {
+		if address != s.Address && r.alive() && !r.failing {
+			list = append(list, address)
+		}
+	}
+	return list
+}
+
+// Informed returns when, at the latest, another router has read the directory and told it here.
+func (s *Service) Informed() clock.Instant {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var latest clock.Instant
+	for _, r := range s.routers {
+		latest = max(latest, r.informed)
+	}
+	return latest
+}
+
 // MetWarm reports whether a router that knows the cached prompts has told them.
 func (s *Service) MetWarm() bool {
 	s.mu.Lock()
--- a/router/internal/routers/service_test.go
+++ b/router/internal/routers/service_test.go
@@ -63,7 +63,8 @@
 			ID: inflight.RouterID(id), Address: address, Incarnation: peer.Incarnation(id), Seeds: []string{seed},
 			Dialer: one.endpoint, Ledger: one.ledger, Affinity: one.affinity, Members: one.members, Clock: clock.Boot{},
 			Log: log.New(io.Discard), Scope: tally.NoopScope, Warm: func() bool { return true },
-			OnEvents: func(string, []members.Event) {},
+			Directory: func() (time.Duration, bool) { return 0, false },
+			OnEvents:  func(string, []members.Event) {},
 		}
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
