--- /dev/null
+++ b/core/configuration/doc.go
@@ -0,0 +1,2 @@
+// Package configuration reads the platform's configuration service and VM list.
+package configuration
--- a/router/internal/app/app.go
+++ b/router/internal/app/app.go
@@ -9,15 +9,15 @@
 	"github.com/google/uuid"
 
 	"rattantrack.dev/core/clock"
+	vmservices "rattantrack.dev/core/configuration"
 	"rattantrack.dev/core/kernel"
 	"rattantrack.dev/core/operator"
 	"rattantrack.dev/core/peer"
-	coreplatform "rattantrack.dev/core/platform"
 	"rattantrack.dev/core/revision"
 	"rattantrack.dev/core/settings"
 	"rattantrack.dev/core/spread"
 	"rattantrack.dev/router/internal/caller"
-	"rattantrack.dev/router/internal/platform"
+	"rattantrack.dev/router/internal/configuration"
 	"rattantrack.dev/router/internal/sides"
 )
 
@@ -38,7 +38,7 @@
 	dispatcher *sides.Dispatcher
 	spread     *spread.Service
 	caller     *caller.Server
-	watch      *platform.Watch
+	watch      *configuration.Watch
 	announcer  *operator.Announcer
 }
 
@@ -80,8 +80,8 @@
 		Scope:        scope,
 		Identity:     forCallers,
 	}
-	client := &coreplatform.Client{Configuration: cfg.Configuration, VMList: cfg.VMList, HTTP: &http.Client{}}
-	r.watch = &platform.Watch{
+	client := &vmservices.Client{Configuration: cfg.Configuration, VMList: cfg.VMList, HTTP: &http.Client{}}
+	r.watch = &configuration.Watch{
 		Reader: client,
 		Store:  r.store,
 		Offer:  r.spread,
--- a/router/internal/platform/watch.go
+++ b/router/internal/configuration/watch.go
@@ -1,4 +1,4 @@
-package platform
+package configuration
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/uber-go/tally/v4"
 
-	"rattantrack.dev/core/platform"
+	"rattantrack.dev/core/configuration"
 	"rattantrack.dev/core/revision"
 	"rattantrack.dev/core/settings"
 )
@@ -32,7 +32,7 @@
 // Reader reads the platform.
 type Reader interface {
 	Changes(ctx context.Context, since settings.Revision, wait time.Duration) (revision.Delta, error)
-	VMs(ctx context.Context) ([]platform.VM, error)
+	VMs(ctx context.Context) ([]configuration.VM, error)
 }
 
 // Offerer takes versions that were read.
@@ -42,7 +42,7 @@
 
 // View takes the VM list and knows the other routers.
 type View interface {
-	Listed(vms []platform.VM)
+	Listed(vms []configuration.VM)
 	Routers() []string
 }
 
@@ -122,10 +122,10 @@
 }
 
 // notify tells the sides that are listed as leaving. The routers share this, whatever their number, by chance.
-func (w *Watch) notify(ctx context.Context, vms []platform.VM) {
+func (w *Watch) notify(ctx context.Context, vms []configuration.VM) {
 	share := noticesPerSecond * w.vmInterval().Seconds() / float64(max(1, len(w.View.Routers())))
 	for _, vm := range vms {
-		if vm.State != platform.VMLeaving || vm.Role == platform.RoleEntry {
+		if vm.State != configuration.VMLeaving || vm.Role == configuration.RoleEntry {
 			continue
 		}
 		if rand.Float64() < share {
--- a/router/internal/platform/watch_test.go
+++ b/router/internal/configuration/watch_test.go
@@ -1,4 +1,4 @@
-package platform
+package configuration
 
 import (
 	"context"
@@ -8,7 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"rattantrack.dev/core/platform"
+	"rattantrack.dev/core/configuration"
 )
 
 // fakeView is a view of a fleet of a given size.
@@ -16,7 +16,7 @@
 	routers int
 }
 
-func (f *fakeView) Listed([]platform.VM) {}
+func (f *fakeView) Listed([]configuration.VM) {}
 
 func (f *fakeView) Routers() []string { return make([]string, f.routers) }
 
@@ -38,7 +38,7 @@
 			c.Assert(reads <= readsPerSecond+0.001, qt.IsTrue, qt.Commentf("%.1f reads/s", reads))
 			// Every router looks at the list 50 times; the notices to one leaving side are counted.
 			const looks = 50
-			vms := []platform.VM{{Address: "a", Role: "upstream", State: platform.VMLeaving}}
+			vms := []configuration.VM{{Address: "a", Role: "upstream", State: configuration.VMLeaving}}
 			for range looks * size.routers {
 				w.notify(context.Background(), vms)
 			}
--- a/router/internal/platform/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package platform keeps a router up to date with the configuration service and the VM list.
-package platform
--- a/router/internal/sides/view.go
+++ b/router/internal/sides/view.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"rattantrack.dev/core/clock"
-	"rattantrack.dev/core/platform"
+	"rattantrack.dev/core/configuration"
 	"rattantrack.dev/core/rank"
 	"rattantrack.dev/core/revision"
 	"rattantrack.dev/core/settings"
@@ -71,17 +71,17 @@
 }
 
 // Listed takes in the VM list.
-func (v *View) Listed(vms []platform.VM) {
+func (v *View) Listed(vms []configuration.VM) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.leaving = make(map[string]bool)
 	v.routers = nil
 	for _, vm := range vms {
-		if vm.State == platform.VMLeaving {
+		if vm.State == configuration.VMLeaving {
 			v.leaving[vm.Address] = true
 			continue
 		}
-		if vm.Role == platform.RoleEntry {
+		if vm.Role == configuration.RoleEntry {
 			v.routers = append(v.routers, vm.Address)
 		}
 	}
--- a/standin/internal/configuration/service.go
+++ b/standin/internal/configuration/service.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"rattantrack.dev/core/platform"
+	"rattantrack.dev/core/configuration"
 	"rattantrack.dev/core/settings"
 	"rattantrack.dev/standin/internal/faults"
 )
@@ -92,12 +92,12 @@
 }
 
 // answer lists what changed after a revision; the caller holds the lock.
-func (s *Service) answer(since settings.Revision, f Faults) platform.Changes {
+func (s *Service) answer(since settings.Revision, f Faults) configuration.Changes {
 	at := s.revision
 	if f.StaleRevision > 0 {
 		at = min(at, f.StaleRevision)
 	}
-	c := platform.Changes{Revision: at, Whole: since == 0}
+	c := configuration.Changes{Revision: at, Whole: since == 0}
 	for _, d := range s.history[at] {
 		if d.Revision > since && !(c.Whole && d.Deleted) {
 			c.Documents = append(c.Documents, d)
--- a/standin/internal/fleet/fleet.go
+++ b/standin/internal/fleet/fleet.go
@@ -16,7 +16,7 @@
 	"github.com/cockroachdb/errors"
 	"go.yaml.in/yaml/v3"
 
-	"rattantrack.dev/core/platform"
+	"rattantrack.dev/core/configuration"
 	"rattantrack.dev/core/settings"
 )
 
@@ -404,13 +404,13 @@
 }
 
 // LiveVMs returns the VM list in which everything is live.
-func (f *Fleet) LiveVMs() []platform.VM {
-	var vms []platform.VM
+func (f *Fleet) LiveVMs() []configuration.VM {
+	var vms []configuration.VM
 	for _, e := range f.Routers {
-		vms = append(vms, platform.VM{Address: e.Peer, Role: platform.RoleEntry, State: platform.VMLive})
+		vms = append(vms, configuration.VM{Address: e.Peer, Role: configuration.RoleEntry, State: configuration.VMLive})
 	}
 	for _, u := range f.Units() {
-		vms = append(vms, platform.VM{Address: u.Peer, Role: "upstream", State: platform.VMLive})
+		vms = append(vms, configuration.VM{Address: u.Peer, Role: "upstream", State: configuration.VMLive})
 	}
 	return vms
 }
@@ -423,8 +423,8 @@
 }
 
 // SetVMs replaces the VM list.
-func (f *Fleet) SetVMs(ctx context.Context, vms []platform.VM) error {
-	return Post(ctx, f.VMListURL+"/set", platform.VMs{VMs: vms}, nil)
+func (f *Fleet) SetVMs(ctx context.Context, vms []configuration.VM) error {
+	return Post(ctx, f.VMListURL+"/set", configuration.VMs{VMs: vms}, nil)
 }
 
 // Post sends a JSON body and decodes the answer into out unless that is nil.
--- a/standin/internal/fleet/stop_test.go
+++ b/standin/internal/fleet/stop_test.go
@@ -10,7 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"rattantrack.dev/core/platform"
+	"rattantrack.dev/core/configuration"
 	"rattantrack.dev/core/settings"
 	"rattantrack.dev/standin/internal/engine"
 )
@@ -102,7 +102,7 @@
 	leaving := f.Engines[0]
 	for i := range vms {
 		if vms[i].Address == leaving.Peer {
-			vms[i].State = platform.VMLeaving
+			vms[i].State = configuration.VMLeaving
 		}
 	}
 	c.Assert(f.SetVMs(ctx, vms), qt.IsNil)
--- a/standin/internal/vmlist/service.go
+++ b/standin/internal/vmlist/service.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"rattantrack.dev/core/platform"
+	"rattantrack.dev/core/configuration"
 )
 
 // Service shows the list as it was some time ago.
@@ -20,7 +20,7 @@
 // version is a list and when it was set.
 type version struct {
 	at  time.Time
-	vms []platform.VM
+	vms []configuration.VM
 }
 
 // Handler returns the service's HTTP interface.
@@ -32,14 +32,14 @@
 }
 
 // Set replaces the list.
-func (s *Service) Set(vms []platform.VM) {
+func (s *Service) Set(vms []configuration.VM) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.past = append(s.past, version{at: time.Now(), vms: vms})
 }
 
 // List returns the list as it is shown now.
-func (s *Service) List() []platform.VM {
+func (s *Service) List() []configuration.VM {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	shown := time.Now().Add(-s.Lag)
@@ -52,11 +52,11 @@
 }
 
 func (s *Service) get(w http.ResponseWriter, _ *http.Request) {
-	_ = json.NewEncoder(w).Encode(platform.VMs{VMs: s.List()})
+	_ = json.NewEncoder(w).Encode(configuration.VMs{VMs: s.List()})
 }
 
 func (s *Service) set(w http.ResponseWriter, r *http.Request) {
-	var answer platform.VMs
+	var answer configuration.VMs
 	if err := json.NewDecoder(r.Body).Decode(&answer); err != nil {
 		http.Error(w, "malformed body", http.StatusBadRequest)
 		return
