--- a/core/operator/metrics.go
+++ b/core/operator/metrics.go
@@ -21,7 +21,7 @@
 
 // NewMetrics returns metrics with the given prefix.
 func NewMetrics(prefix string) *Metrics {
-	reporter := prometheus.NewReporter(prometheus.Options{})
+	reporter := prometheus.NewReporter(prometheus.Options{DefaultTimerType: prometheus.HistogramTimerType})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:                 prefix,
 		CachedReporter:         reporter,
--- a/router/internal/directory/watch.go
+++ b/router/internal/directory/watch.go
@@ -129,7 +129,7 @@
 		readers.Decide(readers.State{Self: w.Self, Others: w.Others.Readers(), Age: now.Sub(told)})
 	if reads != w.reads {
 		w.reads = reads
-		w.Log.Info("directory reader", "reads", reads, "news_age_ms", now.Sub(told).Milliseconds())
+		w.Log.Info("directory reader", "reads", reads, "told", told != 0, "news_age_ms", newsAge(now, told).Milliseconds())
 	}
 	if !reads {
 		w.Members.Outage(now, false)
@@ -137,6 +137,14 @@
 	return reads
 }
 
+// newsAge is the age of what others have told, 0 where nobody has told anything.
+func newsAge(now, told clock.Instant) time.Duration {
+	if told == 0 {
+		return 0
+	}
+	return now.Sub(told)
+}
+
 // State returns how long ago this router has read the directory, and whether it cannot. What it was told does not count:
 // two routers that repeat each other's news would keep it young for ever.
 func (w *Watch) State() (age time.Duration, failing bool) {
