fix(direct): a connection that the watch is about to close carries no other request

Cause, found by reading: a stopped timer reports whether it had fired, but the flag it sets could still be unset when the connection went back to the pool; the late close then cut another request.

Change: the attempt counts as given up when its timer cannot be stopped any more.

--- a/router/internal/client/answer.go
+++ b/router/internal/client/answer.go
@@ -12,8 +12,8 @@
 	"rattantrack.dev/router/internal/direct"
 )
 
-// writeTime is how long a client may leave an answer unread.
-const writeTime = 10 * time.Second
+// defaultWriteTime is how long a client may leave an answer unread.
+const defaultWriteTime = 10 * time.Second
 
 // hopHeaders concern one connection only (RFC 9110, section 7.6.1); lengths are set anew on each connection.
 var hopHeaders = []string{
@@ -39,6 +39,8 @@
 type sink struct {
 	w       http.ResponseWriter
 	control *http.ResponseController
+	// writeTime bounds each write.
+	writeTime time.Duration
 }
 
 // Head begins the answer.
@@ -60,7 +62,7 @@
 
 // Write adds to the body.
 func (s *sink) Write(data []byte, flush bool) error {
-	if err := s.control.SetWriteDeadline(time.Now().Add(writeTime)); err != nil {
+	if err := s.control.SetWriteDeadline(time.Now().Add(s.writeTime)); err != nil {
 		return err
 	}
 	if _, err := s.w.Write(data); err != nil {
--- a/router/internal/client/serve.go
+++ b/router/internal/client/serve.go
@@ -138,7 +138,7 @@
 
 // dispatch takes the request to an upstream and logs what became of it.
 func (s *Server) dispatch(w http.ResponseWriter, req *http.Request, r *direct.Request) {
-	sink := &sink{w: w, control: http.NewResponseController(w)}
+	sink := &sink{w: w, control: http.NewResponseController(w), writeTime: s.writeTime()}
 	res := s.Dispatcher.Do(req.Context(), r, sink)
 	took := s.Clock.Now().Sub(r.Arrived)
 	s.Scope.Tagged(map[string]string{"kind": string(r.Terms.Kind)}).Timer("request_duration").Record(took)
--- a/router/internal/client/server.go
+++ b/router/internal/client/server.go
@@ -1,6 +1,7 @@
 package client
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -42,7 +43,9 @@
 	// NoticeTime is how long a stopping server still takes connections, so that the balancer can see it leave.
 	NoticeTime time.Duration
 	// DrainTime is how long open requests may take after that.
-	DrainTime  time.Duration
+	DrainTime time.Duration
+	// WriteTime is how long a client may leave an answer unread; 0 stands for 10 s.
+	WriteTime  time.Duration
 	Dispatcher Dispatcher
 	Dialect    Dialect
 	Clock      Clock
@@ -73,6 +76,8 @@
 	return s.known
 }
 
+func (s *Server) writeTime() time.Duration { return cmp.Or(s.WriteTime, defaultWriteTime) }
+
 // startWait is how long a request waits at a router that has just started: the declarations arrive within a few hundred
 // milliseconds where the directory or another router can be reached, sooner than a refused client would come back.
 const startWait = 400 * time.Millisecond
--- a/router/internal/client/server_test.go
+++ b/router/internal/client/server_test.go
@@ -61,6 +61,7 @@
 	c.Assert(ln.Close(), qt.IsNil)
 	s = &Server{
 		Address: address, NoticeTime: 10 * time.Millisecond, DrainTime: 5 * time.Second,
+		WriteTime:  200 * time.Millisecond,
 		Dispatcher: d, Dialect: plainDialect{}, Clock: clock.Boot{}, Log: log.New(io.Discard), Scope: tally.NoopScope,
 	}
 	fleet := &settings.Fleet{
@@ -180,3 +181,21 @@
 		})
 	}
 }
+
+// TestRefusalOnAConnectionWithAnOldAnswer replays a kept connection whose last answer is older than the time for writes:
+// the refusal must still reach the client.
+func TestRefusalOnAConnectionWithAnOldAnswer(t *testing.T) {
+	c := qt.New(t)
+	s, _ := startServer(t, &slowDispatcher{}, time.Minute)
+	conn, err := net.Dial("tcp", s.Address)
+	c.Assert(err, qt.IsNil)
+	defer conn.Close()
+	r := bufio.NewReader(conn)
+	status, err := roundTrip(conn, r, "/a/x")
+	c.Assert(err, qt.IsNil)
+	c.Assert(status, qt.Equals, http.StatusOK)
+	time.Sleep(2 * s.WriteTime)
+	status, err = roundTrip(conn, r, "/unknown/x")
+	c.Assert(err, qt.IsNil)
+	c.Assert(status, qt.Equals, http.StatusNotFound)
+}
--- a/router/internal/direct/attempt.go
+++ b/router/internal/direct/attempt.go
@@ -5,7 +5,6 @@
 	"io"
 	"maps"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -64,8 +63,8 @@
 	}
 	ending, whole := x.answered(ctx, i, res, watch)
 	x.stalled = watch.Stop()
-	// A connection that ctx has closed cannot carry another request.
-	if !stop() || !whole {
+	// A connection that ctx or the watch closes cannot carry another request.
+	if !stop() || x.stalled || !whole {
 		conn.Close()
 		return ending
 	}
@@ -242,7 +241,6 @@
 type watch struct {
 	timer *time.Timer
 	pause time.Duration
-	fired atomic.Bool
 }
 
 func (x *exchange) watch(conn *upstream.Conn) *watch {
@@ -254,10 +252,7 @@
 		slow = max(minStall, slow)
 	}
 	w := &watch{pause: max(minStall, stallFactor*x.Terms.PauseObjective)}
-	w.timer = time.AfterFunc(slow, func() {
-		w.fired.Store(true)
-		conn.Close()
-	})
+	w.timer = time.AfterFunc(slow, conn.Close)
 	return w
 }
 
@@ -268,10 +263,5 @@
 	}
 }
 
-// Stop ends the watch and reports whether it has closed the connection.
-func (w *watch) Stop() bool {
-	if w.timer != nil {
-		w.timer.Stop()
-	}
-	return w.fired.Load()
-}
+// Stop ends the watch and reports whether it has closed the connection or is about to.
+func (w *watch) Stop() bool { return w.timer != nil && !w.timer.Stop() }
--- a/router/internal/direct/dispatch_test.go
+++ b/router/internal/direct/dispatch_test.go
@@ -355,3 +355,16 @@
 	// Placing and counting are two steps, so requests of one moment may pass the room by a few.
 	c.Assert(most <= 2*room, qt.IsTrue, qt.Commentf("%d at once", most))
 }
+
+// TestWatchThatHasFiredIsReported replays an answer that ends at the moment at which the watch gives the attempt up: its
+// connection is about to be closed, so it must not carry another request.
+func TestWatchThatHasFiredIsReported(t *testing.T) {
+	c := qt.New(t)
+	fired := make(chan struct{})
+	w := &watch{timer: time.AfterFunc(0, func() { close(fired) })}
+	<-fired
+	c.Assert(w.Stop(), qt.IsTrue)
+	w = &watch{timer: time.AfterFunc(time.Hour, func() {})}
+	c.Assert(w.Stop(), qt.IsFalse)
+	c.Assert((&watch{}).Stop(), qt.IsFalse)
+}
