--- a/core/members/book.go
+++ b/core/members/book.go
@@ -281,19 +281,6 @@
 	return max(0, e.coldEnd.Sub(now))
 }
 
-// Drop removes an instance that another one has replaced at its address, until its entry changes.
-func (b *Book) Drop(id settings.UpstreamID) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	e := b.entries[id]
-	if e == nil {
-		return
-	}
-	delete(b.entries, id)
-	b.forget(id, e.revision)
-	b.services = nil
-}
-
 // Listing returns every entry and every removal that is remembered, for a router that has just started.
 func (b *Book) Listing() []Change {
 	b.mu.Lock()
--- a/core/waiting/line_test.go
+++ b/core/waiting/queue_test.go
@@ -11,7 +11,7 @@
 
 const ms = clock.Instant(time.Millisecond)
 
-func woken(t *Ticket) bool {
+func woken(t *Waiter) bool {
 	select {
 	case <-t.Ready():
 		return true
@@ -22,27 +22,27 @@
 
 func TestMostUrgentGoesFirstAndThenTheFirstCome(t *testing.T) {
 	c := qt.New(t)
-	var r Room
+	var r Queues
 	late := clock.Instant(time.Minute)
-	first := &Ticket{Rank: 1, Deadline: late}
-	second := &Ticket{Rank: 1, Deadline: late}
-	urgent := &Ticket{Rank: 0, Deadline: late}
-	for _, ticket := range []*Ticket{first, second, urgent} {
-		c.Assert(r.Enter(ms, "letters", ticket), qt.IsNil)
+	first := &Waiter{Rank: 1, Deadline: late}
+	second := &Waiter{Rank: 1, Deadline: late}
+	urgent := &Waiter{Rank: 0, Deadline: late}
+	for _, waiter := range []*Waiter{first, second, urgent} {
+		c.Assert(r.Enter(ms, "letters", waiter), qt.IsNil)
 	}
-	for i, ticket := range []*Ticket{urgent, first, second} {
-		c.Assert(woken(ticket), qt.IsFalse)
+	for i, waiter := range []*Waiter{urgent, first, second} {
+		c.Assert(woken(waiter), qt.IsFalse)
 		r.Ended(clock.Instant(i+2)*ms, "letters")
-		c.Assert(woken(ticket), qt.IsTrue)
+		c.Assert(woken(waiter), qt.IsTrue)
 	}
 	c.Assert(r.Length("letters"), qt.Equals, 0)
 }
 
-// TestBurstAboveTheRoomIsRefusedAtOnce replays 400 requests at one moment at a service that ends one each 10 ms, with
-// 400 ms to wait: those that can have their turn wait, the others are told at once when the line will have passed.
-func TestBurstAboveTheRoomIsRefusedAtOnce(t *testing.T) {
+// TestBurstAboveTheCapacityIsRefusedAtOnce replays 400 requests at one moment at a service that ends one each 10 ms, with
+// 400 ms to wait: those that can have their turn wait, the others are told at once when it will have emptied.
+func TestBurstAboveTheCapacityIsRefusedAtOnce(t *testing.T) {
 	c := qt.New(t)
-	var r Room
+	var r Queues
 	now := clock.Instant(time.Second)
 	for range 200 {
 		now = now.Add(10 * time.Millisecond)
@@ -50,7 +50,7 @@
 	}
 	waiting := 0
 	for range 400 {
-		refusal := r.Enter(now, "letters", &Ticket{Deadline: now.Add(400 * time.Millisecond)})
+		refusal := r.Enter(now, "letters", &Waiter{Deadline: now.Add(400 * time.Millisecond)})
 		if refusal == nil {
 			waiting++
 			continue
@@ -63,18 +63,18 @@
 
 func TestUrgentRequestWaitsWhereOthersAreRefused(t *testing.T) {
 	c := qt.New(t)
-	var r Room
+	var r Queues
 	for range 40 {
-		c.Assert(r.Enter(ms, "letters", &Ticket{Rank: 2, Deadline: clock.Instant(time.Second)}), qt.IsNil)
+		c.Assert(r.Enter(ms, "letters", &Waiter{Rank: 2, Deadline: clock.Instant(time.Second)}), qt.IsNil)
 	}
-	c.Assert(r.Enter(ms, "letters", &Ticket{Rank: 2, Deadline: 500 * ms}), qt.IsNotNil)
-	c.Assert(r.Enter(ms, "letters", &Ticket{Rank: 0, Deadline: 500 * ms}), qt.IsNil)
+	c.Assert(r.Enter(ms, "letters", &Waiter{Rank: 2, Deadline: 500 * ms}), qt.IsNotNil)
+	c.Assert(r.Enter(ms, "letters", &Waiter{Rank: 0, Deadline: 500 * ms}), qt.IsNil)
 }
 
-func TestLeavingTheLine(t *testing.T) {
+func TestLeavingTheQueue(t *testing.T) {
 	c := qt.New(t)
-	var r Room
-	a, b := &Ticket{Deadline: clock.Instant(time.Second)}, &Ticket{Deadline: clock.Instant(time.Second)}
+	var r Queues
+	a, b := &Waiter{Deadline: clock.Instant(time.Second)}, &Waiter{Deadline: clock.Instant(time.Second)}
 	c.Assert(r.Enter(ms, "letters", a), qt.IsNil)
 	c.Assert(r.Enter(ms, "letters", b), qt.IsNil)
 	r.Leave("letters", a)
--- a/router/internal/app/direct.go
+++ b/router/internal/app/direct.go
@@ -174,7 +174,7 @@
 			Ledger:      ledger,
 			Affinity:    d.affinity,
 			Outliers:    d.outliers,
-			Room:        &waiting.Room{},
+			Queues:      &waiting.Queues{},
 			Budget:      &retry.Window{Terms: retry.Terms{Ratio: repeats.Ratio, Slack: repeats.Slack, Window: repeats.Window}},
 			Connections: d.connections,
 			Dialect:     platform.Dialect{},
--- a/router/internal/direct/dispatch.go
+++ b/router/internal/direct/dispatch.go
@@ -53,7 +53,7 @@
 	Ledger      *inflight.Ledger
 	Affinity    *affinity.Directory
 	Outliers    *outlier.Detector
-	Room        *waiting.Room
+	Queues      *waiting.Queues
 	Budget      *retry.Window
 	Connections Connections
 	Dialect     Dialect
@@ -154,7 +154,7 @@
 			x.res.Choice = choice
 			return instance, true
 		case choice.Reason == placement.NoUpstream && x.res.Tries > 0:
-			// Every upstream has failed this request; one that has only refused may take it on a second try.
+			// No upstream is left that this request has not tried.
 			x.giveUp(ctx, CodeNoUpstream, defaultRetryAfter)
 			return members.Instance{}, false
 		}
@@ -175,21 +175,21 @@
 		return x.pause(ctx, waitPoll)
 	}
 	limit := x.waitLimit(begun)
-	t := &waiting.Ticket{Rank: x.Rank, Deadline: limit}
-	if refusal := x.d.Room.Enter(now, x.Service, t); refusal != nil {
+	t := &waiting.Waiter{Rank: x.Rank, Deadline: limit}
+	if refusal := x.d.Queues.Enter(now, x.Service, t); refusal != nil {
 		x.giveUp(ctx, CodeOverloaded, refusal.RetryAfter)
 		return false
 	}
-	defer x.d.Room.Leave(x.Service, t)
+	defer x.d.Queues.Leave(x.Service, t)
 	timer := time.NewTimer(limit.Sub(now))
 	defer timer.Stop()
 	select {
 	case <-t.Ready():
 		return true
 	case <-timer.C:
-		x.giveUp(ctx, CodeOverloaded, x.d.Room.RetryAfter(x.Service))
+		x.giveUp(ctx, CodeOverloaded, x.d.Queues.RetryAfter(x.Service))
 	case <-ctx.Done():
-		x.giveUp(ctx, CodeDeadline, x.d.Room.RetryAfter(x.Service))
+		x.giveUp(ctx, CodeDeadline, x.d.Queues.RetryAfter(x.Service))
 	}
 	return false
 }
@@ -251,7 +251,7 @@
 		if ending == attempt.Refused {
 			res.Code = CodeRefused
 		}
-		res.RetryAfter = x.d.Room.RetryAfter(x.Service)
+		res.RetryAfter = x.d.Queues.RetryAfter(x.Service)
 	case ctx.Err() != nil:
 		res.Outcome, res.Code = peer.OutcomeUnknown, CodeDeadline
 	default:
--- a/router/internal/direct/dispatch_test.go
+++ b/router/internal/direct/dispatch_test.go
@@ -163,7 +163,7 @@
 	c := qt.New(t)
 	b := &bench{Dispatcher: &Dispatcher{
 		DataCentre: "kano", Members: &members.Book{}, Ledger: &inflight.Ledger{}, Affinity: &affinity.Directory{},
-		Outliers: &outlier.Detector{}, Room: &waiting.Room{},
+		Outliers: &outlier.Detector{}, Queues: &waiting.Queues{},
 		Budget:      &retry.Window{Terms: retry.Terms{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}},
 		Connections: &upstream.Pool{Dialect: testDialect{}},
 		Dialect:     testDialect{}, Cached: warmCache{}, Clock: clock.Boot{}, Log: log.New(io.Discard), Scope: tally.NoopScope,
--- a/router/internal/direct/request.go
+++ b/router/internal/direct/request.go
@@ -63,7 +63,7 @@
 	Runs, Tries int
 	// Events is the number of events that reached the client.
 	Events int
-	// Waited is the time in line for an upstream with room, FirstByte the time to the head of the answer.
+	// Waited is the time in the queue for an upstream with room, FirstByte the time to the head of the answer.
 	Waited, FirstByte time.Duration
 	// Headed says that the client has got the head of an answer.
 	Headed bool
