perf(engines): each engine is asked for its prompts once after a restart of the fleet

Change: routers tell which engines they have asked, and each looks again before each question whether it is still its own.

--- a/core/peer/router.go
+++ b/core/peer/router.go
@@ -6,6 +6,7 @@
 	"rattantrack.dev/core/affinity"
 	"rattantrack.dev/core/inflight"
 	"rattantrack.dev/core/members"
+	"rattantrack.dev/core/settings"
 )
 
 // RouterState is what one router tells another, and the answer to it.
@@ -18,6 +19,8 @@
 	Open inflight.Counts
 	// Warm says that it knows which prompts are cached where, from its own time or from the engines.
 	Warm bool
+	// Inventoried are the upstreams whose cached prompts the router has just asked for.
+	Inventoried []settings.UpstreamID
 	// Holdings are the prompts that upstreams have read through it since it told the other router last.
 	Holdings []affinity.Holding
 	// Members are the changes of instances that it has heard of since then.
--- a/router/internal/app/direct.go
+++ b/router/internal/app/direct.go
@@ -135,6 +135,7 @@
 		Scope:       scope,
 		Warm:        func() bool { return d.inventory.Warm() },
 		Directory:   func() (time.Duration, bool) { return d.watch.State() },
+		Inventoried: func() []settings.UpstreamID { return d.inventory.Asked() },
 		OnEvents:    d.changed,
 	}
 	d.spread = &spread.Service{Store: d.store, Dialer: d.endpoint, Log: d.log, Candidates: d.routers.Known}
--- a/router/internal/engines/inventory.go
+++ b/router/internal/engines/inventory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -26,6 +27,8 @@
 	// askTime bounds the question to one engine, and warmTime how long requests wait for the whole inventory.
 	askTime  = 400 * time.Millisecond
 	warmTime = 500 * time.Millisecond
+	// tellTime is how long the other routers are told which engines were asked: as long as a fleet takes to start.
+	tellTime = 5 * time.Second
 	// pollTime is how often the router looks whether it knows the instances.
 	pollTime = 20 * time.Millisecond
 )
@@ -43,6 +46,8 @@
 	Met() []string
 	// MetWarm reports whether one of them has told what it knows of cached prompts.
 	MetWarm() bool
+	// InventoriedByOthers reports whether one of them has asked an engine already.
+	InventoriedByOthers(id settings.UpstreamID) bool
 }
 
 // Inventory recovers the directory of cached prompts after all routers have restarted at once. Each engine is asked by
@@ -66,6 +71,20 @@
 	warmed  chan struct{}
 	prepare sync.Once
 	finish  sync.Once
+
+	mu    sync.Mutex
+	asked []settings.UpstreamID
+	until clock.Instant
+}
+
+// Asked returns the engines that this router has just asked, for the others.
+func (v *Inventory) Asked() []settings.UpstreamID {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if len(v.asked) == 0 || v.until < v.Clock.Now() {
+		return nil
+	}
+	return slices.Clone(v.asked)
 }
 
 // done is closed when the router may take requests.
@@ -130,12 +149,18 @@
 func (v *Inventory) ask(ctx context.Context) {
 	timer := time.AfterFunc(warmTime, v.setWarm)
 	defer timer.Stop()
-	mine := v.share()
 	asking := make(chan struct{}, maxAsking)
 	var wg sync.WaitGroup
-	for _, i := range mine {
-		wg.Add(1)
+	asked := 0
+	for _, i := range v.engines() {
 		asking <- struct{}{}
+		// The other routers appear one by one, so the share of this one shrinks while it asks.
+		if !v.mine(i) {
+			<-asking
+			continue
+		}
+		asked++
+		wg.Add(1)
 		go func() {
 			defer wg.Done()
 			v.askOne(ctx, i)
@@ -143,7 +168,7 @@
 		}()
 	}
 	wg.Wait()
-	v.Log.Info("inventory made", "engines", len(mine), "parts", v.Affinity.Size())
+	v.Log.Info("inventory made", "engines", asked, "parts", v.Affinity.Size())
 }
 
 // known waits until declarations and instances are there.
@@ -165,22 +190,27 @@
 	}
 }
 
-// share returns the engines that this router asks.
-func (v *Inventory) share() []members.Instance {
-	addresses := []settings.UpstreamID{settings.UpstreamID(v.Address)}
-	for _, address := range v.Routers.Met() {
-		addresses = append(addresses, settings.UpstreamID(address))
-	}
-	routers := rank.New(addresses)
-	var mine []members.Instance
+// engines returns the instances that may cache prompts, in an order of this router's own.
+func (v *Inventory) engines() []members.Instance {
+	var list []members.Instance
 	for _, service := range v.Services() {
-		for _, i := range v.Members.Serving(service) {
-			if owner, ok := routers.Home(xxhash.Sum64String(string(i.ID))); ok && string(owner) == v.Address {
-				mine = append(mine, i)
-			}
-		}
+		list = append(list, v.Members.Serving(service)...)
+	}
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list
+}
+
+// mine reports whether it falls to this router to ask an engine.
+func (v *Inventory) mine(i members.Instance) bool {
+	if v.Routers.InventoriedByOthers(i.ID) {
+		return false
+	}
+	routers := []settings.UpstreamID{settings.UpstreamID(v.Address)}
+	for _, address := range v.Routers.Met() {
+		routers = append(routers, settings.UpstreamID(address))
 	}
-	return mine
+	owner, ok := rank.New(routers).Home(xxhash.Sum64String(string(i.ID)))
+	return ok && string(owner) == v.Address
 }
 
 func (v *Inventory) askOne(ctx context.Context, i members.Instance) {
@@ -192,5 +222,10 @@
 		v.Log.Warn("engine not in the inventory", "upstream", i.ID, "error", err)
 		return
 	}
-	v.Affinity.Used(v.Clock.Now(), slices.Clip(parts), i.ID)
+	now := v.Clock.Now()
+	v.Affinity.Used(now, parts, i.ID)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.asked = append(v.asked, i.ID)
+	v.until = now.Add(tellTime)
 }
--- a/router/internal/routers/service.go
+++ b/router/internal/routers/service.go
@@ -14,6 +14,7 @@
 	"rattantrack.dev/core/inflight"
 	"rattantrack.dev/core/members"
 	"rattantrack.dev/core/peer"
+	"rattantrack.dev/core/settings"
 )
 
 // Times and sizes of the exchange.
@@ -86,6 +87,8 @@
 	Warm func() bool
 	// Directory returns how long ago this router has read the directory, and whether it cannot.
 	Directory func() (age time.Duration, failing bool)
+	// Inventoried returns the upstreams whose cached prompts this router has just asked for.
+	Inventoried func() []settings.UpstreamID
 	// OnEvents hears of what another router's news changed.
 	OnEvents func(source string, events []members.Event)
 
@@ -94,6 +97,8 @@
 	wg      sync.WaitGroup
 	// metWarm says that a router that knows the cached prompts has told them.
 	metWarm bool
+	// inventoried are the upstreams whose cached prompts others have asked for.
+	inventoried map[settings.UpstreamID]bool
 }
 
 // String returns the service's name.
@@ -268,6 +273,7 @@
 	state := &peer.RouterState{
 		Router: s.ID, Address: s.Address, Incarnation: s.Incarnation, Open: s.Ledger.Own(), Warm: s.Warm(),
 	}
+	state.Inventoried = s.Inventoried()
 	// The age is taken before the changes are, so that it never vouches for changes that are not told.
 	state.DirectoryAge, state.DirectoryFailing = s.Directory()
 	s.mu.Lock()
@@ -313,6 +319,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.metWarm = s.metWarm || m.Warm
+	for _, id := range m.Inventoried {
+		if s.inventoried == nil {
+			s.inventoried = make(map[settings.UpstreamID]bool)
+		}
+		s.inventoried[id] = true
+	}
 	from := s.add(m.Address)
 	from.failing = m.DirectoryFailing
 	from.informed = max(from.informed, now.Add(-m.DirectoryAge))
@@ -380,6 +392,13 @@
 	return list
 }
 
+// InventoriedByOthers reports whether another router has asked for the cached prompts of an upstream.
+func (s *Service) InventoriedByOthers(id settings.UpstreamID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.inventoried[id]
+}
+
 // Readers returns the addresses of the other routers that answered last and can read the directory.
 func (s *Service) Readers() []string {
 	s.mu.Lock()
--- a/router/internal/routers/service_test.go
+++ b/router/internal/routers/service_test.go
@@ -63,8 +63,9 @@
 			ID: inflight.RouterID(id), Address: address, Incarnation: peer.Incarnation(id), Seeds: []string{seed},
 			Dialer: one.endpoint, Ledger: one.ledger, Affinity: one.affinity, Members: one.members, Clock: clock.Boot{},
 			Log: log.New(io.Discard), Scope: tally.NoopScope, Warm: func() bool { return true },
-			Directory: func() (time.Duration, bool) { return 0, false },
-			OnEvents:  func(string, []members.Event) {},
+			Directory:   func() (time.Duration, bool) { return 0, false },
+			Inventoried: func() []settings.UpstreamID { return nil },
+			OnEvents:    func(string, []members.Event) {},
 		}
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
@@ -138,6 +139,7 @@
 	s := &Service{
 		ID: "a", Address: "127.0.0.1:1", Ledger: &inflight.Ledger{}, Affinity: &affinity.Directory{}, Members: &members.Book{},
 		Clock: clock.Boot{}, Warm: func() bool { return true }, Directory: func() (time.Duration, bool) { return 0, false },
+		Inventoried: func() []settings.UpstreamID { return nil },
 	}
 	now := clock.Boot{}.Now()
 	for i := range 100 {
