fix(routers): a router that becomes known later hears the latest news of cached prompts

Ruled out: a slow machine alone; the news was dropped and would have come with the prompt's next use only. Change: the news of the last 10 s is kept for routers that become known. A test fails without it.

--- a/router/internal/routers/service.go
+++ b/router/internal/routers/service.go
@@ -33,6 +33,9 @@
 	// maxPending bounds the news kept for one router. Above it the instances are told anew as a whole, and the cached
 	// prompts are left out, which are told again at their next use.
 	maxPending = 4096
+	// backlogTime and maxBacklog bound the news that a router is told that becomes known only later.
+	backlogTime = 10 * time.Second
+	maxBacklog  = 1024
 	// maxRecent bounds the cached prompts that a router is told that has just started.
 	maxRecent = 4096
 )
@@ -95,6 +98,9 @@
 	mu      sync.Mutex
 	routers map[string]*router
 	wg      sync.WaitGroup
+	// backlog is the latest news of cached prompts from here, with the times of their use.
+	backlog []affinity.Holding
+	stamps  []clock.Instant
 	// metWarm says that a router that knows the cached prompts has told them.
 	metWarm bool
 	// inventoried are the upstreams whose cached prompts others have asked for.
@@ -141,6 +147,7 @@
 	r := s.routers[address]
 	if r == nil {
 		r = &router{address: address, since: s.Clock.Now()}
+		r.holdings, r.stamps = slices.Clone(s.backlog), slices.Clone(s.stamps)
 		s.routers[address] = r
 	}
 	return r
@@ -191,6 +198,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.keep(now, news)
 	for _, r := range s.routers {
 		for _, n := range news {
 			r.holdings = append(r.holdings, n)
@@ -202,6 +210,20 @@
 	}
 }
 
+// keep adds news to the backlog and drops what is too old; the caller holds the lock.
+func (s *Service) keep(now clock.Instant, news []affinity.Holding) {
+	for _, n := range news {
+		s.backlog = append(s.backlog, n)
+		s.stamps = append(s.stamps, now)
+	}
+	drop := max(0, len(s.backlog)-maxBacklog)
+	for drop < len(s.stamps) && now.Sub(s.stamps[drop]) > backlogTime {
+		drop++
+	}
+	s.backlog = slices.Delete(s.backlog, 0, drop)
+	s.stamps = slices.Delete(s.stamps, 0, drop)
+}
+
 // Tell queues changes of instances for every other router.
 func (s *Service) Tell(changes []members.Change) {
 	s.mu.Lock()
--- a/router/internal/routers/service_test.go
+++ b/router/internal/routers/service_test.go
@@ -153,3 +153,21 @@
 	c.Assert(s.state(r, false, false).Holdings, qt.HasLen, 0)
 	c.Assert(s.state(r, true, false).Holdings, qt.HasLen, 0)
 }
+
+// TestRouterThatBecomesKnownLaterHearsTheLatestNews replays two routers that start at the same time: a prompt that one of
+// them has placed before it knew the other is news to it all the same.
+func TestRouterThatBecomesKnownLaterHearsTheLatestNews(t *testing.T) {
+	c := qt.New(t)
+	s := &Service{
+		ID: "a", Address: "127.0.0.1:1", Ledger: &inflight.Ledger{}, Affinity: &affinity.Directory{}, Members: &members.Book{},
+		Clock: clock.Boot{}, Warm: func() bool { return true }, Directory: func() (time.Duration, bool) { return 0, false },
+		Inventoried: func() []settings.UpstreamID { return nil },
+	}
+	s.Affinity.Used(clock.Boot{}.Now(), []call.Part{{ID: 9, Tokens: 10}}, "engine-1")
+	s.spreadHoldings()
+	s.mu.Lock()
+	r := s.add("127.0.0.1:2")
+	s.mu.Unlock()
+	c.Assert(s.state(r, true, false).Holdings, qt.HasLen, 1)
+	c.Assert(s.state(r, true, false).Holdings, qt.HasLen, 0)
+}
