fix(members): the return of an entry that lapsed in an outage is news for other routers

Entries lapsed while the store was down and came back unchanged. The reading routers told only changes of an instance, so a router that had marked the entries missing and did not read dropped 14 instances for good, and the others with it. Ruled out: the readers' own view (they kept all instances). Change: every newer revision of an entry is told. A test fails without it.

--- a/core/members/book.go
+++ b/core/members/book.go
@@ -181,9 +181,8 @@
 		kind = EventRestarted
 	case !e.instance.Draining && c.Instance.Draining:
 		kind = EventDraining
-	case e.instance == c.Instance:
-		return nil
 	}
+	// An entry that was only written anew is news as well: other routers may have lost it in an outage.
 	return []Event{{ID: c.ID, Kind: kind, Instance: c.Instance, Revision: c.Revision}}
 }
 
--- a/core/members/book_test.go
+++ b/core/members/book_test.go
@@ -125,3 +125,21 @@
 	b.Learn(3*second, []Change{removed("a", 21)})
 	c.Assert(ids(&b), qt.DeepEquals, []settings.UpstreamID{"b"})
 }
+
+// TestReturnOfALapsedEntryIsNews replays two routers after an outage of the directory: one reads that the entry is back,
+// the other does not read and hears of it from the first. Without the news it would drop the instance for good.
+func TestReturnOfALapsedEntryIsNews(t *testing.T) {
+	c := qt.New(t)
+	var reader, other Book
+	for _, b := range []*Book{&reader, &other} {
+		b.Replace(second, 10, []Change{listed("a", 5)})
+		b.Outage(2*second, true)
+		b.Outage(6*second, false)
+		b.Replace(6*second, 20, nil)
+	}
+	back := listed("a", 21)
+	c.Assert(reader.Apply(7*second, []Change{back}), qt.HasLen, 1)
+	c.Assert(other.Learn(7*second, []Change{back}), qt.HasLen, 1)
+	other.Expire(20 * second)
+	c.Assert(ids(&other), qt.DeepEquals, []settings.UpstreamID{"a"})
+}
