--- a/router/internal/app/app.go
+++ b/router/internal/app/app.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/charmbracelet/log"
-	"github.com/google/uuid"
 
 	"rattantrack.dev/core/clock"
 	vmservices "rattantrack.dev/core/configuration"
@@ -44,30 +43,16 @@
 
 // New returns a router process with the given settings.
 func New(cfg settings.Router, l *log.Logger) (*Router, error) {
-	allow, err := peer.ParseNetworks(cfg.Allow)
-	if err != nil {
-		return nil, err
-	}
-	identity, err := peer.IdentityOf(cfg.PeerTLS)
-	if err != nil {
-		return nil, err
-	}
 	forCallers, err := peer.IdentityOf(cfg.CallerTLS)
 	if err != nil {
 		return nil, err
 	}
 	r := &Router{cfg: cfg, log: l, metrics: operator.NewMetrics("router"), store: &revision.Store{}}
 	r.view = &sides.View{Clock: clock.Boot{}}
-	incarnation := peer.Incarnation(uuid.NewString())
-	r.endpoint = &peer.Endpoint{
-		Local:    func() peer.Hello { return r.hello(incarnation) },
-		Handler:  r,
-		Allow:    allow,
-		Identity: identity,
-
-		MaxDialled: maxDialled,
-		OnReject:   func(err error) { l.Warn("peer turned away", "error", err) },
+	if r.endpoint, _, err = newEndpoint(cfg, r.store, r, l); err != nil {
+		return nil, err
 	}
+	r.endpoint.MaxDialled = maxDialled
 	scope := r.metrics.Scope
 	r.dispatcher = &sides.Dispatcher{View: r.view, Endpoint: r.endpoint, Clock: clock.Boot{}, Log: l, Scope: scope}
 	r.spread = &spread.Service{Store: r.store, Dialer: r.endpoint, Log: l, Candidates: r.candidates}
@@ -94,19 +79,6 @@
 	return r, nil
 }
 
-func (r *Router) hello(incarnation peer.Incarnation) peer.Hello {
-	v, _ := r.store.Current()
-	return peer.Hello{
-		Protocol:    peer.ProtocolVersion,
-		Role:        peer.RoleRouter,
-		ID:          r.cfg.ID,
-		DataCentre:  r.cfg.DataCentre,
-		Incarnation: incarnation,
-		Revision:    v.Revision,
-		Sent:        clock.Boot{}.Now(),
-	}
-}
-
 // candidates returns the processes that this one may exchange declarations with.
 func (r *Router) candidates() []string {
 	fleet, _ := r.view.Fleet()
--- a/router/internal/app/direct.go
+++ b/router/internal/app/direct.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/charmbracelet/log"
-	"github.com/google/uuid"
 
 	"rattantrack.dev/core/affinity"
 	"rattantrack.dev/core/clock"
@@ -75,14 +74,6 @@
 
 // NewDirect returns a router process with the given settings.
 func NewDirect(cfg settings.Router, file string, l *log.Logger) (*Direct, error) {
-	allow, err := peer.ParseNetworks(cfg.Allow)
-	if err != nil {
-		return nil, err
-	}
-	identity, err := peer.IdentityOf(cfg.PeerTLS)
-	if err != nil {
-		return nil, err
-	}
 	limitMemory(cfg.Direct.MemoryMB)
 	d := &Direct{
 		cfg:      cfg,
@@ -94,13 +85,10 @@
 		affinity: &affinity.Directory{},
 		outliers: &outlier.Detector{},
 	}
-	incarnation := peer.Incarnation(uuid.NewString())
-	d.endpoint = &peer.Endpoint{
-		Local:    func() peer.Hello { return d.hello(incarnation) },
-		Handler:  d,
-		Allow:    allow,
-		Identity: identity,
-		OnReject: func(err error) { l.Warn("peer turned away", "error", err) },
+	var incarnation peer.Incarnation
+	var err error
+	if d.endpoint, incarnation, err = newEndpoint(cfg, d.store, d, l); err != nil {
+		return nil, err
 	}
 	d.connect(incarnation)
 	return d, nil
@@ -229,19 +217,6 @@
 	}}
 }
 
-func (d *Direct) hello(incarnation peer.Incarnation) peer.Hello {
-	v, _ := d.store.Current()
-	return peer.Hello{
-		Protocol:    peer.ProtocolVersion,
-		Role:        peer.RoleRouter,
-		ID:          d.cfg.ID,
-		DataCentre:  d.cfg.DataCentre,
-		Incarnation: incarnation,
-		Revision:    v.Revision,
-		Sent:        clock.Boot{}.Now(),
-	}
-}
-
 // changed takes in changes of instances.
 func (d *Direct) changed(source string, events []members.Event) {
 	for _, e := range events {
--- /dev/null
+++ b/router/internal/app/endpoint.go
@@ -0,0 +1,44 @@
+package app
+
+import (
+	"github.com/charmbracelet/log"
+	"github.com/google/uuid"
+
+	"rattantrack.dev/core/clock"
+	"rattantrack.dev/core/peer"
+	"rattantrack.dev/core/revision"
+	"rattantrack.dev/core/settings"
+)
+
+// newEndpoint returns the end of this process's links, with a new incarnation of the process.
+func newEndpoint(cfg settings.Router, store *revision.Store, h peer.Handler, l *log.Logger) (*peer.Endpoint, peer.Incarnation, error) {
+	allow, err := peer.ParseNetworks(cfg.Allow)
+	if err != nil {
+		return nil, "", err
+	}
+	identity, err := peer.IdentityOf(cfg.PeerTLS)
+	if err != nil {
+		return nil, "", err
+	}
+	incarnation := peer.Incarnation(uuid.NewString())
+	return &peer.Endpoint{
+		Local:    func() peer.Hello { return hello(cfg, store, incarnation) },
+		Handler:  h,
+		Allow:    allow,
+		Identity: identity,
+		OnReject: func(err error) { l.Warn("peer turned away", "error", err) },
+	}, incarnation, nil
+}
+
+func hello(cfg settings.Router, store *revision.Store, incarnation peer.Incarnation) peer.Hello {
+	v, _ := store.Current()
+	return peer.Hello{
+		Protocol:    peer.ProtocolVersion,
+		Role:        peer.RoleRouter,
+		ID:          cfg.ID,
+		DataCentre:  cfg.DataCentre,
+		Incarnation: incarnation,
+		Revision:    v.Revision,
+		Sent:        clock.Boot{}.Now(),
+	}
+}
