fix(client): the idle time of a connection no longer cuts a request that is being read

A timer closed connections from outside after the idle time. The server of the standard library reports a connection as active only once a whole head has been read, so the timer could fire between the first byte and that report; the request was then passed on and its connection closed at once. Change: the idle time is a deadline of the read that waits for the next request; an idle time that grows holds at once. Figures: both new tests fail on the code before.

--- a/router/internal/client/server.go
+++ b/router/internal/client/server.go
@@ -58,7 +58,6 @@
 	first   sync.Once
 	leaving atomic.Bool
 	open    atomic.Int64
-	idle    idleConns
 }
 
 // String returns the service's name.
@@ -113,11 +112,10 @@
 		Handler:           s,
 		ReadHeaderTimeout: settings.DefaultHeaderTime,
 		MaxHeaderBytes:    settings.DefaultHeaderBytes,
-		ConnState:         s.idle.note,
+		ConnState:         noteState,
 	}
-	s.idle.limit = s.idleTime
 	served := make(chan error, 1)
-	go func() { served <- srv.Serve(ln) }()
+	go func() { served <- srv.Serve(&listener{Listener: ln, limit: s.idleTime}) }()
 	ready()
 	select {
 	case err := <-served:
@@ -149,29 +147,6 @@
 	return time.Duration(idleFactor * float64(t.Limits.IdleTime))
 }
 
-// idleConns closes connections that were unused for too long. The time follows the declarations, which the server of
-// the standard library cannot do.
-type idleConns struct {
-	limit  func() time.Duration
-	mu     sync.Mutex
-	timers map[net.Conn]*time.Timer
-}
-
-func (c *idleConns) note(conn net.Conn, state http.ConnState) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.timers == nil {
-		c.timers = make(map[net.Conn]*time.Timer)
-	}
-	if t := c.timers[conn]; t != nil {
-		t.Stop()
-		delete(c.timers, conn)
-	}
-	if state == http.StateIdle {
-		c.timers[conn] = time.AfterFunc(c.limit(), func() { _ = conn.Close() })
-	}
-}
-
 // Status is what the server shows of itself.
 type Status struct {
 	Leaving  bool              `json:"leaving"`
--- a/router/internal/client/server_test.go
+++ b/router/internal/client/server_test.go
@@ -199,3 +199,44 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(status, qt.Equals, http.StatusNotFound)
 }
+
+// TestIdleTimeDoesNotCutARequestThatIsBeingRead replays a request of which a part arrives just before the idle time is
+// over and the rest after it: the server of the standard library counts the connection as idle until the head is whole.
+func TestIdleTimeDoesNotCutARequestThatIsBeingRead(t *testing.T) {
+	c := qt.New(t)
+	const idle = 200 * time.Millisecond
+	s, _ := startServer(t, &slowDispatcher{}, idle)
+	conn, err := net.Dial("tcp", s.Address)
+	c.Assert(err, qt.IsNil)
+	defer conn.Close()
+	r := bufio.NewReader(conn)
+	_, err = roundTrip(conn, r, "/a/x")
+	c.Assert(err, qt.IsNil)
+	_, err = io.WriteString(conn, "GET /a/x HTTP/1.1\r\n")
+	c.Assert(err, qt.IsNil)
+	time.Sleep(2 * idle)
+	_, err = io.WriteString(conn, "Host: desk.example\r\n\r\n")
+	c.Assert(err, qt.IsNil)
+	res, err := http.ReadResponse(r, nil)
+	c.Assert(err, qt.IsNil)
+	c.Assert(res.StatusCode, qt.Equals, http.StatusOK)
+}
+
+// TestIdleTimeThatGrowsHoldsForIdleConnections replays a longer idle time that is declared while a connection is idle.
+func TestIdleTimeThatGrowsHoldsForIdleConnections(t *testing.T) {
+	c := qt.New(t)
+	const idle = 200 * time.Millisecond
+	s, _ := startServer(t, &slowDispatcher{}, idle)
+	conn, err := net.Dial("tcp", s.Address)
+	c.Assert(err, qt.IsNil)
+	defer conn.Close()
+	r := bufio.NewReader(conn)
+	_, err = roundTrip(conn, r, "/a/x")
+	c.Assert(err, qt.IsNil)
+	longer := *s.table.Load()
+	longer.Limits.IdleTime = time.Minute
+	s.SetTable(&longer)
+	time.Sleep(2 * idle)
+	_, err = roundTrip(conn, r, "/a/x")
+	c.Assert(err, qt.IsNil)
+}
