--- a/core/affinity/directory.go
+++ b/core/affinity/directory.go
@@ -43,6 +43,8 @@
 type entry struct {
 	holders    []holder
 	everywhere bool
+	// again says that the part has been used more than once, so that it is likely to be used again.
+	again bool
 }
 
 // Directory maps parts to their holders; its zero value is empty.
@@ -79,7 +81,9 @@
 func (d *Directory) note(part call.PartID, upstream settings.UpstreamID, used clock.Instant) *holder {
 	table := d.table()
 	e, ok := table.Get(part)
-	if !ok {
+	if ok {
+		e.again = true
+	} else {
 		e = &entry{}
 		table.Add(part, e)
 	}
@@ -128,14 +132,21 @@
 	return news
 }
 
-// Recent returns the newest holdings, at most n, for a router that has just started.
+// Recent returns holdings for a router that has just started, at most n and a few more: first those of parts that were
+// used more than once, since most last parts of prompts never come again, and in either kind the newest first.
 func (d *Directory) Recent(now clock.Instant, n int) []Holding {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var list []Holding
+	return d.recent(now, n, false, d.recent(now, n, true, nil))
+}
+
+func (d *Directory) recent(now clock.Instant, n int, again bool, list []Holding) []Holding {
 	keys := d.table().Keys()
 	for i := len(keys) - 1; i >= 0 && len(list) < n; i-- {
 		e, _ := d.table().Peek(keys[i])
+		if e.again != again {
+			continue
+		}
 		for _, h := range e.holders {
 			if age := now.Sub(h.used); age < keepTime {
 				list = append(list, Holding{Part: keys[i], Upstream: h.upstream, Age: age})
--- a/core/affinity/directory_test.go
+++ b/core/affinity/directory_test.go
@@ -74,3 +74,19 @@
 		c.Assert(held, qt.DeepEquals, []settings.Tokens{10_500, 500})
 	}
 }
+
+// TestPartsThatAreUsedAgainAreToldFirst replays a router that starts beside one that has served many prompts, most of
+// whose last parts never come again: what fits into one answer must be the parts that others share.
+func TestPartsThatAreUsedAgainAreToldFirst(t *testing.T) {
+	c := qt.New(t)
+	d := &Directory{}
+	shared := call.Part{ID: 1, Tokens: 1000}
+	for i := range 100 {
+		d.Used(second+clock.Instant(i), []call.Part{shared, {ID: call.PartID(100 + i), Tokens: 10}}, "engine-1")
+	}
+	d.Used(second+clock.Instant(100), []call.Part{{ID: 500, Tokens: 10}}, "engine-1")
+	recent := d.Recent(second+clock.Instant(101), 2)
+	c.Assert(recent, qt.HasLen, 2)
+	c.Assert(recent[0].Part, qt.Equals, shared.ID)
+	c.Assert(recent[1].Part, qt.Equals, call.PartID(500))
+}
--- a/core/peer/dial.go
+++ b/core/peer/dial.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"net"
@@ -11,7 +12,8 @@
 	"github.com/cockroachdb/errors"
 )
 
-const dialLimit = time.Second
+// defaultDialTime is how long a link may take to be made, between regions as well.
+const defaultDialTime = time.Second
 
 // ForbiddenError reports a process that called from outside the allowed networks.
 type ForbiddenError struct {
@@ -61,6 +63,8 @@
 	Identity *Identity
 	// MaxDialled bounds the links that this process keeps towards others; the one idle for longest goes first.
 	MaxDialled int
+	// DialTime is how long a link may take to be made, 0 for 1 s.
+	DialTime time.Duration
 
 	mu    sync.Mutex
 	links map[string]*dialled
@@ -214,7 +218,7 @@
 
 // connect makes a link for everybody who waits for it and forgets it when it ends.
 func (e *Endpoint) connect(address string, d *dialled) {
-	ctx, cancel := context.WithTimeout(context.Background(), dialLimit)
+	ctx, cancel := context.WithTimeout(context.Background(), cmp.Or(e.DialTime, defaultDialTime))
 	defer cancel()
 	d.link, d.err = e.dial(ctx, address)
 	close(d.ready)
--- a/core/peer/router.go
+++ b/core/peer/router.go
@@ -17,12 +17,14 @@
 	Incarnation Incarnation
 	// Open is the number of requests that it has open at each upstream.
 	Open inflight.Counts
-	// Warm says that it knows which prompts are cached where, from its own time or from the engines.
-	Warm bool
+	// KnowsHoldings says that it knows which prompts are cached where, from its own time or from the engines.
+	KnowsHoldings bool
+	// WantsHoldings asks a router that knows them for all cached prompts.
+	WantsHoldings bool
 	// Inventoried are the upstreams whose cached prompts the router has just asked for.
 	Inventoried []settings.UpstreamID
 	// Holdings are the prompts that upstreams have read through it since it told the other router last.
-	Holdings []affinity.Holding
+	Holdings []affinity.Batch
 	// Members are the changes of instances that it has heard of since then.
 	Members []members.Change
 	// Listed says that Members holds every instance that it knows.
--- a/core/spread/spread_test.go
+++ b/core/spread/spread_test.go
@@ -35,13 +35,22 @@
 
 // Dial fails towards addresses that are cut off.
 func (n *node) Dial(ctx context.Context, address string) (*peer.Link, error) {
-	n.mu.Lock()
-	cut := n.cut[address]
-	n.mu.Unlock()
-	if cut {
+	if n.isCut(address) {
 		return nil, &net.AddrError{Err: "cut off", Addr: address}
 	}
-	return n.endpoint.Dial(ctx, address)
+	l, err := n.endpoint.Dial(ctx, address)
+	if err == nil && n.isCut(address) {
+		// The cut came while the link was being made.
+		err = &net.AddrError{Err: "cut off", Addr: address}
+		l.Close(err)
+	}
+	return l, err
+}
+
+func (n *node) isCut(address string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cut[address]
 }
 
 // startNodes starts n nodes that know each other; only the first has a version.
--- a/router/internal/app/direct.go
+++ b/router/internal/app/direct.go
@@ -50,6 +50,10 @@
 	directoryIdleTime   = 30 * time.Second
 )
 
+// linkDialTime is how long a link to another router of the region may take to be made. A machine that is about to start
+// drops the first packet, and the kernel sends it again only after 1 s (RFC 6298).
+const linkDialTime = 250 * time.Millisecond
+
 // Direct is one router process that reaches the upstreams itself.
 type Direct struct {
 	cfg     settings.Router
@@ -90,6 +94,7 @@
 	if d.endpoint, incarnation, err = newEndpoint(cfg, d.store, d, l); err != nil {
 		return nil, err
 	}
+	d.endpoint.DialTime = linkDialTime
 	d.connect(incarnation)
 	return d, nil
 }
@@ -110,21 +115,21 @@
 		scope.Tagged(map[string]string{"ok": yesNo(err == nil)}).Counter("upstream_connections").Inc(1)
 	}}
 	d.routers = &routers.Service{
-		ID:          inflight.RouterID(d.cfg.ID),
-		Address:     d.cfg.Advertise,
-		Incarnation: incarnation,
-		Seeds:       d.cfg.Peers,
-		Dialer:      d.endpoint,
-		Ledger:      ledger,
-		Affinity:    d.affinity,
-		Members:     d.members,
-		Clock:       clock.Boot{},
-		Log:         d.log,
-		Scope:       scope,
-		Warm:        func() bool { return d.inventory.Warm() },
-		Directory:   func() (time.Duration, bool) { return d.watch.State() },
-		Inventoried: func() []settings.UpstreamID { return d.inventory.Asked() },
-		OnEvents:    d.changed,
+		ID:            inflight.RouterID(d.cfg.ID),
+		Address:       d.cfg.Advertise,
+		Incarnation:   incarnation,
+		Seeds:         d.cfg.Peers,
+		Dialer:        d.endpoint,
+		Ledger:        ledger,
+		Affinity:      d.affinity,
+		Members:       d.members,
+		Clock:         clock.Boot{},
+		Log:           d.log,
+		Scope:         scope,
+		KnowsHoldings: func() bool { return d.inventory.Complete() },
+		Directory:     func() (time.Duration, bool) { return d.watch.State() },
+		Inventoried:   func() []settings.UpstreamID { return d.inventory.Asked() },
+		OnEvents:      d.changed,
 	}
 	d.spread = &spread.Service{Store: d.store, Dialer: d.endpoint, Log: d.log, Candidates: d.routers.Known}
 	d.watch = &directory.Watch{
@@ -142,6 +147,7 @@
 	}
 	d.inventory = &engines.Inventory{
 		Address:    d.cfg.Advertise,
+		Named:      d.cfg.Peers,
 		FirstStart: d.cfg.Direct.FirstStart,
 		Asker:      platform.Engines{HTTP: &http.Client{}},
 		Routers:    d.routers,
--- a/router/internal/engines/inventory.go
+++ b/router/internal/engines/inventory.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/charmbracelet/log"
 	"github.com/uber-go/tally/v4"
 
@@ -16,7 +14,7 @@
 	"rattantrack.dev/core/call"
 	"rattantrack.dev/core/clock"
 	"rattantrack.dev/core/members"
-	"rattantrack.dev/core/rank"
+	"rattantrack.dev/core/recovery"
 	"rattantrack.dev/core/settings"
 )
 
@@ -29,7 +27,10 @@
 	warmTime = 500 * time.Millisecond
 	// tellTime is how long the other routers are told which engines were asked: as long as a fleet takes to start.
 	tellTime = 5 * time.Second
-	// pollTime is how often the router looks whether it knows the instances.
+	// recoverTime is how long a router looks for cached prompts after its start; what is not known by then is learnt as
+	// it is used.
+	recoverTime = 3 * time.Second
+	// pollTime is how often the router looks what it has learnt.
 	pollTime = 20 * time.Millisecond
 )
 
@@ -44,17 +45,18 @@
 // Routers knows the other routers.
 type Routers interface {
 	Met() []string
-	// MetWarm reports whether one of them has told what it knows of cached prompts.
-	MetWarm() bool
+	// HoldingsLearnt reports whether one of them has told all that it knows of cached prompts.
+	HoldingsLearnt() bool
 	// InventoriedByOthers reports whether one of them has asked an engine already.
 	InventoriedByOthers(id settings.UpstreamID) bool
 }
 
 // Inventory recovers the directory of cached prompts after all routers have restarted at once. Each engine is asked by
-// one router, the first in the rendezvous order of the engine, which tells the others.
+// one router, which tells the others.
 type Inventory struct {
-	// Address is where this router is reached.
+	// Address is where this router is reached, Named the routers that the settings name.
 	Address string
+	Named   []string
 	// FirstStart says that the whole system starts for the first time, with empty caches.
 	FirstStart bool
 	Asker      Asker
@@ -67,12 +69,15 @@
 	Log      *log.Logger
 	Scope    tally.Scope
 
-	warm    atomic.Bool
-	warmed  chan struct{}
-	prepare sync.Once
-	finish  sync.Once
+	warm     atomic.Bool
+	complete atomic.Bool
+	warmed   chan struct{}
+	prepare  sync.Once
+	finish   sync.Once
 
-	mu    sync.Mutex
+	mu sync.Mutex
+	// begun are the engines that this router has begun to ask, asked those whose answer or failure it has.
+	begun map[settings.UpstreamID]bool
 	asked []settings.UpstreamID
 	until clock.Instant
 }
@@ -120,23 +125,37 @@
 // Warm reports whether the router may take requests.
 func (v *Inventory) Warm() bool { return v.warm.Load() }
 
+// Complete reports whether the router knows the cached prompts well enough to tell them to one that starts.
+func (v *Inventory) Complete() bool { return v.complete.Load() }
+
 // Run makes one inventory and waits for ctx.
 func (v *Inventory) Run(ctx context.Context, ready func()) error {
 	ready()
-	v.once(ctx)
+	if !v.FirstStart && v.known(ctx) {
+		v.recover(ctx)
+	}
+	v.complete.Store(true)
 	v.setWarm()
 	<-ctx.Done()
 	return nil
 }
 
-func (v *Inventory) once(ctx context.Context) {
-	if v.FirstStart || !v.known(ctx) {
-		return
-	}
-	// A router that still remembers tells it at the first exchange.
-	for begun := v.Clock.Now(); !v.Routers.MetWarm(); {
-		if v.Clock.Now().Sub(begun) >= meetTime {
-			v.ask(ctx)
+// recover learns the cached prompts from a router that remembers them, or from the engines.
+func (v *Inventory) recover(ctx context.Context) {
+	timer := time.AfterFunc(warmTime, v.setWarm)
+	defer timer.Stop()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	asking := make(chan struct{}, maxAsking)
+	begun := v.Clock.Now()
+	for {
+		elapsed := v.Clock.Now().Sub(begun)
+		switch {
+		case v.Routers.HoldingsLearnt():
+			v.Log.Info("cached prompts learnt from a router", "parts", v.Affinity.Size(), "after_ms", elapsed.Milliseconds())
+			return
+		case elapsed >= recoverTime, elapsed >= meetTime && v.ask(ctx, elapsed, asking, &wg):
+			v.Log.Info("inventory made", "engines", len(v.Asked()), "parts", v.Affinity.Size(), "after_ms", elapsed.Milliseconds())
 			return
 		}
 		if !sleep(ctx, pollTime) {
@@ -145,21 +164,18 @@
 	}
 }
 
-// ask asks the engines that are this router's share.
-func (v *Inventory) ask(ctx context.Context) {
-	timer := time.AfterFunc(warmTime, v.setWarm)
-	defer timer.Stop()
-	asking := make(chan struct{}, maxAsking)
-	var wg sync.WaitGroup
-	asked := 0
+// ask begins to ask the engines that fall to this router, and reports whether all engines have been asked by somebody.
+func (v *Inventory) ask(ctx context.Context, elapsed time.Duration, asking chan struct{}, wg *sync.WaitGroup) bool {
+	state := recovery.State{Self: v.Address, Named: v.Named, Met: v.Routers.Met(), Elapsed: elapsed}
+	all := true
 	for _, i := range v.engines() {
-		asking <- struct{}{}
-		// The other routers appear one by one, so the share of this one shrinks while it asks.
-		if !v.mine(i) {
-			<-asking
+		if v.Routers.InventoriedByOthers(i.ID) || v.answered(i.ID) {
+			continue
+		}
+		all = false
+		if !recovery.Asks(state, i.ID) || !v.begin(i.ID, asking) {
 			continue
 		}
-		asked++
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
@@ -167,8 +183,32 @@
 			<-asking
 		}()
 	}
-	wg.Wait()
-	v.Log.Info("inventory made", "engines", asked, "parts", v.Affinity.Size())
+	return all
+}
+
+// begin reports whether the question to an engine is still to be asked and there is room for one more.
+func (v *Inventory) begin(id settings.UpstreamID, asking chan struct{}) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.begun[id] {
+		return false
+	}
+	select {
+	case asking <- struct{}{}:
+	default:
+		return false
+	}
+	if v.begun == nil {
+		v.begun = make(map[settings.UpstreamID]bool)
+	}
+	v.begun[id] = true
+	return true
+}
+
+func (v *Inventory) answered(id settings.UpstreamID) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return slices.Contains(v.asked, id)
 }
 
 // known waits until declarations and instances are there.
@@ -190,40 +230,27 @@
 	}
 }
 
-// engines returns the instances that may cache prompts, in an order of this router's own.
+// engines returns the instances that may cache prompts.
 func (v *Inventory) engines() []members.Instance {
 	var list []members.Instance
 	for _, service := range v.Services() {
 		list = append(list, v.Members.Serving(service)...)
 	}
-	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	return list
 }
 
-// mine reports whether it falls to this router to ask an engine.
-func (v *Inventory) mine(i members.Instance) bool {
-	if v.Routers.InventoriedByOthers(i.ID) {
-		return false
-	}
-	routers := []settings.UpstreamID{settings.UpstreamID(v.Address)}
-	for _, address := range v.Routers.Met() {
-		routers = append(routers, settings.UpstreamID(address))
-	}
-	owner, ok := rank.New(routers).Home(xxhash.Sum64String(string(i.ID)))
-	return ok && string(owner) == v.Address
-}
-
+// askOne asks one engine; one that does not answer counts as asked, since its prompts are learnt as they are used.
 func (v *Inventory) askOne(ctx context.Context, i members.Instance) {
 	ctx, cancel := context.WithTimeout(ctx, askTime)
 	defer cancel()
 	v.Scope.Counter("inventory_questions").Inc(1)
 	parts, err := v.Asker.Held(ctx, i)
+	now := v.Clock.Now()
 	if err != nil {
 		v.Log.Warn("engine not in the inventory", "upstream", i.ID, "error", err)
-		return
+	} else {
+		v.Affinity.Used(now, parts, i.ID)
 	}
-	now := v.Clock.Now()
-	v.Affinity.Used(now, parts, i.ID)
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.asked = append(v.asked, i.ID)
--- a/router/internal/engines/inventory_test.go
+++ b/router/internal/engines/inventory_test.go
@@ -5,8 +5,10 @@
 	"io"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
 	qt "github.com/frankban/quicktest"
 	"github.com/uber-go/tally/v4"
 
@@ -14,6 +16,7 @@
 	"rattantrack.dev/core/call"
 	"rattantrack.dev/core/clock"
 	"rattantrack.dev/core/members"
+	"rattantrack.dev/core/recovery"
 	"rattantrack.dev/core/settings"
 )
 
@@ -21,13 +24,14 @@
 type fakeAsker struct {
 	mu    sync.Mutex
 	asked map[settings.UpstreamID]int
+	err   error
 }
 
 func (a *fakeAsker) Held(_ context.Context, i members.Instance) ([]call.Part, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.asked[i.ID]++
-	return []call.Part{{ID: 7, Tokens: 100}}, nil
+	return []call.Part{{ID: 7, Tokens: 100}}, a.err
 }
 
 // fakeRouters is what one router knows of the others.
@@ -38,7 +42,7 @@
 }
 
 func (r *fakeRouters) Met() []string                                   { return r.met }
-func (r *fakeRouters) MetWarm() bool                                   { return r.warm }
+func (r *fakeRouters) HoldingsLearnt() bool                            { return r.warm }
 func (r *fakeRouters) InventoriedByOthers(id settings.UpstreamID) bool { return r.asked[id] }
 
 func newInventory(address string, asker Asker, routers *fakeRouters) *Inventory {
@@ -49,20 +53,28 @@
 	}
 	book.Replace(1, 1, list)
 	return &Inventory{
-		Address: address, Asker: asker, Routers: routers, Members: book, Affinity: &affinity.Directory{}, Clock: clock.Boot{},
+		Address: address, Named: []string{"a", "b", "c"}, Asker: asker, Routers: routers, Members: book, Affinity: &affinity.Directory{}, Clock: clock.Boot{},
 		Services: func() []settings.ServiceName { return []settings.ServiceName{"letters"} },
 		Log:      log.New(io.Discard), Scope: tally.NoopScope,
 	}
 }
 
-// TestEachEngineIsAskedOnce replays three routers that start at once and know each other.
+// askAll lets a router ask the engines that fall to it at a time after its start, and waits for the answers; it reports
+// whether every engine has been asked.
+func askAll(v *Inventory, elapsed time.Duration) bool {
+	var wg sync.WaitGroup
+	all := v.ask(context.Background(), elapsed, make(chan struct{}, maxAsking), &wg)
+	wg.Wait()
+	return all
+}
+
+// TestEachEngineIsAskedOnce replays a fleet that starts at once while no router knows another one: the routers that the
+// settings name divide the engines among them.
 func TestEachEngineIsAskedOnce(t *testing.T) {
 	c := qt.New(t)
 	asker := &fakeAsker{asked: make(map[settings.UpstreamID]int)}
-	all := []string{"a", "b", "c"}
-	for i, address := range all {
-		others := append(append([]string(nil), all[:i]...), all[i+1:]...)
-		newInventory(address, asker, &fakeRouters{met: others}).ask(context.Background())
+	for _, address := range []string{"a", "b", "c", "d", "e"} {
+		askAll(newInventory(address, asker, &fakeRouters{}), 0)
 	}
 	c.Assert(asker.asked, qt.HasLen, 6)
 	for id, n := range asker.asked {
@@ -70,24 +82,33 @@
 	}
 }
 
-// TestLaterRouterAsksOnlyTheRest replays a router that starts while another has asked some engines already.
+// TestLaterRouterAsksOnlyTheRest replays a router that takes over while others have asked some engines already.
 func TestLaterRouterAsksOnlyTheRest(t *testing.T) {
 	c := qt.New(t)
 	asker := &fakeAsker{asked: make(map[settings.UpstreamID]int)}
-	first := newInventory("a", asker, &fakeRouters{})
-	first.ask(context.Background())
-	asked := make(map[settings.UpstreamID]bool)
-	for _, id := range first.Asked()[:4] {
-		asked[id] = true
-	}
-	later := newInventory("b", asker, &fakeRouters{asked: asked})
-	later.ask(context.Background())
+	asked := map[settings.UpstreamID]bool{"e1": true, "e2": true, "e3": true, "e4": true}
+	later := newInventory("a", asker, &fakeRouters{asked: asked})
+	c.Assert(askAll(later, recovery.TakeoverTime), qt.IsFalse)
 	c.Assert(later.Asked(), qt.HasLen, 2)
+	c.Assert(askAll(later, recovery.TakeoverTime), qt.IsTrue)
+	c.Assert(asker.asked, qt.HasLen, 2)
+}
+
+// TestEngineThatDoesNotAnswerIsAskedOnce replays an engine that is down while the routers start.
+func TestEngineThatDoesNotAnswerIsAskedOnce(t *testing.T) {
+	c := qt.New(t)
+	asker := &fakeAsker{asked: make(map[settings.UpstreamID]int), err: errors.New("down")}
+	v := newInventory("a", asker, &fakeRouters{})
+	askAll(v, recovery.TakeoverTime)
+	c.Assert(askAll(v, recovery.TakeoverTime), qt.IsTrue)
+	for id, n := range asker.asked {
+		c.Assert(n, qt.Equals, 1, qt.Commentf("engine %s", id))
+	}
 }
 
-func TestRouterThatMetAWarmOneAsksNobody(t *testing.T) {
+func TestRouterThatLearntFromAnotherAsksNobody(t *testing.T) {
 	c := qt.New(t)
 	asker := &fakeAsker{asked: make(map[settings.UpstreamID]int)}
-	newInventory("a", asker, &fakeRouters{warm: true}).once(context.Background())
+	newInventory("a", asker, &fakeRouters{warm: true}).recover(context.Background())
 	c.Assert(asker.asked, qt.HasLen, 0)
 }
--- a/router/internal/routers/service.go
+++ b/router/internal/routers/service.go
@@ -26,18 +26,21 @@
 	perRouter = 12 * time.Millisecond
 	// answerTime is how long an exchange may take; a link that is slower is made anew.
 	answerTime = 700 * time.Millisecond
-	// retryTime is the pause after a failed exchange.
-	retryTime = 500 * time.Millisecond
+	// retryTime is the pause after a failed exchange, startRetryTime the one towards a router that the settings name and
+	// that has not answered yet: routers that start together find each other through it within startTime.
+	retryTime      = 500 * time.Millisecond
+	startRetryTime = 60 * time.Millisecond
+	startTime      = 3 * time.Second
 	// forgetTime is how long a router that does not answer is remembered, unless the settings name it.
 	forgetTime = 30 * time.Second
 	// maxPending bounds the news kept for one router. Above it the instances are told anew as a whole, and the cached
-	// prompts are left out, which are told again at their next use.
-	maxPending = 4096
+	// prompts are left out, which are told again at their next use. It holds the inventory of a fleet's engines.
+	maxPending = 16_384
 	// backlogTime and maxBacklog bound the news that a router is told that becomes known only later.
 	backlogTime = 10 * time.Second
-	maxBacklog  = 1024
-	// maxRecent bounds the cached prompts that a router is told that has just started.
-	maxRecent = 4096
+	maxBacklog  = 8192
+	// maxRecent bounds the cached prompts that a router is told that has just started, 9 bytes each.
+	maxRecent = 16_384
 )
 
 // Clock gives the present instant.
@@ -65,6 +68,8 @@
 	met, heard, since clock.Instant
 	lost              bool
 	running           bool
+	// knows says that the router knows which prompts are cached where.
+	knows bool
 	// informed is when the router has read the directory, failing says that it cannot.
 	informed clock.Instant
 	failing  bool
@@ -86,8 +91,8 @@
 	Clock       Clock
 	Log         *log.Logger
 	Scope       tally.Scope
-	// Warm reports whether this router knows which prompts are cached where.
-	Warm func() bool
+	// KnowsHoldings reports whether this router knows which prompts are cached where.
+	KnowsHoldings func() bool
 	// Directory returns how long ago this router has read the directory, and whether it cannot.
 	Directory func() (age time.Duration, failing bool)
 	// Inventoried returns the upstreams whose cached prompts this router has just asked for.
@@ -95,14 +100,18 @@
 	// OnEvents hears of what another router's news changed.
 	OnEvents func(source string, events []members.Event)
 
+	started clock.Instant
 	mu      sync.Mutex
 	routers map[string]*router
 	wg      sync.WaitGroup
 	// backlog is the latest news of cached prompts from here, with the times of their use.
 	backlog []affinity.Holding
 	stamps  []clock.Instant
-	// metWarm says that a router that knows the cached prompts has told them.
-	metWarm bool
+	// learnt says that a router that knows the cached prompts has told them all.
+	learnt bool
+	// wanting says that an exchange is open that asks for all cached prompts: one answer is enough, and each holds
+	// thousands of entries.
+	wanting bool
 	// inventoried are the upstreams whose cached prompts others have asked for.
 	inventoried map[settings.UpstreamID]bool
 }
@@ -112,6 +121,7 @@
 
 // Run exchanges states until ctx ends.
 func (s *Service) Run(ctx context.Context, ready func()) error {
+	s.started = s.Clock.Now()
 	s.SetSeeds(s.Seeds)
 	ready()
 	t := time.NewTicker(minInterval)
@@ -174,8 +184,11 @@
 			continue
 		}
 		due := max(r.met, r.heard).Add(interval)
-		if r.lost {
-			due = r.since.Add(retryTime)
+		switch {
+		case r.lost:
+			due = r.since.Add(s.retryAfter(r, now))
+		case s.wants(r):
+			due = now
 		}
 		if now.Before(due) {
 			continue
@@ -189,6 +202,14 @@
 	}
 }
 
+// retryAfter is the pause after a failed exchange with a router.
+func (s *Service) retryAfter(r *router, now clock.Instant) time.Duration {
+	if r.seed && r.met == 0 && now.Sub(s.started) < startTime {
+		return startRetryTime
+	}
+	return retryTime
+}
+
 // spreadHoldings queues what this router has learnt of cached prompts for every other router.
 func (s *Service) spreadHoldings() {
 	now := s.Clock.Now()
@@ -241,10 +262,15 @@
 	ctx, cancel := context.WithTimeout(ctx, answerTime)
 	defer cancel()
 	state := s.state(r, true, false)
+	state.WantsHoldings = s.beginWanting(r)
 	answer, err := s.ask(ctx, r.address, state)
 	now := s.Clock.Now()
 	s.mu.Lock()
 	r.running = false
+	if state.WantsHoldings {
+		s.wanting = false
+		s.learnt = s.learnt || (err == nil && answer.KnowsHoldings)
+	}
 	if err != nil {
 		s.requeue(r, state, now)
 		s.mu.Unlock()
@@ -256,6 +282,22 @@
 	s.learn(answer)
 }
 
+// wants reports whether this router should ask another one for all cached prompts; the caller holds the lock.
+func (s *Service) wants(r *router) bool {
+	return r.knows && !s.wanting && !s.learnt && !s.KnowsHoldings()
+}
+
+// beginWanting reports whether an exchange that begins now should ask for all cached prompts.
+func (s *Service) beginWanting(r *router) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.wants(r) {
+		return false
+	}
+	s.wanting = true
+	return true
+}
+
 func (s *Service) ask(ctx context.Context, address string, state *peer.RouterState) (*peer.RouterState, error) {
 	l, err := s.Dialer.Dial(ctx, address)
 	if err != nil {
@@ -288,12 +330,11 @@
 	r.greeted = false
 }
 
-// state returns what another router should hear now. Only one that asks before it knows any cached prompts gets all of
-// them: each router that starts would otherwise be told the same by all others at once.
-func (s *Service) state(r *router, asking, cold bool) *peer.RouterState {
+// state returns what another router should hear now: the news of cached prompts since the last time, or all of them.
+func (s *Service) state(r *router, asking, allHoldings bool) *peer.RouterState {
 	now := s.Clock.Now()
 	state := &peer.RouterState{
-		Router: s.ID, Address: s.Address, Incarnation: s.Incarnation, Open: s.Ledger.Own(), Warm: s.Warm(),
+		Router: s.ID, Address: s.Address, Incarnation: s.Incarnation, Open: s.Ledger.Own(), KnowsHoldings: s.KnowsHoldings(),
 	}
 	state.Inventoried = s.Inventoried()
 	// The age is taken before the changes are, so that it never vouches for changes that are not told.
@@ -312,14 +353,14 @@
 	} else {
 		state.Members = r.members
 	}
-	if cold {
-		state.Holdings = s.Affinity.Recent(now, maxRecent)
-	} else {
-		state.Holdings = r.holdings
-		for i := range state.Holdings {
-			state.Holdings[i].Age += now.Sub(r.stamps[i])
-		}
+	holdings := r.holdings
+	for i := range holdings {
+		holdings[i].Age += now.Sub(r.stamps[i])
+	}
+	if allHoldings {
+		holdings = s.Affinity.Recent(now, maxRecent)
 	}
+	state.Holdings = affinity.Pack(holdings)
 	r.members, r.holdings, r.stamps = nil, nil, nil
 	return state
 }
@@ -328,7 +369,11 @@
 func (s *Service) learn(m *peer.RouterState) {
 	now := s.Clock.Now()
 	s.Ledger.Report(now, m.Router, m.Open)
-	s.Affinity.Learn(now, m.Holdings)
+	holdings, err := affinity.Unpack(m.Holdings)
+	if err != nil {
+		s.Log.Warn("cached prompts of a router refused", "router", m.Router, "error", err)
+	}
+	s.Affinity.Learn(now, holdings)
 	events := s.Members.Learn(now, m.Members)
 	if m.Listed && !s.Members.Known() {
 		s.Members.MarkKnown()
@@ -340,7 +385,6 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.metWarm = s.metWarm || m.Warm
 	for _, id := range m.Inventoried {
 		if s.inventoried == nil {
 			s.inventoried = make(map[settings.UpstreamID]bool)
@@ -348,7 +392,7 @@
 		s.inventoried[id] = true
 	}
 	from := s.add(m.Address)
-	from.failing = m.DirectoryFailing
+	from.failing, from.knows = m.DirectoryFailing, m.KnowsHoldings
 	from.informed = max(from.informed, now.Add(-m.DirectoryAge))
 	for _, address := range m.Routers {
 		if address != s.Address {
@@ -382,7 +426,7 @@
 	r.heard = s.Clock.Now()
 	s.mu.Unlock()
 	s.learn(v)
-	if err := st.Send(ctx, s.state(r, false, !v.Warm)); err != nil {
+	if err := st.Send(ctx, s.state(r, false, v.WantsHoldings && s.KnowsHoldings())); err != nil {
 		s.Log.Debug("answering a router", "router", v.Router, "error", err)
 	}
 	return true
@@ -445,11 +489,11 @@
 	return latest
 }
 
-// MetWarm reports whether a router that knows the cached prompts has told them.
-func (s *Service) MetWarm() bool {
+// HoldingsLearnt reports whether a router that knows the cached prompts has told them all.
+func (s *Service) HoldingsLearnt() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.metWarm
+	return s.learnt
 }
 
 // Status is what the service shows of one router.
--- a/router/internal/routers/service_test.go
+++ b/router/internal/routers/service_test.go
@@ -62,7 +62,7 @@
 		one.service = &Service{
 			ID: inflight.RouterID(id), Address: address, Incarnation: peer.Incarnation(id), Seeds: []string{seed},
 			Dialer: one.endpoint, Ledger: one.ledger, Affinity: one.affinity, Members: one.members, Clock: clock.Boot{},
-			Log: log.New(io.Discard), Scope: tally.NoopScope, Warm: func() bool { return true },
+			Log: log.New(io.Discard), Scope: tally.NoopScope, KnowsHoldings: func() bool { return true },
 			Directory:   func() (time.Duration, bool) { return 0, false },
 			Inventoried: func() []settings.UpstreamID { return nil },
 			OnEvents:    func(string, []members.Event) {},
@@ -131,6 +131,13 @@
 	})
 }
 
+// told returns the holdings in a state.
+func told(c *qt.C, state *peer.RouterState) []affinity.Holding {
+	list, err := affinity.Unpack(state.Holdings)
+	c.Assert(err, qt.IsNil)
+	return list
+}
+
 // TestOnlyARouterThatStartsIsToldAllPrompts replays a fleet in which one router starts: it gets every cached prompt with
 // an answer, and one that knows them already gets the news only. Otherwise each start costs the whole directory once for
 // every pair of routers.
@@ -138,7 +145,7 @@
 	c := qt.New(t)
 	s := &Service{
 		ID: "a", Address: "127.0.0.1:1", Ledger: &inflight.Ledger{}, Affinity: &affinity.Directory{}, Members: &members.Book{},
-		Clock: clock.Boot{}, Warm: func() bool { return true }, Directory: func() (time.Duration, bool) { return 0, false },
+		Clock: clock.Boot{}, KnowsHoldings: func() bool { return true }, Directory: func() (time.Duration, bool) { return 0, false },
 		Inventoried: func() []settings.UpstreamID { return nil },
 	}
 	now := clock.Boot{}.Now()
@@ -149,9 +156,9 @@
 	s.mu.Lock()
 	r := s.add("127.0.0.1:2")
 	s.mu.Unlock()
-	c.Assert(s.state(r, false, true).Holdings, qt.HasLen, 100)
-	c.Assert(s.state(r, false, false).Holdings, qt.HasLen, 0)
-	c.Assert(s.state(r, true, false).Holdings, qt.HasLen, 0)
+	c.Assert(told(c, s.state(r, false, true)), qt.HasLen, 100)
+	c.Assert(told(c, s.state(r, false, false)), qt.HasLen, 0)
+	c.Assert(told(c, s.state(r, true, false)), qt.HasLen, 0)
 }
 
 // TestRouterThatBecomesKnownLaterHearsTheLatestNews replays two routers that start at the same time: a prompt that one of
@@ -160,7 +167,7 @@
 	c := qt.New(t)
 	s := &Service{
 		ID: "a", Address: "127.0.0.1:1", Ledger: &inflight.Ledger{}, Affinity: &affinity.Directory{}, Members: &members.Book{},
-		Clock: clock.Boot{}, Warm: func() bool { return true }, Directory: func() (time.Duration, bool) { return 0, false },
+		Clock: clock.Boot{}, KnowsHoldings: func() bool { return true }, Directory: func() (time.Duration, bool) { return 0, false },
 		Inventoried: func() []settings.UpstreamID { return nil },
 	}
 	s.Affinity.Used(clock.Boot{}.Now(), []call.Part{{ID: 9, Tokens: 10}}, "engine-1")
@@ -168,6 +175,21 @@
 	s.mu.Lock()
 	r := s.add("127.0.0.1:2")
 	s.mu.Unlock()
-	c.Assert(s.state(r, true, false).Holdings, qt.HasLen, 1)
-	c.Assert(s.state(r, true, false).Holdings, qt.HasLen, 0)
+	c.Assert(told(c, s.state(r, true, false)), qt.HasLen, 1)
+	c.Assert(told(c, s.state(r, true, false)), qt.HasLen, 0)
+}
+
+// TestOneExchangeAtATimeWantsAllPrompts replays a router that starts in a large fleet and begins an exchange with every
+// other router at once.
+func TestOneExchangeAtATimeWantsAllPrompts(t *testing.T) {
+	c := qt.New(t)
+	s := &Service{KnowsHoldings: func() bool { return false }}
+	c.Assert(s.beginWanting(&router{}), qt.IsFalse, qt.Commentf("a router that knows no prompts is not asked"))
+	r := &router{knows: true}
+	c.Assert(s.beginWanting(r), qt.IsTrue)
+	c.Assert(s.beginWanting(r), qt.IsFalse)
+	s.wanting = false
+	c.Assert(s.beginWanting(r), qt.IsTrue)
+	s.wanting, s.learnt = false, true
+	c.Assert(s.beginWanting(r), qt.IsFalse)
 }
