--- a/core/peer/router.go
+++ b/core/peer/router.go
@@ -38,3 +38,6 @@
 	// Routers are the addresses of the routers that it exchanges with.
 	Routers []string
 }
+
+// Kind returns KindRouterState.
+func (*RouterState) Kind() Kind { return KindRouterState }
