--- a/core/attempt/next.go
+++ b/core/attempt/next.go
@@ -28,9 +28,8 @@
 	Ending Ending
 	// Repeatable says that the request may run again after a run whose result is unknown.
 	Repeatable bool
-	// Runs is the number of attempts that may have run the request, Upstreams the number of upstreams that may have, and
-	// Attempts the largest number of upstreams that may.
-	Runs, Upstreams, Attempts int
+	// Runs is the number of upstreams that may have run the request, Attempts the largest number that may.
+	Runs, Attempts int
 	// Tries counts the attempts, those that cannot have run included.
 	Tries int
 	// Left is the time until the deadline.
@@ -46,8 +45,6 @@
 	Stop Step = "stop"
 	// Again is another attempt, which counts as a repeat at the service.
 	Again Step = "again"
-	// AgainThere is another attempt at one of the upstreams that have run the request, which counts as a repeat too.
-	AgainThere Step = "again_there"
 	// Reconnect is another attempt after one that no upstream has seen.
 	Reconnect Step = "reconnect"
 )
@@ -56,16 +53,12 @@
 const (
 	// maxTries bounds the attempts of one request, whatever their endings.
 	maxTries = 6
-	// extraRuns is how many times a request runs again at upstreams that have run it, once it may run at no others.
-	extraRuns = 1
 	// minLeft is the time below which another attempt has no prospect of an answer.
 	minLeft = 20 * time.Millisecond
 )
 
 // Next returns what follows an attempt. It answers runs of failures in which many requests fail at once: only requests
-// that may run again are repeated, and the caller asks the budget of the fleet for each repeat. And it answers services
-// that fail a part of all requests for a short time: such a request runs once more where it has run already, since the
-// route bounds the upstreams and not the runs.
+// that may run again are repeated, and the caller asks the budget of the fleet for each repeat.
 func Next(s State) Step {
 	if s.Ending == Whole || s.Ending == ClientGone || s.Tries >= maxTries || s.Left < minLeft {
 		return Stop
@@ -76,13 +69,8 @@
 	case Refused:
 		return Again
 	}
-	switch {
-	case !s.Repeatable:
-		return Stop
-	case s.Upstreams < s.Attempts:
+	if s.Repeatable && s.Runs < s.Attempts {
 		return Again
-	case s.Ending == Failed && s.Runs < s.Attempts+extraRuns:
-		return AgainThere
 	}
 	return Stop
 }
--- a/core/attempt/next_test.go
+++ b/core/attempt/next_test.go
@@ -8,7 +8,7 @@
 )
 
 func TestNext(t *testing.T) {
-	base := State{Runs: 1, Upstreams: 1, Attempts: 2, Tries: 1, Left: time.Second}
+	base := State{Runs: 1, Attempts: 2, Tries: 1, Left: time.Second}
 	with := func(change func(*State)) State {
 		s := base
 		change(&s)
@@ -28,11 +28,7 @@
 		{"cut and not repeatable", with(func(s *State) { s.Ending = Cut }), Stop},
 		{"lost and repeatable", with(func(s *State) { s.Ending, s.Repeatable = Lost, true }), Again},
 		{"cut and resumable", with(func(s *State) { s.Ending, s.Repeatable = Cut, true }), Again},
-		{"attempts used up", with(func(s *State) { s.Ending, s.Repeatable, s.Runs, s.Upstreams = Lost, true, 2, 2 }), Stop},
-		{"failed at as many upstreams as may run it", with(func(s *State) { s.Ending, s.Repeatable, s.Runs, s.Upstreams = Failed, true, 2, 2 }), AgainThere},
-		{"failed there once more", with(func(s *State) { s.Ending, s.Repeatable, s.Runs, s.Upstreams = Failed, true, 3, 2 }), Stop},
-		{"failed where one upstream may run it", with(func(s *State) { s.Ending, s.Repeatable, s.Attempts = Failed, true, 1 }), AgainThere},
-		{"failed twice at one upstream", with(func(s *State) { s.Ending, s.Repeatable, s.Runs = Failed, true, 2 }), Again},
+		{"attempts used up", with(func(s *State) { s.Ending, s.Repeatable, s.Runs = Lost, true, 2 }), Stop},
 		{"no time left", with(func(s *State) { s.Ending, s.Repeatable, s.Left = Lost, true, time.Millisecond }), Stop},
 		{"refused for ever", with(func(s *State) { s.Ending, s.Tries = Refused, maxTries }), Stop},
 	}
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -87,15 +87,14 @@
 	w.counter(name).at(w.number(now)).requests++
 }
 
-// Take reports whether one more repeat may be made, and counts it; routers is the number of routers that share, and part
-// the part of this router's budget that may be used up by it, so that repeats with less prospect leave room for others.
-func (w *Window) Take(now clock.Instant, name settings.ServiceName, routers int, part float64) bool {
+// Take reports whether one more repeat may be made, and counts it; routers is the number of routers that share.
+func (w *Window) Take(now clock.Instant, name settings.ServiceName, routers int) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	c, number := w.counter(name), w.number(now)
 	requests, repeats := c.sum(number)
 	allowed := w.Terms.Ratio*float64(requests) + shareOfSlack*w.Terms.Slack/float64(max(1, routers))
-	if float64(repeats+1) > part*allowed {
+	if float64(repeats+1) > allowed {
 		return false
 	}
 	c.at(number).repeats++
--- a/core/retry/window_test.go
+++ b/core/retry/window_test.go
@@ -29,7 +29,7 @@
 				w.Request(now, "desk")
 				sum.requests++
 				for range 3 {
-					if w.Take(now, "desk", routers, 1) {
+					if w.Take(now, "desk", routers) {
 						sum.repeats++
 					}
 				}
@@ -52,29 +52,9 @@
 	c := qt.New(t)
 	w := Window{Terms: Terms{Ratio: 0.2, Slack: 58, Window: 10 * time.Second}}
 	n := 0
-	for w.Take(clock.Instant(time.Second), "desk", 5, 1) {
+	for w.Take(clock.Instant(time.Second), "desk", 5) {
 		n++
 	}
 	c.Assert(n, qt.Equals, 8)
-	c.Assert(w.Take(clock.Instant(30*time.Second), "desk", 5, 1), qt.IsTrue)
-}
-
-// TestRepeatsWithLessProspectLeaveRoom replays a service that fails a part of all requests twice: those that fail a second
-// time must not use up what the first repeats of others need.
-func TestRepeatsWithLessProspectLeaveRoom(t *testing.T) {
-	c := qt.New(t)
-	w := Window{Terms: Terms{Ratio: 0.2, Slack: 0, Window: 10 * time.Second}}
-	now := clock.Instant(time.Second)
-	for range 100 {
-		w.Request(now, "desk")
-	}
-	n := 0
-	for w.Take(now, "desk", 1, 0.5) {
-		n++
-	}
-	c.Assert(n, qt.Equals, 10)
-	for w.Take(now, "desk", 1, 1) {
-		n++
-	}
-	c.Assert(n, qt.Equals, 20)
+	c.Assert(w.Take(clock.Instant(30*time.Second), "desk", 5), qt.IsTrue)
 }
--- a/router/internal/direct/attempt.go
+++ b/router/internal/direct/attempt.go
@@ -244,7 +244,7 @@
 }
 
 func (x *exchange) watch(conn *upstream.Conn) *watch {
-	if !x.Terms.Repeatable() || len(x.tried.ran)+1 >= x.Terms.Attempts {
+	if !x.Terms.Repeatable() || x.res.Runs+1 >= x.Terms.Attempts {
 		return &watch{}
 	}
 	slow := max(minSlow, slowFactor*x.Terms.Objective)
--- a/router/internal/direct/dispatch.go
+++ b/router/internal/direct/dispatch.go
@@ -74,10 +74,6 @@
 	warmWait = 250 * time.Millisecond
 )
 
-// therePart is the part of the budget of repeats that requests may use which run once more where they failed: two upstreams
-// have failed them, so the first repeats of other requests go before.
-const therePart = 0.5
-
 // exchange is one request on its way through its attempts.
 type exchange struct {
 	*Request
@@ -123,13 +119,11 @@
 			Ending:     ending,
 			Repeatable: x.Terms.Repeatable(),
 			Runs:       x.res.Runs,
-			Upstreams:  len(x.tried.ran),
 			Attempts:   x.Terms.Attempts,
 			Tries:      x.res.Tries,
 			Left:       x.TimeLeft(x.d.Clock.Now()),
 		})
-		x.tried.there = step == attempt.AgainThere
-		if (step == attempt.Again || step == attempt.AgainThere) && !x.takeRepeat(instance, ending) {
+		if step == attempt.Again && !x.takeRepeat(instance, ending) {
 			step = attempt.Stop
 		}
 		if step == attempt.Stop {
@@ -143,11 +137,7 @@
 func (x *exchange) takeRepeat(i members.Instance, ending attempt.Ending) bool {
 	now := x.d.Clock.Now()
 	routers := x.d.Ledger.Routers(now)
-	part := 1.0
-	if x.tried.there {
-		part = therePart
-	}
-	ok := x.d.Budget.Take(now, x.Service, routers, part)
+	ok := x.d.Budget.Take(now, x.Service, routers)
 	x.d.Log.Info("repeat", "request", x.ID, "upstream", i.ID, "ending", ending, "runs", x.res.Runs, "routers", routers, "allowed", ok)
 	return ok
 }
--- a/router/internal/direct/place.go
+++ b/router/internal/direct/place.go
@@ -18,14 +18,6 @@
 	unusable []settings.UpstreamID
 	// failed are those that ran it and failed once.
 	failed []settings.UpstreamID
-	// ran are those that may have run it, and there says that no others may.
-	ran   []settings.UpstreamID
-	there bool
-}
-
-// excludes reports whether the request must not go to an upstream.
-func (t *tried) excludes(id settings.UpstreamID) bool {
-	return slices.Contains(t.unusable, id) || (t.there && !slices.Contains(t.ran, id))
 }
 
 // note takes in the ending of an attempt.
@@ -34,9 +26,6 @@
 	case attempt.NotSent, attempt.Refused:
 		t.unusable = append(t.unusable, id)
 	case attempt.Failed, attempt.Lost, attempt.Cut:
-		if !slices.Contains(t.ran, id) {
-			t.ran = append(t.ran, id)
-		}
 		if stalled || slices.Contains(t.failed, id) {
 			t.unusable = append(t.unusable, id)
 			return
@@ -83,7 +72,7 @@
 	}
 	candidates := d.candidates(now, r, serving, ids)
 	for i := range candidates {
-		candidates[i].Excluded = candidates[i].Excluded || t.excludes(ids[i])
+		candidates[i].Excluded = candidates[i].Excluded || slices.Contains(t.unusable, ids[i])
 		candidates[i].Failed = slices.Contains(t.failed, ids[i])
 	}
 	policy := &plainPolicy
