perf(settings): a stop uses the time until the platform's kill

Change: grace_time in the settings; what the balancer needs and 0.3 s for the end are taken off, the rest is for open requests. On a platform with a shorter grace the time for the balancer is at most a third of it.

--- a/core/settings/process.go
+++ b/core/settings/process.go
@@ -25,7 +25,10 @@
 	// NoticeTime is how long a stopping router still takes calls, so that the balancer can see it leave.
 	NoticeTime time.Duration `yaml:"notice_time"`
 	DrainTime  time.Duration `yaml:"drain_time"`
-	Limits     Limits        `yaml:"limits"`
+	// GraceTime is how long after the signal to stop the platform kills the process; where it is set, it bounds NoticeTime
+	// and DrainTime is what is left of it.
+	GraceTime time.Duration `yaml:"grace_time"`
+	Limits    Limits        `yaml:"limits"`
 	// PeerTLS is used between processes, CallerTLS towards callers (who need no certificate), where files are named.
 	PeerTLS   TLS `yaml:"peer_tls"`
 	CallerTLS TLS `yaml:"caller_tls"`
@@ -43,11 +46,11 @@
 	FirstStart bool `yaml:"first_start"`
 	// MemoryMB is the memory of the VM for this process, 0 for no bound.
 	MemoryMB int64 `yaml:"memory_mb"`
+	// Cores is the processor that the VM gives this process, in cores, 0 where it is not known.
+	Cores float64 `yaml:"cores"`
 	// Repeats bounds the repeats of all routers together.
 	Repeats Repeats `yaml:"repeats"`
 }
-	// Cores is the processor that the VM gives this process, in cores, 0 where it is not known.
-	Cores float64 `yaml:"cores"`
 
 // Repeats bounds how many requests the routers send once more, for each service.
 type Repeats struct {
@@ -106,12 +109,24 @@
 	DefaultRepeatWindow = 10 * time.Second
 )
 
+// Parts of the time between the signal to stop and the kill.
+const (
+	// maxNoticePart is the largest part that is spent on being seen to leave.
+	maxNoticePart = 3
+	// stopMargin is kept for closing links and writing the last log lines.
+	stopMargin = 300 * time.Millisecond
+)
+
 // DefaultAllow admits processes of the same machine only.
 var DefaultAllow = []string{"127.0.0.0/8"}
 
 // Default fills what the file left out.
 func (r *Router) Default() {
 	setDefault(&r.NoticeTime, DefaultNoticeTime)
+	if r.GraceTime > 0 {
+		r.NoticeTime = min(r.NoticeTime, r.GraceTime/maxNoticePart)
+		setDefault(&r.DrainTime, max(stopMargin, r.GraceTime-r.NoticeTime-stopMargin))
+	}
 	setDefault(&r.DrainTime, DefaultDrainTime)
 	setDefault(&r.Advertise, r.Peer)
 	setDefault(&r.Limits.HeaderBytes, DefaultHeaderBytes)
