feat(silence): upstreams that answer no router get no further requests

Ruled out: clients that leave by themselves (462 of 689), routers that stop (2 lines about cut requests in 16 stops). Change: core/silence judges by what all routers hear: one waits for 0.7 s in vain and none that waits has been answered lately. Such an upstream gets nothing for 2 s or until it is heard; never more than half of a service. Only signs that are not obvious from the open requests travel.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 # Names of the platform's own, which must stay in platform/.
 PLATFORM_NAMES := Attempt-Id|Deadline-Ms|Target-Instance|Response-Seal|Not-Executed|Server-Load|Token-Usage|Prompt-Prefix|kv-range|kv-watch|kv-key|kv-list|route-type|target-latency|session-affinity|stream-resume|RATTANTRACK_NODE_FILE
 
-.PHONY: tools build test lint platform-names fmt race fuzz-seeds fuzz examples demo failures verify-model bench bench-decisions bench-capacity known-red clean
+.PHONY: tools build test lint platform-names fmt race fuzz-seeds fuzz examples demo failures verify-model bench bench-decisions bench-capacity soak known-red clean
 
 build:
 	@mkdir -p $(BIN)
@@ -77,6 +77,14 @@
 bench-capacity: build
 	@$(BIN)/standin bench --bin $(BIN) --only capacity
 
+# The fault soak over SEEDS seeds from FIRST on, JOBS at a time; the seeds that CI plays run with the tests of platform.
+FIRST ?= 1000
+SEEDS ?= 50
+JOBS ?= 4
+soak:
+	@cd platform && go test -count=1 -timeout 60m -parallel $(JOBS) -run '^TestSoak$$' -v . -soak.first $(FIRST) -soak.seeds $(SEEDS) 2>&1 | tee /tmp/rattantrack-soak.log | grep -E '^ *(--- |ok|FAIL|soak)' ; \
+	echo "passed $$(grep -c '^    --- PASS' /tmp/rattantrack-soak.log) failed $$(grep -c '^    --- FAIL' /tmp/rattantrack-soak.log)"
+
 known-red:
 	@echo "Known faults (KNOWN-RED.txt):"
 	@cat KNOWN-RED.txt
--- a/core/peer/router.go
+++ b/core/peer/router.go
@@ -7,6 +7,7 @@
 	"rattantrack.dev/core/inflight"
 	"rattantrack.dev/core/members"
 	"rattantrack.dev/core/settings"
+	"rattantrack.dev/core/silence"
 )
 
 // RouterState is what one router tells another, and the answer to it.
@@ -19,6 +20,8 @@
 	Cores float64
 	// Open is the number of requests that it has open at each upstream.
 	Open inflight.Counts
+	// Signs is what the router hears of upstreams, but for those that answer the requests in Open.
+	Signs silence.Signs
 	// KnowsHoldings says that it knows which prompts are cached where, from its own time or from the engines.
 	KnowsHoldings bool
 	// WantsHoldings asks a router that knows them for all cached prompts.
--- /dev/null
+++ b/core/silence/doc.go
@@ -0,0 +1,2 @@
+// Package silence finds upstreams that take requests and answer nothing, by what all routers hear of them.
+package silence
--- a/router/internal/app/direct.go
+++ b/router/internal/app/direct.go
@@ -25,6 +25,7 @@
 	"rattantrack.dev/core/revision"
 	"rattantrack.dev/core/routing"
 	"rattantrack.dev/core/settings"
+	"rattantrack.dev/core/silence"
 	"rattantrack.dev/core/spread"
 	"rattantrack.dev/core/waiting"
 	"rattantrack.dev/platform"
@@ -66,6 +67,7 @@
 	members     *members.Book
 	affinity    *affinity.Directory
 	outliers    *outlier.Detector
+	silence     *silence.Detector
 	connections *upstream.Pool
 	endpoint    *peer.Endpoint
 	spread      *spread.Service
@@ -89,6 +91,7 @@
 		members:  &members.Book{},
 		affinity: &affinity.Directory{},
 		outliers: &outlier.Detector{},
+		silence:  &silence.Detector{},
 	}
 	var incarnation peer.Incarnation
 	var err error
@@ -123,6 +126,7 @@
 		Seeds:         d.cfg.Peers,
 		Dialer:        d.endpoint,
 		Ledger:        ledger,
+		Silence:       d.silence,
 		Affinity:      d.affinity,
 		Members:       d.members,
 		Clock:         clock.Boot{},
@@ -161,29 +165,38 @@
 		Scope:      scope,
 	}
 	repeats := d.cfg.Direct.Repeats
+	dispatcher := &direct.Dispatcher{
+		DataCentre:  d.cfg.DataCentre,
+		Members:     d.members,
+		Ledger:      ledger,
+		Affinity:    d.affinity,
+		Outliers:    d.outliers,
+		Silence:     d.silence,
+		Queues:      &waiting.Queues{},
+		Budget:      &retry.Window{Terms: retry.Terms{Ratio: repeats.Ratio, Slack: repeats.Slack, Window: repeats.Window}},
+		Connections: d.connections,
+		Dialect:     platform.Dialect{},
+		Cached:      d.inventory,
+		Clock:       clock.Boot{},
+		Log:         d.log,
+		Scope:       scope,
+	}
+	d.silence.OnChange = func(id settings.UpstreamID, silent bool, quiet time.Duration) {
+		if !silent {
+			d.log.Info("upstream heard again", "upstream", id)
+			return
+		}
+		d.log.Warn("upstream silent", "upstream", id, "quiet_ms", quiet.Milliseconds())
+	}
 	d.client = &client.Server{
 		Address:    d.cfg.Caller,
 		NoticeTime: d.cfg.NoticeTime,
 		DrainTime:  d.cfg.DrainTime,
-		Dispatcher: &direct.Dispatcher{
-			DataCentre:  d.cfg.DataCentre,
-			Members:     d.members,
-			Ledger:      ledger,
-			Affinity:    d.affinity,
-			Outliers:    d.outliers,
-			Queues:      &waiting.Queues{},
-			Budget:      &retry.Window{Terms: retry.Terms{Ratio: repeats.Ratio, Slack: repeats.Slack, Window: repeats.Window}},
-			Connections: d.connections,
-			Dialect:     platform.Dialect{},
-			Cached:      d.inventory,
-			Clock:       clock.Boot{},
-			Log:         d.log,
-			Scope:       scope,
-		},
-		Dialect: platform.Dialect{},
-		Clock:   clock.Boot{},
-		Log:     d.log,
-		Scope:   scope,
+		Dispatcher: dispatcher,
+		Dialect:    platform.Dialect{},
+		Clock:      clock.Boot{},
+		Log:        d.log,
+		Scope:      scope,
 	}
 	d.readiness = &readiness{address: d.cfg.Direct.Readiness, path: platform.ReadyPath, ready: d.ready}
 	d.announcer = &operator.Announcer{Log: d.log, Message: "router ready"}
@@ -235,9 +248,11 @@
 			d.connections.Forget(e.Instance)
 			d.affinity.Forget(e.ID)
 			d.outliers.Forget(e.ID)
+			d.silence.Forget(e.ID)
 		case members.EventRestarted:
 			d.affinity.Forget(e.ID)
 			d.outliers.Forget(e.ID)
+			d.silence.Forget(e.ID)
 		case members.EventDraining:
 			d.connections.Forget(e.Instance)
 		}
--- a/router/internal/direct/attempt.go
+++ b/router/internal/direct/attempt.go
@@ -49,6 +49,8 @@
 	if x.Terms.Affinity {
 		d.Affinity.Used(now, x.Parts, i.ID)
 	}
+	d.Silence.Begin(d.Clock.Now(), i.ID)
+	defer d.Silence.End(i.ID)
 	stop := context.AfterFunc(ctx, conn.Close)
 	watch := x.watch(conn)
 	res, err := conn.Do(x.outgoing(i))
@@ -58,6 +60,7 @@
 		conn.Close()
 		return x.unanswered(ctx, i, err)
 	}
+	d.Silence.Heard(d.Clock.Now(), i.ID)
 	if x.res.FirstByte == 0 {
 		x.res.FirstByte = d.Clock.Now().Sub(x.Arrived)
 	}
@@ -226,6 +229,7 @@
 		if err != nil {
 			return x.broken(ctx, i, err), false
 		}
+		x.d.Silence.Heard(x.d.Clock.Now(), i.ID)
 		watch.progress()
 		if err := x.relay.event(res, e, !events.Buffered()); err != nil {
 			var order *orderError
--- a/router/internal/direct/dispatch.go
+++ b/router/internal/direct/dispatch.go
@@ -20,6 +20,7 @@
 	"rattantrack.dev/core/placement"
 	"rattantrack.dev/core/retry"
 	"rattantrack.dev/core/settings"
+	"rattantrack.dev/core/silence"
 	"rattantrack.dev/core/waiting"
 	"rattantrack.dev/router/internal/upstream"
 )
@@ -53,6 +54,7 @@
 	Ledger      *inflight.Ledger
 	Affinity    *affinity.Directory
 	Outliers    *outlier.Detector
+	Silence     *silence.Detector
 	Queues      *waiting.Queues
 	Budget      *retry.Window
 	Connections Connections
--- a/router/internal/direct/dispatch_test.go
+++ b/router/internal/direct/dispatch_test.go
@@ -26,6 +26,7 @@
 	"rattantrack.dev/core/peer"
 	"rattantrack.dev/core/retry"
 	"rattantrack.dev/core/settings"
+	"rattantrack.dev/core/silence"
 	"rattantrack.dev/core/waiting"
 	"rattantrack.dev/router/internal/upstream"
 )
@@ -163,7 +164,7 @@
 	c := qt.New(t)
 	b := &bench{Dispatcher: &Dispatcher{
 		DataCentre: "kano", Members: &members.Book{}, Ledger: &inflight.Ledger{}, Affinity: &affinity.Directory{},
-		Outliers: &outlier.Detector{}, Queues: &waiting.Queues{},
+		Outliers: &outlier.Detector{}, Silence: &silence.Detector{}, Queues: &waiting.Queues{},
 		Budget:      &retry.Window{Terms: retry.Terms{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}},
 		Connections: &upstream.Pool{Dialect: testDialect{}},
 		Dialect:     testDialect{}, Cached: warmCache{}, Clock: clock.Boot{}, Log: log.New(io.Discard), Scope: tally.NoopScope,
@@ -368,3 +369,28 @@
 	c.Assert(w.Stop(), qt.IsFalse)
 	c.Assert((&watch{}).Stop(), qt.IsFalse)
 }
+
+// TestSilentUpstreamGetsNoFurtherRequests replays an upstream that goes dark while its connections stay open: requests
+// that come while another one waits there go elsewhere.
+func TestSilentUpstreamGetsNoFurtherRequests(t *testing.T) {
+	c := qt.New(t)
+	hold := make(chan struct{})
+	b := newBench(t, script{func(net.Conn, *http.Request) bool { <-hold; return false }}, script{answer(200, "ok")}, script{answer(200, "ok")})
+	var wg sync.WaitGroup
+	wg.Add(1)
+	go func() {
+		defer wg.Done()
+		b.do(once, "r1")
+	}()
+	ids := []settings.UpstreamID{"u0", "u1", "u2"}
+	for !b.Silence.Silent(b.Clock.Now(), ids)[0] {
+		time.Sleep(10 * time.Millisecond)
+	}
+	for n := range 10 {
+		res, _ := b.do(once, fmt.Sprintf("r%d", n+2))
+		c.Check(res.Outcome, qt.Equals, peer.OutcomeDone)
+	}
+	c.Assert(b.upstreams[0].requests(), qt.HasLen, 1)
+	close(hold)
+	wg.Wait()
+}
--- a/router/internal/direct/place.go
+++ b/router/internal/direct/place.go
@@ -89,7 +89,7 @@
 
 func (d *Dispatcher) candidates(now clock.Instant, r *Request, serving []members.Instance, ids []settings.UpstreamID) []placement.Candidate {
 	loads := d.Ledger.Loads(now, ids)
-	ejected := d.Outliers.Ejected(now, ids)
+	excluded := d.excluded(now, ids)
 	var held []settings.Tokens
 	ranks := make([]int, len(ids))
 	if r.Terms.Affinity {
@@ -105,7 +105,7 @@
 			Slots:      serving[i].Slots,
 			Rank:       ranks[i],
 			Cold:       serving[i].Cold > 0 && d.Members.Cold(now, ids[i]) > 0,
-			Excluded:   ejected[i],
+			Excluded:   excluded[i],
 		}
 		if held != nil {
 			candidates[i].Held = held[i]
@@ -114,6 +114,20 @@
 	return candidates
 }
 
+// excluded reports, for each upstream, whether it should get no requests now: it fails more than others, or it answers
+// nothing. Where that leaves none, only silence counts, which never leaves out more than half of them.
+func (d *Dispatcher) excluded(now clock.Instant, ids []settings.UpstreamID) []bool {
+	silent := d.Silence.Silent(now, ids)
+	excluded := d.Outliers.Ejected(now, ids)
+	for i := range excluded {
+		excluded[i] = excluded[i] || silent[i]
+	}
+	if !slices.Contains(excluded, false) {
+		return silent
+	}
+	return excluded
+}
+
 // sharedParts returns the parts of the prompt that other requests may share.
 func (r *Request) sharedParts() []call.Part {
 	return r.Parts[:max(0, len(r.Parts)-1)]
--- a/router/internal/routers/service.go
+++ b/router/internal/routers/service.go
@@ -16,6 +16,7 @@
 	"rattantrack.dev/core/peer"
 	"rattantrack.dev/core/readers"
 	"rattantrack.dev/core/settings"
+	"rattantrack.dev/core/silence"
 )
 
 // Times and sizes of the exchange.
@@ -90,6 +91,7 @@
 	Seeds    []string
 	Dialer   Dialer
 	Ledger   *inflight.Ledger
+	Silence  *silence.Detector
 	Affinity *affinity.Directory
 	Members  *members.Book
 	Clock    Clock
@@ -338,7 +340,8 @@
 func (s *Service) state(r *router, asking, allHoldings bool) *peer.RouterState {
 	now := s.Clock.Now()
 	state := &peer.RouterState{
-		Router: s.ID, Address: s.Address, Incarnation: s.Incarnation, Cores: s.Cores, Open: s.Ledger.Own(), KnowsHoldings: s.KnowsHoldings(),
+		Router: s.ID, Address: s.Address, Incarnation: s.Incarnation, Cores: s.Cores, Open: s.Ledger.Own(),
+		Signs: s.Silence.Own(now), KnowsHoldings: s.KnowsHoldings(),
 	}
 	state.Inventoried = s.Inventoried()
 	// The age is taken before the changes are, so that it never vouches for changes that are not told.
@@ -373,6 +376,7 @@
 func (s *Service) learn(m *peer.RouterState) {
 	now := s.Clock.Now()
 	s.Ledger.Report(now, m.Router, m.Open)
+	s.Silence.Report(now, m.Router, m.Open, m.Signs)
 	holdings, err := affinity.Unpack(m.Holdings)
 	if err != nil {
 		s.Log.Warn("cached prompts of a router refused", "router", m.Router, "error", err)
--- a/router/internal/routers/service_test.go
+++ b/router/internal/routers/service_test.go
@@ -20,6 +20,7 @@
 	"rattantrack.dev/core/members"
 	"rattantrack.dev/core/peer"
 	"rattantrack.dev/core/settings"
+	"rattantrack.dev/core/silence"
 )
 
 // node is one router with its listener.
@@ -61,7 +62,7 @@
 		}
 		one.service = &Service{
 			ID: inflight.RouterID(id), Address: address, Cores: float64(i + 1), Incarnation: peer.Incarnation(id), Seeds: []string{seed},
-			Dialer: one.endpoint, Ledger: one.ledger, Affinity: one.affinity, Members: one.members, Clock: clock.Boot{},
+			Dialer: one.endpoint, Ledger: one.ledger, Silence: &silence.Detector{}, Affinity: one.affinity, Members: one.members, Clock: clock.Boot{},
 			Log: log.New(io.Discard), Scope: tally.NoopScope, KnowsHoldings: func() bool { return true },
 			Directory:   func() (time.Duration, bool) { return 0, false },
 			Inventoried: func() []settings.UpstreamID { return nil },
@@ -156,7 +157,7 @@
 func TestOnlyARouterThatStartsIsToldAllPrompts(t *testing.T) {
 	c := qt.New(t)
 	s := &Service{
-		ID: "a", Address: "127.0.0.1:1", Ledger: &inflight.Ledger{}, Affinity: &affinity.Directory{}, Members: &members.Book{},
+		ID: "a", Address: "127.0.0.1:1", Ledger: &inflight.Ledger{}, Silence: &silence.Detector{}, Affinity: &affinity.Directory{}, Members: &members.Book{},
 		Clock: clock.Boot{}, KnowsHoldings: func() bool { return true }, Directory: func() (time.Duration, bool) { return 0, false },
 		Inventoried: func() []settings.UpstreamID { return nil },
 	}
@@ -178,7 +179,7 @@
 func TestRouterThatBecomesKnownLaterHearsTheLatestNews(t *testing.T) {
 	c := qt.New(t)
 	s := &Service{
-		ID: "a", Address: "127.0.0.1:1", Ledger: &inflight.Ledger{}, Affinity: &affinity.Directory{}, Members: &members.Book{},
+		ID: "a", Address: "127.0.0.1:1", Ledger: &inflight.Ledger{}, Silence: &silence.Detector{}, Affinity: &affinity.Directory{}, Members: &members.Book{},
 		Clock: clock.Boot{}, KnowsHoldings: func() bool { return true }, Directory: func() (time.Duration, bool) { return 0, false },
 		Inventoried: func() []settings.UpstreamID { return nil },
 	}
