--- a/router/internal/client/server_test.go
+++ b/router/internal/client/server_test.go
@@ -91,6 +91,15 @@
 	return s, stop
 }
 
+// keep opens a connection that the test keeps between requests.
+func keep(t *testing.T, s *Server) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	conn, err := net.Dial("tcp", s.Address)
+	qt.New(t).Assert(err, qt.IsNil)
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn, bufio.NewReader(conn)
+}
+
 // roundTrip sends one short request on a kept connection and returns the status of the answer.
 func roundTrip(conn net.Conn, r *bufio.Reader, path string) (int, error) {
 	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: desk.example\r\n\r\n", path); err != nil {
@@ -110,10 +119,7 @@
 	c := qt.New(t)
 	const idle = 300 * time.Millisecond
 	s, _ := startServer(t, &slowDispatcher{delay: 2 * idle}, idle)
-	conn, err := net.Dial("tcp", s.Address)
-	c.Assert(err, qt.IsNil)
-	defer conn.Close()
-	r := bufio.NewReader(conn)
+	conn, r := keep(t, s)
 	for range 3 {
 		status, err := roundTrip(conn, r, "/a/x")
 		c.Assert(err, qt.IsNil)
@@ -125,11 +131,8 @@
 func TestStopLetsARequestOnAKeptConnectionEnd(t *testing.T) {
 	c := qt.New(t)
 	s, stop := startServer(t, &slowDispatcher{delay: 300 * time.Millisecond}, time.Minute)
-	conn, err := net.Dial("tcp", s.Address)
-	c.Assert(err, qt.IsNil)
-	defer conn.Close()
-	r := bufio.NewReader(conn)
-	_, err = roundTrip(conn, r, "/a/x")
+	conn, r := keep(t, s)
+	_, err := roundTrip(conn, r, "/a/x")
 	c.Assert(err, qt.IsNil)
 	go func() {
 		for s.open.Load() == 0 {
@@ -145,11 +148,8 @@
 func TestIdleConnectionIsClosed(t *testing.T) {
 	c := qt.New(t)
 	s, _ := startServer(t, &slowDispatcher{}, 50*time.Millisecond)
-	conn, err := net.Dial("tcp", s.Address)
-	c.Assert(err, qt.IsNil)
-	defer conn.Close()
-	r := bufio.NewReader(conn)
-	_, err = roundTrip(conn, r, "/a/x")
+	conn, r := keep(t, s)
+	_, err := roundTrip(conn, r, "/a/x")
 	c.Assert(err, qt.IsNil)
 	_, err = r.ReadByte()
 	c.Assert(err, qt.Equals, io.EOF)
@@ -187,10 +187,7 @@
 func TestRefusalOnAConnectionWithAnOldAnswer(t *testing.T) {
 	c := qt.New(t)
 	s, _ := startServer(t, &slowDispatcher{}, time.Minute)
-	conn, err := net.Dial("tcp", s.Address)
-	c.Assert(err, qt.IsNil)
-	defer conn.Close()
-	r := bufio.NewReader(conn)
+	conn, r := keep(t, s)
 	status, err := roundTrip(conn, r, "/a/x")
 	c.Assert(err, qt.IsNil)
 	c.Assert(status, qt.Equals, http.StatusOK)
@@ -206,11 +203,8 @@
 	c := qt.New(t)
 	const idle = 200 * time.Millisecond
 	s, _ := startServer(t, &slowDispatcher{}, idle)
-	conn, err := net.Dial("tcp", s.Address)
-	c.Assert(err, qt.IsNil)
-	defer conn.Close()
-	r := bufio.NewReader(conn)
-	_, err = roundTrip(conn, r, "/a/x")
+	conn, r := keep(t, s)
+	_, err := roundTrip(conn, r, "/a/x")
 	c.Assert(err, qt.IsNil)
 	_, err = io.WriteString(conn, "GET /a/x HTTP/1.1\r\n")
 	c.Assert(err, qt.IsNil)
@@ -227,11 +221,8 @@
 	c := qt.New(t)
 	const idle = 200 * time.Millisecond
 	s, _ := startServer(t, &slowDispatcher{}, idle)
-	conn, err := net.Dial("tcp", s.Address)
-	c.Assert(err, qt.IsNil)
-	defer conn.Close()
-	r := bufio.NewReader(conn)
-	_, err = roundTrip(conn, r, "/a/x")
+	conn, r := keep(t, s)
+	_, err := roundTrip(conn, r, "/a/x")
 	c.Assert(err, qt.IsNil)
 	longer := *s.table.Load()
 	longer.Limits.IdleTime = time.Minute
