--- a/router/internal/routers/service.go
+++ b/router/internal/routers/service.go
@@ -14,7 +14,6 @@
 	"rattantrack.dev/core/inflight"
 	"rattantrack.dev/core/members"
 	"rattantrack.dev/core/peer"
-	"rattantrack.dev/core/readers"
 	"rattantrack.dev/core/settings"
 	"rattantrack.dev/core/silence"
 )
@@ -216,67 +215,18 @@
 	return retryTime
 }
 
-// spreadHoldings queues what this router has learnt of cached prompts for every other router.
-func (s *Service) spreadHoldings() {
-	now := s.Clock.Now()
-	news := s.Affinity.News(now)
-	if len(news) == 0 {
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.keep(now, news)
-	for _, r := range s.routers {
-		for _, n := range news {
-			r.holdings = append(r.holdings, n)
-			r.stamps = append(r.stamps, now)
-		}
-		if len(r.holdings) > maxPending {
-			r.holdings, r.stamps = nil, nil
-		}
-	}
-}
-
-// keep adds news to the backlog and drops what is too old; the caller holds the lock.
-func (s *Service) keep(now clock.Instant, news []affinity.Holding) {
-	for _, n := range news {
-		s.backlog = append(s.backlog, n)
-		s.stamps = append(s.stamps, now)
-	}
-	drop := max(0, len(s.backlog)-maxBacklog)
-	for drop < len(s.stamps) && now.Sub(s.stamps[drop]) > backlogTime {
-		drop++
-	}
-	s.backlog = slices.Delete(s.backlog, 0, drop)
-	s.stamps = slices.Delete(s.stamps, 0, drop)
-}
-
-// Tell queues changes of instances for every other router.
-func (s *Service) Tell(changes []members.Change) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, r := range s.routers {
-		r.members = append(r.members, changes...)
-		if len(r.members) > maxPending {
-			r.members, r.greeted = nil, false
-		}
-	}
-}
-
 // exchange tells one router the state here and takes in its own.
 func (s *Service) exchange(ctx context.Context, r *router) {
 	ctx, cancel := context.WithTimeout(ctx, answerTime)
 	defer cancel()
 	state := s.state(r, true, false)
-	state.WantsHoldings = s.beginWanting(r)
+	if state.WantsHoldings = s.beginWanting(r); state.WantsHoldings {
+		defer s.endWanting()
+	}
 	answer, err := s.ask(ctx, r.address, state)
 	now := s.Clock.Now()
 	s.mu.Lock()
 	r.running = false
-	if state.WantsHoldings {
-		s.wanting = false
-		s.learnt = s.learnt || (err == nil && answer.KnowsHoldings)
-	}
 	if err != nil {
 		s.requeue(r, state, now)
 		s.mu.Unlock()
@@ -286,6 +236,9 @@
 	s.meet(r, now)
 	s.mu.Unlock()
 	s.learn(answer)
+	if state.WantsHoldings && answer.KnowsHoldings {
+		s.setLearnt()
+	}
 }
 
 // wants reports whether this router should ask another one for all cached prompts; the caller holds the lock.
@@ -304,6 +257,18 @@
 	return true
 }
 
+func (s *Service) endWanting() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.wanting = false
+}
+
+func (s *Service) setLearnt() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.learnt = true
+}
+
 func (s *Service) ask(ctx context.Context, address string, state *peer.RouterState) (*peer.RouterState, error) {
 	l, err := s.Dialer.Dial(ctx, address)
 	if err != nil {
@@ -336,91 +301,6 @@
 	r.greeted = false
 }
 
-// state returns what another router should hear now: the news of cached prompts since the last time, or all of them.
-func (s *Service) state(r *router, asking, allHoldings bool) *peer.RouterState {
-	now := s.Clock.Now()
-	state := &peer.RouterState{
-		Router: s.ID, Address: s.Address, Incarnation: s.Incarnation, Cores: s.Cores, Open: s.Ledger.Own(),
-		Signs: s.Silence.Own(now), KnowsHoldings: s.KnowsHoldings(),
-	}
-	state.Inventoried = s.Inventoried()
-	// The age is taken before the changes are, so that it never vouches for changes that are not told.
-	state.DirectoryAge, state.DirectoryFailing = s.Directory()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for address, other := range s.routers {
-		if address != r.address && other.alive() {
-			state.Routers = append(state.Routers, address)
-		}
-	}
-	if !r.greeted {
-		state.Listed = s.Members.Known()
-		state.Members = s.Members.Listing()
-		r.greeted = !asking
-	} else {
-		state.Members = r.members
-	}
-	holdings := r.holdings
-	for i := range holdings {
-		holdings[i].Age += now.Sub(r.stamps[i])
-	}
-	if allHoldings {
-		holdings = s.Affinity.Recent(now, maxRecent)
-	}
-	state.Holdings = affinity.Pack(holdings)
-	r.members, r.holdings, r.stamps = nil, nil, nil
-	return state
-}
-
-// learn takes in another router's state.
-func (s *Service) learn(m *peer.RouterState) {
-	now := s.Clock.Now()
-	s.Ledger.Report(now, m.Router, m.Open)
-	s.Silence.Report(now, m.Router, m.Open, m.Signs)
-	holdings, err := affinity.Unpack(m.Holdings)
-	if err != nil {
-		s.Log.Warn("cached prompts of a router refused", "router", m.Router, "error", err)
-	}
-	s.Affinity.Learn(now, holdings)
-	events := s.Members.Learn(now, m.Members)
-	if m.Listed && !s.Members.Known() {
-		s.Members.MarkKnown()
-		s.Log.Info("instances learnt from a router", "router", m.Router, "instances", len(m.Members))
-	}
-	if len(events) > 0 {
-		s.OnEvents(string(m.Router), events)
-		s.Tell(changed(m.Members, events))
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, id := range m.Inventoried {
-		if s.inventoried == nil {
-			s.inventoried = make(map[settings.UpstreamID]bool)
-		}
-		s.inventoried[id] = true
-	}
-	from := s.add(m.Address)
-	from.cores = m.Cores
-	from.failing, from.knows = m.DirectoryFailing, m.KnowsHoldings
-	from.informed = max(from.informed, now.Add(-m.DirectoryAge))
-	for _, address := range m.Routers {
-		if address != s.Address {
-			s.add(address)
-		}
-	}
-}
-
-// changed returns the changes that were news here, which other routers may lack too.
-func changed(all []members.Change, events []members.Event) []members.Change {
-	var list []members.Change
-	for _, c := range all {
-		if slices.ContainsFunc(events, func(e members.Event) bool { return e.ID == c.ID }) {
-			list = append(list, c)
-		}
-	}
-	return list
-}
-
 // Serve answers another router's state; it reports false for messages of other services.
 func (s *Service) Serve(ctx context.Context, st *peer.Stream, m peer.Message) bool {
 	v, ok := m.(*peer.RouterState)
@@ -440,89 +320,3 @@
 	}
 	return true
 }
-
-// Known returns the addresses of the other routers.
-func (s *Service) Known() []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var list []string
-	for address := range s.routers {
-		if address != s.Address {
-			list = append(list, address)
-		}
-	}
-	return list
-}
-
-// Met returns the addresses of the other routers that answered last.
-func (s *Service) Met() []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var list []string
-	for address, r := range s.routers {
-		if address != s.Address && r.alive() {
-			list = append(list, address)
-		}
-	}
-	return list
-}
-
-// InventoriedByOthers reports whether another router has asked for the cached prompts of an upstream.
-func (s *Service) InventoriedByOthers(id settings.UpstreamID) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.inventoried[id]
-}
-
-// Readers returns the other routers that answered last and can read the directory.
-func (s *Service) Readers() []readers.Router {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var list []readers.Router
-	for address, r := range s.routers {
-		if address != s.Address && r.alive() && !r.failing {
-			list = append(list, readers.Router{Address: address, Cores: r.cores})
-		}
-	}
-	return list
-}
-
-// Informed returns when, at the latest, another router has read the directory and told it here.
-func (s *Service) Informed() clock.Instant {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var latest clock.Instant
-	for _, r := range s.routers {
-		latest = max(latest, r.informed)
-	}
-	return latest
-}
-
-// HoldingsLearnt reports whether a router that knows the cached prompts has told them all.
-func (s *Service) HoldingsLearnt() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.learnt
-}
-
-// Status is what the service shows of one router.
-type Status struct {
-	Address string `json:"address"`
-	Lost    bool   `json:"lost"`
-	MetMS   int64  `json:"met_ms_ago"`
-	Pending int    `json:"pending_news"`
-}
-
-// Dump returns the other routers.
-func (s *Service) Dump() any {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.Clock.Now()
-	var list []Status
-	for address, r := range s.routers {
-		list = append(list, Status{
-			Address: address, Lost: r.lost, MetMS: now.Sub(r.met).Milliseconds(), Pending: len(r.holdings) + len(r.members),
-		})
-	}
-	return list
-}
