feat(direct): engines are told the declared rank of each request

Cause: routes and teams declare a rank, and engines admit urgent requests first, but the routers told them none, so a burst of long prompts went before short urgent ones. It was used only in the routers' own queue.

--- a/Makefile
+++ b/Makefile
@@ -47,6 +47,7 @@
 FUZZTIME ?= 60s
 fuzz:
 	@cd platform && for f in FuzzReadRequest FuzzDecodeInstance FuzzDecodeConfig; do go test -run '^$$' -fuzz "^$$f$$" -fuzztime $(FUZZTIME) . || exit 1; done
+	@cd core && go test -run '^$$' -fuzz '^FuzzUnpack$$' -fuzztime $(FUZZTIME) ./affinity
 	@cd router && go test -run '^$$' -fuzz '^FuzzEvents$$' -fuzztime $(FUZZTIME) ./internal/upstream
 
 examples: build
--- a/core/call/call.go
+++ b/core/call/call.go
@@ -68,6 +68,8 @@
 	Team settings.TeamID
 	// LastEvent is the event after which a stream goes on, empty for a whole answer.
 	LastEvent EventID
+	// Rank is the urgency of the request, where 0 is the most urgent.
+	Rank int
 }
 
 // Load is what an upstream says of its load.
--- a/router/internal/direct/attempt.go
+++ b/router/internal/direct/attempt.go
@@ -83,6 +83,7 @@
 		Upstream:  i.ID,
 		Left:      x.TimeLeft(x.d.Clock.Now()),
 		Team:      x.Team,
+		Rank:      x.Rank,
 		LastEvent: x.relay.last,
 	})
 	return &out
--- a/router/internal/direct/dispatch_test.go
+++ b/router/internal/direct/dispatch_test.go
@@ -36,6 +36,7 @@
 
 func (testDialect) WriteAttempt(h http.Header, a call.Attempt) {
 	h.Set("Want", string(a.Upstream))
+	h.Set("Rank", fmt.Sprint(a.Rank))
 	if a.LastEvent != "" {
 		h.Set("Resume", string(a.LastEvent))
 	}
@@ -319,6 +320,16 @@
 	c.Assert(req.Header.Get("Want"), qt.Equals, "u0")
 }
 
+func TestUpstreamLearnsTheRank(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(t, script{answer(200, "ok")})
+	now := b.Clock.Now()
+	r := &Request{Request: call.Request{ID: "r1"}, Terms: once, Service: "desk", Rank: 3, Arrived: now, Deadline: now.Add(time.Second)}
+	r.Out = upstream.Request{ID: r.ID, Method: http.MethodGet, URI: "/a/b", Host: "h.example", Header: http.Header{"Id": {"r1"}}}
+	b.Do(context.Background(), r, &memorySink{})
+	c.Assert(b.upstreams[0].requests()[0].Header.Get("Rank"), qt.Equals, "3")
+}
+
 // TestFullServiceKeepsRequestsWaiting replays more requests at one moment than the upstream may hold: all that can be
 // served within their objective are, and none is sent beyond the room.
 func TestFullServiceKeepsRequestsWaiting(t *testing.T) {
