--- a/core/peer/keys.go
+++ b/core/peer/keys.go
@@ -40,9 +40,9 @@
 	Revision settings.Revision
 	// Covered says that the sender could itself vouch for the keys it had before.
 	Covered bool
-	// Estate says that the records are those of the asking side's predecessor, whole.
-	Estate bool
-	// Age is how long the estate has been kept.
+	// Complete says that the records are those of the asking side's predecessor, whole.
+	Complete bool
+	// Age is how long the handover has been kept.
 	Age     time.Duration
 	Records []KeyRecord
 }
@@ -50,7 +50,7 @@
 // Kind returns KindHandover.
 func (*Handover) Kind() Kind { return KindHandover }
 
-// Kept confirms that an estate is kept.
+// Kept confirms that a handover is kept.
 type Kept struct {
 }
 
--- a/model/keys.pml
+++ b/model/keys.pml
@@ -38,15 +38,15 @@
 bool msgCovered[2];
 byte msgRec[2];
 
-/* An estate on its way back to each side. */
+/* A handover on its way back to each side. */
 bool backOnWay[2];
 bool backCovered[2];
 byte backRec[2];
 
-/* The estate of side i, kept by the other side. */
-bool estate[2];
-bool estateCovered[2];
-byte estateRec[2];
+/* The handover of side i, kept by the other side. */
+bool handover[2];
+bool handoverCovered[2];
+byte handoverRec[2];
 
 byte runs;
 byte crashes = CRASHES;
@@ -91,8 +91,8 @@
 	reclaimed[i] = false;
 	young[i] = true;
 	up[i] = false;
-	estate[1 - i] = false;      /* what it kept for the other side dies with it */
-	estateCovered[1 - i] = false; estateRec[1 - i] = NONE;
+	handover[1 - i] = false;      /* what it kept for the other side dies with it */
+	handoverCovered[1 - i] = false; handoverRec[1 - i] = NONE;
 	msgEnded[i] = 0; msgVersion[i] = 0; msgCovered[i] = false; msgRec[i] = NONE;
 	backOnWay[i] = false; backCovered[i] = false; backRec[i] = NONE
 }
@@ -135,20 +135,20 @@
 		:: else -> skip
 		fi;
 		adopt(i, msgRec[i]) }
-	/* The kept estate is given back once, and may be lost. */
-	:: atomic { up[i] && up[other] && young[i] && estate[i] ->
-		backOnWay[i] = true; backCovered[i] = estateCovered[i]; backRec[i] = estateRec[i];
-		estate[i] = false; estateCovered[i] = false; estateRec[i] = NONE }
+	/* The kept handover is given back once, and may be lost. */
+	:: atomic { up[i] && up[other] && young[i] && handover[i] ->
+		backOnWay[i] = true; backCovered[i] = handoverCovered[i]; backRec[i] = handoverRec[i];
+		handover[i] = false; handoverCovered[i] = false; handoverRec[i] = NONE }
 	:: atomic { up[i] && backOnWay[i] -> adopt(i, backRec[i]);
 		if
 		:: backCovered[i] -> reclaimed[i] = true
 		:: else -> skip
 		fi;
 		backOnWay[i] = false; backCovered[i] = false; backRec[i] = NONE }
-	/* Crash, and polite stop with an estate. */
+	/* Crash, and polite stop with an handover. */
 	:: atomic { up[i] && crashes > 0 -> crashes--; forget(i) }
 	:: atomic { up[i] && stops > 0 && IDLE(i) && up[other] -> stops--;
-		estate[i] = true; estateCovered[i] = (OLD(i) && EPOCH1(i) && EPOCH2(i)); estateRec[i] = rec[i]; forget(i) }
+		handover[i] = true; handoverCovered[i] = (OLD(i) && EPOCH1(i) && EPOCH2(i)); handoverRec[i] = rec[i]; forget(i) }
 	/* A new incarnation begins with either version, since the configuration service may answer with an old one. */
 	:: atomic { !up[i] -> up[i] = true; version[i] = 1; need1[i] = true }
 	:: atomic { !up[i] -> up[i] = true; version[i] = 2; need2[i] = true }
--- a/side/internal/app/app.go
+++ b/side/internal/app/app.go
@@ -143,7 +143,7 @@
 // String returns the service's name.
 func (d *drain) String() string { return "drain" }
 
-// leavingTime bounds the notices and the estate of a stopping side.
+// leavingTime bounds the notices and the handover of a stopping side.
 const leavingTime = 2 * time.Second
 
 // lingerTime is how long a stopping side at least answers after its notice.
--- a/side/internal/router/estate.go
+++ b/side/internal/router/handover.go
@@ -15,14 +15,14 @@
 
 // Bounds of what is kept for successors.
 const (
-	// maxEstates bounds the stopped sides whose records are kept here.
-	maxEstates = 16
+	// maxHandovers bounds the stopped sides whose records are kept here.
+	maxHandovers = 16
 	// freshTime is how long a new process asks for what its predecessor left.
 	freshTime = 30 * time.Second
 )
 
-// estate is what a stopped side left, and when it came.
-type estate struct {
+// keptHandover is what a stopped side left, and when it came.
+type keptHandover struct {
 	handover *peer.Handover
 	at       clock.Instant
 }
@@ -72,11 +72,11 @@
 	for _, r := range h.Records {
 		d.keys.Adopt(now, r)
 	}
-	if !h.Estate {
+	if !h.Complete {
 		d.homes.Released(now, h.From, h.Ended, h.Revision, h.Covered)
 		return
 	}
-	// Nobody between the predecessor and this process can have run a key: that takes an estate, and this is
+	// Nobody between the predecessor and this process can have run a key: that takes a handover, and this is
 	// the only copy, or a key's lifetime.
 	if h.Covered && h.Age < d.service.KeyLifetime {
 		d.homes.Reclaim()
@@ -106,8 +106,8 @@
 		Covered:  d.homes.CoveredBefore(now, c.Ended),
 		Records:  records,
 	}}
-	if kept, ok := d.estates[c.From]; ok && c.Fresh {
-		delete(d.estates, c.From)
+	if kept, ok := d.handovers[c.From]; ok && c.Fresh {
+		delete(d.handovers, c.From)
 		kept.handover.Age = now.Sub(kept.at)
 		answers = append(answers, kept.handover)
 	}
@@ -123,8 +123,8 @@
 	return ok && home == side
 }
 
-// Estate returns what to leave with another side when this one has stopped all work.
-func (d *Door) Estate() *peer.Handover {
+// Handover returns what to leave with another side when this one has stopped all work.
+func (d *Door) Handover() *peer.Handover {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.service.Kind != settings.KindPlain {
@@ -136,20 +136,20 @@
 		Service:  d.name,
 		Revision: d.revision,
 		Covered:  d.homes.Covered(now),
-		Estate:   true,
+		Complete: true,
 		Records:  d.keys.Export(now, func(key string) bool { return !strings.Contains(key, ticketMark) }),
 	}
 }
 
-// Keep holds another side's estate until its successor claims it.
+// Keep holds another side's handover until its successor claims it.
 func (d *Door) Keep(h *peer.Handover) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !h.Estate || h.Service != d.name || len(d.estates) >= maxEstates {
+	if !h.Complete || h.Service != d.name || len(d.handovers) >= maxHandovers {
 		return
 	}
-	if d.estates == nil {
-		d.estates = make(map[settings.UpstreamID]estate)
+	if d.handovers == nil {
+		d.handovers = make(map[settings.UpstreamID]keptHandover)
 	}
-	d.estates[h.From] = estate{handover: h, at: d.Clock.Now()}
+	d.handovers[h.From] = keptHandover{handover: h, at: d.Clock.Now()}
 }
--- a/side/internal/sides/service.go
+++ b/side/internal/sides/service.go
@@ -35,7 +35,7 @@
 	Claimed(h *peer.Handover)
 	Answer(c *peer.Claim) []*peer.Handover
 	Keep(h *peer.Handover)
-	Estate() *peer.Handover
+	Handover() *peer.Handover
 }
 
 // Dialer gives links to addresses.
@@ -242,8 +242,8 @@
 // Bequeath leaves this side's records with one other side. A second copy could outlive the first and mislead a
 // later successor, so another side is tried only where nothing was sent.
 func (s *Service) Bequeath(ctx context.Context) {
-	estate := s.Door.Estate()
-	if estate == nil {
+	handover := s.Door.Handover()
+	if handover == nil {
 		return
 	}
 	_, addresses := s.Door.Siblings()
@@ -253,7 +253,7 @@
 			continue
 		}
 		// Without an answer the successor waits until the keys have outlived their lifetime.
-		_, _ = peer.Ask[*peer.Kept](ctx, l, estate, askLimit)
+		_, _ = peer.Ask[*peer.Kept](ctx, l, handover, askLimit)
 		return
 	}
 }
