--- a/side/internal/router/door.go
+++ b/side/internal/router/door.go
@@ -70,7 +70,7 @@
 	leaving   bool
 	// listedUntil is how long the routers' word that this VM is leaving holds.
 	listedUntil clock.Instant
-	handovers     map[settings.UpstreamID]keptHandover
+	handovers   map[settings.UpstreamID]keptHandover
 	work        sync.WaitGroup
 	shedOnce    sync.Once
 	shedWake    chan struct{}
