perf(silence): the reports of other routers are looked through only for upstreams that somebody waits for in vain

Cause: found on a last read: each placement went through the reports of all routers for every upstream, also where all of them answer. Change: Report notes which upstreams a router waits for in vain; only these, and those that this router waits for in vain, are judged by all reports. The result is the same: no other upstream can be judged silent.

--- a/core/silence/detector.go
+++ b/core/silence/detector.go
@@ -72,6 +72,8 @@
 	mu        sync.Mutex
 	upstreams map[settings.UpstreamID]*upstream
 	others    map[inflight.RouterID]report
+	// suspected is when a router last said that it waits for an upstream in vain.
+	suspected map[settings.UpstreamID]clock.Instant
 }
 
 func (d *Detector) get(id settings.UpstreamID) *upstream {
@@ -123,6 +125,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	delete(d.upstreams, id)
+	delete(d.suspected, id)
 	for _, r := range d.others {
 		delete(r.signs, id)
 	}
@@ -157,6 +160,12 @@
 	defer d.mu.Unlock()
 	if d.others == nil {
 		d.others = make(map[inflight.RouterID]report)
+		d.suspected = make(map[settings.UpstreamID]clock.Instant)
+	}
+	for id, s := range signs {
+		if s.inVain() {
+			d.suspected[id] = now
+		}
 	}
 	d.others[from] = report{at: now, signs: signs}
 }
@@ -209,7 +218,11 @@
 	if own.hears(0) {
 		return false
 	}
-	vain := own.Waiting && own.quiet() >= silentTime
+	vain := own.inVain()
+	if at, ok := d.suspected[id]; !vain && (!ok || now.Sub(at) >= reportTime) {
+		// Nobody waits in vain, which holds for nearly every upstream; the reports need not be looked through.
+		return false
+	}
 	for from, r := range d.others {
 		age := now.Sub(r.at)
 		if age >= reportTime {
@@ -223,11 +236,14 @@
 		if s.hears(age) {
 			return false
 		}
-		vain = vain || (s.Waiting && s.quiet() >= silentTime)
+		vain = vain || s.inVain()
 	}
 	return vain
 }
 
+// inVain reports whether a sign shows a router that waits for too long.
+func (s Sign) inVain() bool { return s.Waiting && s.quiet() >= silentTime }
+
 // hears reports whether a sign shows that the upstream answers: a router that waits for it has heard it shortly before its
 // word, or one that does not wait has heard it shortly before now.
 func (s Sign) hears(age time.Duration) bool {
