refactor(clock): one Sleep that ends with its context; the detector of silence tells no constant

Cause: the last read of the change found the same wait written three times (directory, engines, direct), and a parameter that was always the detector's own limit. No behaviour changes: the log line still names the limit in quiet_ms. make lint and the tests of core/clock, core/silence, the router (under the race detector) and the router program's tests in platform pass.

--- a/core/clock/clock.go
+++ b/core/clock/clock.go
@@ -1,6 +1,7 @@
 package clock
 
 import (
+	"context"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -29,3 +30,15 @@
 
 // Before reports whether i comes before other.
 func (i Instant) Before(other Instant) bool { return i < other }
+
+// Sleep waits for d and reports true, or false as soon as ctx ends.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- a/core/silence/detector.go
+++ b/core/silence/detector.go
@@ -12,9 +12,9 @@
 
 // Times of the judgement.
 const (
-	// silentTime is how long nothing may come from an upstream at a router that waits for it: an engine that reads the
+	// Limit is how long nothing may come from an upstream at a router that waits for it: an engine that reads the
 	// longest prompt answers nobody for 450 ms, and plain services answer in tens of milliseconds.
-	silentTime = 700 * time.Millisecond
+	Limit = 700 * time.Millisecond
 	// holdTime is how long an upstream gets no requests after it was found silent, unless it is heard.
 	holdTime = 2 * time.Second
 	// reportTime is how long another router's word is believed.
@@ -67,7 +67,7 @@
 // open: each router has a few requests there and would learn of it only when these time out, one after the other.
 type Detector struct {
 	// OnChange hears of each upstream that is found silent or heard again.
-	OnChange func(id settings.UpstreamID, silent bool, quiet time.Duration)
+	OnChange func(id settings.UpstreamID, silent bool)
 
 	mu        sync.Mutex
 	upstreams map[settings.UpstreamID]*upstream
@@ -108,7 +108,7 @@
 	u.found = 0
 	d.mu.Unlock()
 	if again {
-		d.changed(id, false, 0)
+		d.changed(id, false)
 	}
 }
 
@@ -174,7 +174,7 @@
 func (d *Detector) Silent(now clock.Instant, ids []settings.UpstreamID) []bool {
 	silent, found := d.silent(now, ids)
 	for _, id := range found {
-		d.changed(id, true, silentTime)
+		d.changed(id, true)
 	}
 	return silent
 }
@@ -242,7 +242,7 @@
 }
 
 // inVain reports whether a sign shows a router that waits for too long.
-func (s Sign) inVain() bool { return s.Waiting && s.quiet() >= silentTime }
+func (s Sign) inVain() bool { return s.Waiting && s.quiet() >= Limit }
 
 // hears reports whether a sign shows that the upstream answers: a router that waits for it has heard it shortly before its
 // word, or one that does not wait has heard it shortly before now.
@@ -251,13 +251,13 @@
 		return false
 	}
 	if s.Waiting {
-		return s.quiet() < silentTime/2
+		return s.quiet() < Limit/2
 	}
-	return s.quiet()+age < silentTime
+	return s.quiet()+age < Limit
 }
 
-func (d *Detector) changed(id settings.UpstreamID, silent bool, quiet time.Duration) {
+func (d *Detector) changed(id settings.UpstreamID, silent bool) {
 	if d.OnChange != nil {
-		d.OnChange(id, silent, quiet)
+		d.OnChange(id, silent)
 	}
 }
--- a/core/silence/detector_test.go
+++ b/core/silence/detector_test.go
@@ -89,7 +89,7 @@
 func TestSilentUpstreamIsTriedAgainAndHeard(t *testing.T) {
 	c := qt.New(t)
 	var changes []string
-	d := Detector{OnChange: func(id settings.UpstreamID, silent bool, _ time.Duration) {
+	d := Detector{OnChange: func(id settings.UpstreamID, silent bool) {
 		changes = append(changes, fmt.Sprint(id, silent))
 	}}
 	d.Begin(1000*ms, "a")
@@ -126,7 +126,7 @@
 						wrong += btoi(!isDark)
 						continue
 					}
-					wasted += btoi(isDark && at > darkAt+int(silentTime.Milliseconds())+exchange)
+					wasted += btoi(isDark && at > darkAt+int(Limit.Milliseconds())+exchange)
 					ds[r].Begin(now, id)
 				}
 				if (r+e+at/step)%30 == 15 && !isDark {
--- a/router/internal/app/direct.go
+++ b/router/internal/app/direct.go
@@ -181,12 +181,12 @@
 		Log:         d.log,
 		Scope:       scope,
 	}
-	d.silence.OnChange = func(id settings.UpstreamID, silent bool, quiet time.Duration) {
+	d.silence.OnChange = func(id settings.UpstreamID, silent bool) {
 		if !silent {
 			d.log.Info("upstream heard again", "upstream", id)
 			return
 		}
-		d.log.Warn("upstream silent", "upstream", id, "quiet_ms", quiet.Milliseconds())
+		d.log.Warn("upstream silent", "upstream", id, "quiet_ms", silence.Limit.Milliseconds())
 	}
 	d.client = &client.Server{
 		Address:    d.cfg.Caller,
--- a/router/internal/direct/dispatch.go
+++ b/router/internal/direct/dispatch.go
@@ -207,15 +207,11 @@
 }
 
 func (x *exchange) pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
+	if clock.Sleep(ctx, d) {
 		return true
-	case <-ctx.Done():
-		x.giveUp(ctx, CodeDeadline, defaultRetryAfter)
-		return false
 	}
+	x.giveUp(ctx, CodeDeadline, defaultRetryAfter)
+	return false
 }
 
 // giveUp ends a request that has no further attempt.
--- a/router/internal/directory/watch.go
+++ b/router/internal/directory/watch.go
@@ -110,7 +110,7 @@
 		}
 		// What is missed from now on is read anew if this router's turn comes.
 		w.whole = false
-		sleep(ctx, idleTime)
+		clock.Sleep(ctx, idleTime)
 	}
 	<-done
 	return nil
@@ -190,7 +190,7 @@
 	w.informed = max(w.informed, began)
 	w.mu.Unlock()
 	if !u.Whole {
-		sleep(ctx, pauseTime)
+		clock.Sleep(ctx, pauseTime)
 	}
 }
 
@@ -244,16 +244,7 @@
 	if errors.As(err, &unavailable) {
 		pause = max(pause, min(maxRetry, unavailable.RetryAfter))
 	}
-	sleep(ctx, pause)
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
+	clock.Sleep(ctx, pause)
 }
 
 // apply takes an update in.
--- a/router/internal/engines/inventory.go
+++ b/router/internal/engines/inventory.go
@@ -158,7 +158,7 @@
 			v.Log.Info("inventory made", "engines", len(v.Asked()), "parts", v.Affinity.Size(), "after_ms", elapsed.Milliseconds())
 			return
 		}
-		if !sleep(ctx, pollTime) {
+		if !clock.Sleep(ctx, pollTime) {
 			return
 		}
 	}
@@ -214,22 +214,13 @@
 // known waits until declarations and instances are there.
 func (v *Inventory) known(ctx context.Context) bool {
 	for !v.Members.Known() || v.Services() == nil {
-		if !sleep(ctx, pollTime) {
+		if !clock.Sleep(ctx, pollTime) {
 			return false
 		}
 	}
 	return true
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
 // engines returns the instances that may cache prompts.
 func (v *Inventory) engines() []members.Instance {
 	var list []members.Instance
