fix(direct,upstream,affinity,platform): faults of the direct path that reading has found

The rest of a refused response is now drained within 64 KiB and 50 ms, else the connection is closed. A failure response that is too long logs why. - Bytes after a complete response stayed on an idle connection until its next use, so an upstream that never stops kept it open (TestEndlessBytesEndTheAttempt, 'bytes beyond the length'). A connection is checked once after it became idle. Refuted: a route of unknown kind already got the default kind, at most once; refusing the whole configuration would be worse.

--- a/core/affinity/index.go
+++ b/core/affinity/index.go
@@ -43,8 +43,12 @@
 // blockEntry lists the cache owners of one block.
 type blockEntry struct {
 	owners []cacheOwner
-	// cachedByAll means that the block had more than maxOwners owners.
+	// cachedByAll means that the block had more than maxOwners owners. It ends with entryLifetime after lastUse, and does not
+	// apply to the upstreams in forgotten.
 	cachedByAll bool
+	lastUse     clock.Instant
+	// forgotten holds the upstreams that have ended or restarted since their last use of a block with cachedByAll.
+	forgotten map[settings.UpstreamID]bool
 	// reused means that the block has been recorded more than once and is likely to be used again.
 	reused bool
 }
@@ -85,10 +89,15 @@
 	entry, ok := table.Get(block)
 	if ok {
 		entry.reused = true
+		if lastUse.Sub(entry.lastUse) >= entryLifetime {
+			entry.cachedByAll, entry.forgotten = false, nil
+		}
 	} else {
 		entry = &blockEntry{}
 		table.Add(block, entry)
 	}
+	entry.lastUse = max(entry.lastUse, lastUse)
+	delete(entry.forgotten, upstream)
 	for i := range entry.owners {
 		if entry.owners[i].upstream == upstream {
 			entry.owners[i].lastUse = max(entry.owners[i].lastUse, lastUse)
@@ -184,8 +193,8 @@
 	if e == nil {
 		return false
 	}
-	if e.cachedByAll {
-		return true
+	if e.cachedByAll && now.Sub(e.lastUse) < entryLifetime {
+		return !e.forgotten[upstream]
 	}
 	for _, owner := range e.owners {
 		if owner.upstream == upstream {
@@ -203,6 +212,12 @@
 	for _, block := range table.Keys() {
 		entry, _ := table.Peek(block)
 		entry.owners = slices.DeleteFunc(entry.owners, func(owner cacheOwner) bool { return owner.upstream == upstream })
+		if entry.cachedByAll {
+			if entry.forgotten == nil {
+				entry.forgotten = make(map[settings.UpstreamID]bool)
+			}
+			entry.forgotten[upstream] = true
+		}
 	}
 }
 
--- a/core/affinity/index_test.go
+++ b/core/affinity/index_test.go
@@ -91,3 +91,28 @@
 	c.Assert(recent[0].Block, qt.Equals, shared.ID)
 	c.Assert(recent[1].Block, qt.Equals, call.PromptBlockID(500))
 }
+
+// TestBlockWithManyOwnersIsNotCachedForever covers a block that counts as cached everywhere: an upstream that restarted has to
+// process it again, and after the lifetime of the entry no upstream is known to cache it.
+func TestBlockWithManyOwnersIsNotCachedForever(t *testing.T) {
+	c := qt.New(t)
+	var index Index
+	blocks := []call.PromptBlock{{ID: 1, Tokens: 500}}
+	for i := range 2 * maxOwners {
+		index.RecordUse(second, blocks, settings.UpstreamID(fmt.Sprintf("engine-%d", i)))
+	}
+	cached := func(now clock.Instant, id settings.UpstreamID) settings.Tokens {
+		return index.CachedTokens(now, blocks, []settings.UpstreamID{id})[0]
+	}
+	c.Assert(cached(second, "engine-0"), qt.Equals, settings.Tokens(500))
+	index.Forget("engine-0")
+	c.Assert(cached(second, "engine-0"), qt.Equals, settings.Tokens(0))
+	c.Assert(cached(second, "engine-1"), qt.Equals, settings.Tokens(500))
+	index.RecordUse(2*second, blocks, "engine-0")
+	c.Assert(cached(2*second, "engine-0"), qt.Equals, settings.Tokens(500))
+	late := (2 * second).Add(entryLifetime)
+	c.Assert(cached(late, "engine-1"), qt.Equals, settings.Tokens(0))
+	index.RecordUse(late, blocks, "engine-1")
+	c.Assert(cached(late, "engine-1"), qt.Equals, settings.Tokens(500))
+	c.Assert(cached(late, "engine-0"), qt.Equals, settings.Tokens(0))
+}
--- a/core/call/call.go
+++ b/core/call/call.go
@@ -1,6 +1,7 @@
 package call
 
 import (
+	"net/http"
 	"strconv"
 	"time"
 
@@ -90,3 +91,12 @@
 	// IdleTime is how long the upstream keeps an idle connection open, 0 if not stated.
 	IdleTime time.Duration
 }
+
+// ImpliesNotRun reports whether a status tells the client that its request was not run and will not be.
+func ImpliesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
--- a/router/internal/direct/attempt.go
+++ b/router/internal/direct/attempt.go
@@ -50,7 +50,7 @@
 	}
 	ex.res.Upstream = inst.ID
 	if ex.RouteConfig.Affinity {
-		dispatcher.Affinity.RecordUse(now, ex.PromptBlocks, inst.ID)
+		dispatcher.Affinity.RecordUse(now, ex.sharedBlocks(), inst.ID)
 	}
 	dispatcher.Unresponsive.Begin(dispatcher.Clock.Now(), inst.ID)
 	defer dispatcher.Unresponsive.End(inst.ID)
@@ -114,8 +114,7 @@
 		if res.Answer.Misdirected {
 			ex.misdirected(inst, res)
 		}
-		_, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxBufferedBytes))
-		return attempt.Refused, err == nil
+		return attempt.Refused, res.Drain()
 	}
 	ex.res.Runs++
 	ex.res.Status = res.StatusCode
@@ -137,13 +136,16 @@
 }
 
 // handleFailure reads a failure response. It relays a client error at once, and keeps a server error in case no retry
-// succeeds. A response that reaches maxBufferedBytes counts as broken off.
+// succeeds. A response that exceeds maxBufferedBytes counts as broken off.
 func (ex *exchange) handleFailure(ctx context.Context, inst members.Instance, res *upstream.Response) (attempt.Ending, bool) {
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxBufferedBytes))
-	if err != nil || len(body) == maxBufferedBytes {
+	body, whole, err := readBounded(res.Body, maxBufferedBytes)
+	if err == nil && !whole {
+		err = &bodySizeError{limit: maxBufferedBytes}
+	}
+	if err != nil {
 		return ex.interrupted(ctx, inst, err), false
 	}
-	if impliesNotRun(res.StatusCode) {
+	if call.ImpliesNotRun(res.StatusCode) {
 		// Relaying the status would tell the client that the request was not run, which the upstream did not confirm.
 		ex.dispatcher.Log.Warn("upstream refused without confirming that the request was not run", "request", ex.ID,
 			"upstream", inst.ID, "status", res.StatusCode)
@@ -162,15 +164,6 @@
 	return attempt.Failed, true
 }
 
-// impliesNotRun reports whether a status tells the client that its request was not run and will not be.
-func impliesNotRun(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return true
-	}
-	return false
-}
-
 // interrupted returns the ending of an attempt whose response broke off.
 func (ex *exchange) interrupted(ctx context.Context, inst members.Instance, err error) attempt.Ending {
 	if ctx.Err() != nil {
@@ -183,49 +176,6 @@
 	return attempt.Lost
 }
 
-// relayBody relays a response that is not a stream. A small one is read completely first.
-func (ex *exchange) relayBody(ctx context.Context, inst members.Instance, res *upstream.Response) (attempt.Ending, bool) {
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxBufferedBytes))
-	if err != nil {
-		return ex.interrupted(ctx, inst, err), false
-	}
-	if len(body) < maxBufferedBytes {
-		buffered := &bufferedResponse{status: res.StatusCode, header: res.Header, body: body}
-		ex.relay.headSent = true
-		if err := buffered.send(ex.sink); err != nil {
-			return attempt.ClientGone, true
-		}
-		return attempt.Complete, true
-	}
-	ex.relay.headSent = true
-	if err := ex.sink.WriteHead(res.StatusCode, res.Header, res.ContentLength); err != nil {
-		return attempt.ClientGone, false
-	}
-	if err := ex.sink.Write(body, false); err != nil {
-		return attempt.ClientGone, false
-	}
-	return ex.relayRest(ctx, inst, res)
-}
-
-// relayRest relays the part of a body that has not been buffered.
-func (ex *exchange) relayRest(ctx context.Context, inst members.Instance, res *upstream.Response) (attempt.Ending, bool) {
-	buf := make([]byte, 32<<10)
-	for {
-		n, err := res.Body.Read(buf)
-		if n > 0 {
-			if err := ex.sink.Write(buf[:n], false); err != nil {
-				return attempt.ClientGone, false
-			}
-		}
-		if errors.Is(err, io.EOF) {
-			return attempt.Complete, true
-		}
-		if err != nil {
-			return ex.interrupted(ctx, inst, err), false
-		}
-	}
-}
-
 // relayStream relays events until the stream ends.
 func (ex *exchange) relayStream(
 	ctx context.Context, inst members.Instance, res *upstream.Response, timer *stallTimer,
--- /dev/null
+++ b/router/internal/direct/body.go
@@ -0,0 +1,69 @@
+package direct
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/cockroachdb/errors"
+
+	"rattantrack.dev/core/attempt"
+	"rattantrack.dev/core/members"
+	"rattantrack.dev/router/internal/upstream"
+)
+
+// bodySizeError reports a failure response whose body is larger than the router buffers.
+type bodySizeError struct {
+	limit int
+}
+
+func (e *bodySizeError) Error() string { return fmt.Sprintf("body exceeds %d bytes", e.limit) }
+
+// readBounded reads at most limit bytes; whole reports whether the body ends within them.
+func readBounded(r io.Reader, limit int) (body []byte, whole bool, err error) {
+	body, err = io.ReadAll(io.LimitReader(r, int64(limit)+1))
+	return body, len(body) <= limit, err
+}
+
+// relayBody relays a response that is not a stream. A small one is read completely first.
+func (ex *exchange) relayBody(ctx context.Context, inst members.Instance, res *upstream.Response) (attempt.Ending, bool) {
+	body, whole, err := readBounded(res.Body, maxBufferedBytes)
+	if err != nil {
+		return ex.interrupted(ctx, inst, err), false
+	}
+	if whole {
+		buffered := &bufferedResponse{status: res.StatusCode, header: res.Header, body: body}
+		ex.relay.headSent = true
+		if err := buffered.send(ex.sink); err != nil {
+			return attempt.ClientGone, true
+		}
+		return attempt.Complete, true
+	}
+	ex.relay.headSent = true
+	if err := ex.sink.WriteHead(res.StatusCode, res.Header, res.ContentLength); err != nil {
+		return attempt.ClientGone, false
+	}
+	if err := ex.sink.Write(body, false); err != nil {
+		return attempt.ClientGone, false
+	}
+	return ex.relayRest(ctx, inst, res)
+}
+
+// relayRest relays the part of a body that has not been buffered.
+func (ex *exchange) relayRest(ctx context.Context, inst members.Instance, res *upstream.Response) (attempt.Ending, bool) {
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := res.Body.Read(buf)
+		if n > 0 {
+			if err := ex.sink.Write(buf[:n], false); err != nil {
+				return attempt.ClientGone, false
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return attempt.Complete, true
+		}
+		if err != nil {
+			return ex.interrupted(ctx, inst, err), false
+		}
+	}
+}
--- a/router/internal/direct/dispatch_test.go
+++ b/router/internal/direct/dispatch_test.go
@@ -164,11 +164,19 @@
 func newFixture(t *testing.T, upstreams ...[]func(net.Conn, *http.Request) bool) *fixture {
 	t.Helper()
 	c := qt.New(t)
+	pool := &upstream.Pool{Dialect: testDialect{}}
+	ctx, cancel := context.WithCancel(context.Background())
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		_ = pool.Run(ctx, func() {})
+	}()
+	t.Cleanup(func() { cancel(); <-stopped })
 	b := &fixture{Dispatcher: &Dispatcher{
 		DataCentre: "kano", Members: &members.Registry{}, InFlight: &inflight.Tracker{}, Affinity: &affinity.Index{},
 		Outliers: &outlier.Detector{}, Unresponsive: &unresponsive.Detector{}, Queues: &waiting.Queues{},
 		Budget:      &retry.FleetBudget{Limits: retry.Limits{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}},
-		Connections: &upstream.Pool{Dialect: testDialect{}},
+		Connections: pool,
 		Dialect:     testDialect{}, Warmup: noWarmup{}, Clock: clock.Boot{}, Log: log.New(io.Discard), Scope: tally.NoopScope,
 	}}
 	var list []members.Change
@@ -306,6 +314,101 @@
 	c.Assert(sink.body.String(), qt.Equals, "second")
 }
 
+// TestConnectionOfUnreadResponseIsNotReused covers a refused response with a long body: its rest must not be taken for the
+// response to the next request on the connection.
+func TestConnectionOfUnreadResponseIsNotReused(t *testing.T) {
+	for _, status := range []int{http.StatusServiceUnavailable, http.StatusInternalServerError} {
+		c := qt.New(t)
+		b := newFixture(t, handlers{
+			func(conn net.Conn, req *http.Request) bool {
+				id := req.Header.Get("Id")
+				field := "Not-Run: 1"
+				if status == http.StatusInternalServerError {
+					field = "A: b"
+				}
+				const rest = "HTTP/1.1 200 OK\r\nId: r2\r\nContent-Length: 5\r\n\r\nwrong"
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d X\r\nId: %s\r\n%s\r\nContent-Length: %d\r\n\r\n", status, id, field,
+					maxBufferedBytes+len(rest))
+				_, _ = io.WriteString(conn, strings.Repeat("x", maxBufferedBytes))
+				// The rest must not be in the connection's read buffer when the router decides whether to keep the connection.
+				time.Sleep(50 * time.Millisecond)
+				_, _ = io.WriteString(conn, rest)
+				return true
+			},
+			respond(200, "right"),
+		})
+		b.do(once, "r1")
+		res, sink := b.do(once, "r2")
+		c.Assert(res.Outcome, qt.Equals, peer.OutcomeDone)
+		c.Assert(sink.body.String(), qt.Equals, "right")
+	}
+}
+
+// TestEndlessBytesEndTheAttempt covers an upstream that sends bytes without end until its connection is closed. The attempt must
+// end as a failure of that upstream soon, and the client must get the answer of the next one.
+func TestEndlessBytesEndTheAttempt(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nId: r1\r\n"
+	tests := []struct {
+		name, start, repeat string
+		route               settings.Route
+		body                string
+	}{
+		{"garbage", "", "garbage", idempotent, "ok"},
+		{"status line", "HTTP/1.1 200 ", "x", idempotent, "ok"},
+		{"header field", head + "A: ", "x", idempotent, "ok"},
+		{"header fields", head, "A: b\r\n", idempotent, "ok"},
+		{"informational responses", "", "HTTP/1.1 103 Early\r\n\r\n", idempotent, "ok"},
+		{"responses to other requests", "", "HTTP/1.1 200 OK\r\nId: r0\r\nContent-Length: 2\r\n\r\nno", idempotent, "ok"},
+		{"body of a failure", "HTTP/1.1 500 X\r\nId: r1\r\n\r\n", "x", idempotent, "ok"},
+		{"body of a refusal", "HTTP/1.1 503 X\r\nId: r1\r\nNot-Run: 1\r\n\r\n", "x", once, "ok"},
+		{"chunk size", head + "Transfer-Encoding: chunked\r\n\r\n", "0", idempotent, "ok"},
+		{"trailer", head + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n", "A: b\r\n", idempotent, "ok"},
+		{"event without line end", head + "\r\n", "x", resumable, "id: 1\ndata: 1\n\n"},
+		{"event without end", head + "\r\n", "data: x\n", resumable, "id: 1\ndata: 1\n\n"},
+		{"bytes beyond the length", head + "Content-Length: 2\r\n\r\nok", "x", idempotent, "ok"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			written := make(chan int64, 1)
+			second := handlers{respond(200, "ok")}
+			if tt.route.Kind == settings.RouteStream {
+				second = handlers{streamEvents(1, true)}
+			}
+			b := newFixture(t, handlers{func(conn net.Conn, _ *http.Request) bool {
+				n, _ := io.WriteString(conn, tt.start)
+				written <- int64(n) + writeEndlessly(conn, tt.repeat)
+				return false
+			}}, second)
+			res, sink := b.do(tt.route, "r1")
+			c.Assert(res.Outcome, qt.Equals, peer.OutcomeDone, qt.Commentf("%+v", res))
+			c.Assert(sink.body.String(), qt.Equals, tt.body)
+			select {
+			case n := <-written:
+				c.Assert(n < maxEndlessBytes, qt.IsTrue, qt.Commentf("%d bytes taken", n))
+			case <-time.After(5 * time.Second):
+				c.Fatal("the connection stays open")
+			}
+		})
+	}
+}
+
+// maxEndlessBytes is the most that the router and the sockets' buffers may take of a response without end.
+const maxEndlessBytes = 32 << 20
+
+// writeEndlessly repeats a text until the connection fails, and returns the number of bytes written.
+func writeEndlessly(conn net.Conn, text string) int64 {
+	block := []byte(strings.Repeat(text, 1+8192/len(text)))
+	var written int64
+	for {
+		n, err := conn.Write(block)
+		written += int64(n)
+		if err != nil {
+			return written
+		}
+	}
+}
+
 func TestRequestWithoutUpstreamIsRefused(t *testing.T) {
 	c := qt.New(t)
 	b := newFixture(t)
--- a/router/internal/routers/service_test.go
+++ b/router/internal/routers/service_test.go
@@ -210,3 +210,12 @@
 	s.requestingEntries, s.cacheEntriesReceived = false, true
 	c.Assert(s.beginEntriesRequest(r), qt.IsFalse)
 }
+
+func TestDumpOmitsTheTimeSinceAnExchangeThatNeverHappened(t *testing.T) {
+	c := qt.New(t)
+	now := clock.Boot{}.Now()
+	s := &Service{Clock: clock.Boot{}, routers: map[string]*router{"a": {}}}
+	c.Assert(s.Dump().([]Status)[0].SinceExchangeMS, qt.IsNil)
+	s.routers["a"].lastExchange = now
+	c.Assert(*s.Dump().([]Status)[0].SinceExchangeMS < 10_000, qt.IsTrue)
+}
--- a/router/internal/routers/view.go
+++ b/router/internal/routers/view.go
@@ -72,9 +72,10 @@
 
 // Status is the state of one router in a dump.
 type Status struct {
-	Address         string `json:"address"`
-	Lost            bool   `json:"lost"`
-	SinceExchangeMS int64  `json:"met_ms_ago"`
+	Address string `json:"address"`
+	Lost    bool   `json:"lost"`
+	// SinceExchangeMS is the time since the last exchange that this router began, absent before the first one.
+	SinceExchangeMS *int64 `json:"met_ms_ago,omitempty"`
 	Pending         int    `json:"pending_news"`
 }
 
@@ -85,12 +86,12 @@
 	now := s.Clock.Now()
 	var list []Status
 	for address, r := range s.routers {
-		list = append(list, Status{
-			Address:         address,
-			Lost:            r.lost,
-			SinceExchangeMS: now.Sub(r.lastExchange).Milliseconds(),
-			Pending:         len(r.cacheUpdates) + len(r.memberChanges),
-		})
+		status := Status{Address: address, Lost: r.lost, Pending: len(r.cacheUpdates) + len(r.memberChanges)}
+		if r.lastExchange != 0 {
+			ms := now.Sub(r.lastExchange).Milliseconds()
+			status.SinceExchangeMS = &ms
+		}
+		list = append(list, status)
 	}
 	return list
 }
--- a/router/internal/sides/attempt.go
+++ b/router/internal/sides/attempt.go
@@ -33,6 +33,10 @@
 	endUnknown
 )
 
+func (e ending) String() string {
+	return [...]string{"done", "refused", "unreachable", "not_started", "interrupted", "moved", "caller_gone", "unknown"}[e]
+}
+
 // attemptResult is how an attempt ended, with the details that the side reported.
 type attemptResult struct {
 	ending  ending
@@ -50,8 +54,18 @@
 
 func (e *sequenceError) Error() string { return "chunk out of order" }
 
-// attempt submits the call to one side and relays the answer.
+// attempt submits the call to one side, relays the answer, and logs the error of an attempt that failed.
 func (d *Dispatcher) attempt(ctx context.Context, call *Call, prog *progress, step candidates.Step) attemptResult {
+	res := d.submit(ctx, call, prog, step)
+	if res.err != nil {
+		d.Log.Warn("attempt failed", "request", call.ID, "attempt", prog.attempt, "upstream", step.Side, "ending", res.ending,
+			"error", res.err)
+	}
+	return res
+}
+
+// submit does the work of attempt.
+func (d *Dispatcher) submit(ctx context.Context, call *Call, prog *progress, step candidates.Step) attemptResult {
 	address, ok := d.View.Address(step.Side)
 	if !ok {
 		return attemptResult{ending: endUnreachable}
--- a/router/internal/sides/dispatch.go
+++ b/router/internal/sides/dispatch.go
@@ -154,6 +154,7 @@
 			return Result{Outcome: peer.OutcomeUnknown, Code: CodeDeadline}
 		}
 		retries++
+		d.Scope.Counter("retries").Inc(1)
 		prog.discardUnsent()
 	}
 }
--- a/router/internal/upstream/conn.go
+++ b/router/internal/upstream/conn.go
@@ -29,6 +29,9 @@
 	maxMismatched = 4
 	// maxMismatchedBytes bounds the body of such a response.
 	maxMismatchedBytes = 1 << 20
+	// maxDrainBytes and drainTimeout bound the rest of a response that nobody needs.
+	maxDrainBytes = 64 << 10
+	drainTimeout  = 50 * time.Millisecond
 	// dialTimeout bounds the dial of a connection within a region.
 	dialTimeout = 300 * time.Millisecond
 	// ackTimeout is how long sent bytes may stay unacknowledged before the connection counts as broken.
@@ -61,6 +64,17 @@
 type Response struct {
 	*http.Response
 	Answer call.Answer
+	conn   *headReader
+}
+
+// Drain discards the rest of the body, and reports whether it has ended, so that the connection can carry another request. It
+// gives up after maxDrainBytes or drainTimeout: a new connection costs less.
+func (r *Response) Drain() bool {
+	if r.conn.SetReadDeadline(time.Now().Add(drainTimeout)) != nil {
+		return false
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxDrainBytes+1))
+	return err == nil && n <= maxDrainBytes && r.conn.SetReadDeadline(time.Time{}) == nil
 }
 
 // MismatchedResponseError reports a response to another request on the connection.
@@ -113,6 +127,8 @@
 	written   chan struct{}
 	idleSince time.Time
 	idleTime  time.Duration
+	// checked reports that the connection was checked for surplus bytes since it became idle.
+	checked bool
 }
 
 func dial(ctx context.Context, inst members.Instance, dialect Dialect) (*Conn, error) {
@@ -173,6 +189,16 @@
 	return err == nil && empty
 }
 
+// receivedSurplus reports whether bytes have arrived on a connection that has become idle since the last call. An upstream that
+// sends more than its response may not stop before the connection closes.
+func (c *Conn) receivedSurplus() bool {
+	if c.checked {
+		return false
+	}
+	c.checked = true
+	return !c.nothingReceived()
+}
+
 // Do sends a request and returns the head of the response. Closing the connection ends the wait.
 func (c *Conn) Do(r *Request) (*Response, error) {
 	reused := c.used
@@ -192,7 +218,7 @@
 		answer := c.dialect.ReadAnswer(res.StatusCode, res.Header)
 		if answer.ID == r.ID || (answer.ID == "" && !reused) {
 			c.setIdleTime(answer.IdleTime)
-			return &Response{Response: res, Answer: answer}, nil
+			return &Response{Response: res, Answer: answer, conn: c.conn}, nil
 		}
 		if err := skipResponse(res); err != nil {
 			return nil, errors.CombineErrors(&MismatchedResponseError{Want: r.ID, Got: answer.ID}, err)
--- a/router/internal/upstream/pool.go
+++ b/router/internal/upstream/pool.go
@@ -45,7 +45,7 @@
 			p.sweep(func(*Conn) bool { return true })
 			return nil
 		case now := <-t.C:
-			p.sweep(func(c *Conn) bool { return now.Sub(c.idleSince) > c.idleTime })
+			p.sweep(func(c *Conn) bool { return now.Sub(c.idleSince) > c.idleTime || c.receivedSurplus() })
 		}
 	}
 }
@@ -117,7 +117,7 @@
 		c.Close()
 		return
 	}
-	c.idleSince = time.Now()
+	c.idleSince, c.checked = time.Now(), false
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.idle == nil {
