feat(backoff,members,direct): leaving statements and pauses of upstreams are kept

An upstream states in its answers that it is leaving, and one that turns a request away may ask this router for a pause; neither was read. A misdirected response says nothing about the intended upstream. Ruled out: a new field in the exchange of routers, which would end the links between old and new programs.

--- a/core/call/call.go
+++ b/core/call/call.go
@@ -88,6 +88,10 @@
 	Misdirected bool
 	// Load is the upstream's load, nil if not stated.
 	Load *Load
+	// Leaving means that the upstream is about to end and wants no further requests.
+	Leaving bool
+	// RetryAfter is the pause that an upstream which turned the request away wants from this router, 0 for none.
+	RetryAfter time.Duration
 	// IdleTime is how long the upstream keeps an idle connection open, 0 if not stated.
 	IdleTime time.Duration
 }
--- a/core/members/registry.go
+++ b/core/members/registry.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
 	"rattantrack.dev/core/clock"
 	"rattantrack.dev/core/settings"
 )
@@ -50,6 +52,15 @@
 	Revision Revision
 }
 
+// ChangesOf returns the changes that tell another router of events in which the entry stayed as it was.
+func ChangesOf(events []Event) []Change {
+	changes := make([]Change, len(events))
+	for i, e := range events {
+		changes[i] = Change{ID: e.ID, Revision: e.Revision, Instance: e.Instance}
+	}
+	return changes
+}
+
 // EventKind is the kind of an Event.
 type EventKind string
 
@@ -81,6 +92,12 @@
 	missingUntil clock.Instant
 }
 
+// process identifies one process of an upstream.
+type process struct {
+	id          settings.UpstreamID
+	incarnation Incarnation
+}
+
 // Registry holds the instances that may be used; its zero value is empty and ready to use.
 type Registry struct {
 	mu       sync.Mutex
@@ -91,11 +108,17 @@
 	outage      bool
 	recoveredAt clock.Instant
 	complete    bool
+	// leaving holds the processes that are known to be leaving. A process that leaves does not come back, whatever an entry
+	// says that was written later or by somebody else.
+	leaving *simplelru.LRU[process, struct{}]
 }
 
 // maxRemoved bounds the remembered removals, which keep older changes from restoring an instance.
 const maxRemoved = 8192
 
+// maxLeaving bounds the remembered leaving processes, the longest unused of which go first.
+const maxLeaving = 8192
+
 // maxSnapshot is the number of changes from which on a snapshot contains no more removals.
 const maxSnapshot = 10_000
 
@@ -166,12 +189,17 @@
 		r.removed = make(map[settings.UpstreamID]Revision)
 	}
 	e := r.entries[c.ID]
+	if e != nil && c.Revision == e.revision && c.Instance.Draining && !e.instance.Draining {
+		// Another router has learnt from an answer that the process is leaving.
+		return r.markLeaving(e, c.Instance.Incarnation)
+	}
 	if c.Revision <= r.removed[c.ID] || (e != nil && c.Revision <= e.revision) {
 		return nil
 	}
 	if c.Removed {
 		return r.remove(now, c.ID, c.Revision, until)
 	}
+	c.Instance.Draining = r.recordLeaving(c.Instance)
 	next := &entry{instance: c.Instance, revision: c.Revision, coldUntil: now.Add(c.Instance.ColdRemaining)}
 	r.entries[c.ID] = next
 	delete(r.removed, c.ID)
@@ -188,6 +216,45 @@
 	return []Event{{ID: c.ID, Kind: kind, Instance: c.Instance, Revision: c.Revision}}
 }
 
+// recordLeaving remembers a draining process, and reports whether the instance's process is known to be leaving.
+func (r *Registry) recordLeaving(inst Instance) bool {
+	if r.leaving == nil {
+		// NewLRU fails only for a size below one.
+		r.leaving, _ = simplelru.NewLRU[process, struct{}](maxLeaving, nil)
+	}
+	p := process{id: inst.ID, incarnation: inst.Incarnation}
+	if inst.Draining {
+		r.leaving.Add(p, struct{}{})
+		return true
+	}
+	_, ok := r.leaving.Get(p)
+	return ok
+}
+
+// MarkLeaving records that a process has stated in an answer that it is leaving. Its entry may say so later or not at all.
+func (r *Registry) MarkLeaving(inst Instance) []Event {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	inst.Draining = true
+	r.recordLeaving(inst)
+	e := r.entries[inst.ID]
+	if e == nil || e.instance.Draining {
+		return nil
+	}
+	return r.markLeaving(e, inst.Incarnation)
+}
+
+// markLeaving marks an entry as draining if it is of the given process.
+func (r *Registry) markLeaving(e *entry, incarnation Incarnation) []Event {
+	if e.instance.Incarnation != incarnation {
+		return nil
+	}
+	e.instance.Draining = true
+	r.recordLeaving(e.instance)
+	r.services = nil
+	return []Event{{ID: e.instance.ID, Kind: EventDraining, Instance: e.instance, Revision: e.revision}}
+}
+
 // remove drops an instance, or marks it missing while entries may have expired because of an outage.
 func (r *Registry) remove(now clock.Instant, id settings.UpstreamID, at Revision, until clock.Instant) []Event {
 	e := r.entries[id]
--- a/core/members/registry_test.go
+++ b/core/members/registry_test.go
@@ -144,3 +144,45 @@
 	other.Expire(20 * second)
 	c.Assert(ids(&other), qt.DeepEquals, []settings.UpstreamID{"a"})
 }
+
+// TestLeavingProcessStaysLeaving covers a process that states in an answer that it is leaving. Its entry may say otherwise later,
+// lapse and come back; only another process of the upstream is used again.
+func TestLeavingProcessStaysLeaving(t *testing.T) {
+	c := qt.New(t)
+	var r, other Registry
+	r.Replace(second, 10, []Change{listed("a", 5), listed("b", 6)})
+	other.Replace(second, 10, []Change{listed("a", 5), listed("b", 6)})
+	events := r.MarkLeaving(r.Serving("letters")[0])
+	c.Assert(events, qt.HasLen, 1)
+	c.Assert(events[0].Kind, qt.Equals, EventDraining)
+	c.Assert(r.MarkLeaving(events[0].Instance), qt.HasLen, 0)
+	c.Assert(ids(&r), qt.DeepEquals, []settings.UpstreamID{"b"})
+	// Another router takes over the state, once.
+	c.Assert(other.ApplyRelayed(second, ChangesOf(events)), qt.HasLen, 1)
+	c.Assert(other.ApplyRelayed(second, ChangesOf(events)), qt.HasLen, 0)
+	c.Assert(ids(&other), qt.DeepEquals, []settings.UpstreamID{"b"})
+	for _, registry := range []*Registry{&r, &other} {
+		registry.Apply(2*second, []Change{listed("a", 11)})
+		c.Assert(ids(registry), qt.DeepEquals, []settings.UpstreamID{"b"})
+		registry.Apply(2*second, []Change{removed("a", 12)})
+		registry.Apply(2*second, []Change{listed("a", 13)})
+		c.Assert(ids(registry), qt.DeepEquals, []settings.UpstreamID{"b"})
+		restarted := listed("a", 14)
+		restarted.Instance.Incarnation = 9
+		registry.Apply(2*second, []Change{restarted})
+		c.Assert(ids(registry), qt.DeepEquals, []settings.UpstreamID{"a", "b"})
+	}
+}
+
+// TestLeavingStatementOfAnEarlierProcessIsIgnored covers an answer that arrives after its process was replaced.
+func TestLeavingStatementOfAnEarlierProcessIsIgnored(t *testing.T) {
+	c := qt.New(t)
+	var r Registry
+	old := listed("a", 5)
+	r.Replace(second, 10, []Change{old})
+	restarted := listed("a", 11)
+	restarted.Instance.Incarnation = 9
+	r.Apply(second, []Change{restarted})
+	c.Assert(r.MarkLeaving(old.Instance), qt.HasLen, 0)
+	c.Assert(ids(&r), qt.DeepEquals, []settings.UpstreamID{"a"})
+}
--- a/router/internal/app/direct.go
+++ b/router/internal/app/direct.go
@@ -13,6 +13,7 @@
 	"github.com/charmbracelet/log"
 
 	"rattantrack.dev/core/affinity"
+	"rattantrack.dev/core/backoff"
 	"rattantrack.dev/core/clock"
 	"rattantrack.dev/core/gossip"
 	"rattantrack.dev/core/inflight"
@@ -70,6 +71,7 @@
 	affinity     *affinity.Index
 	outliers     *outlier.Detector
 	unresponsive *unresponsive.Detector
+	backoff      *backoff.Tracker
 	connections  *upstream.Pool
 	endpoint     *peer.Endpoint
 	gossip       *gossip.Service
@@ -94,6 +96,7 @@
 		affinity:     &affinity.Index{},
 		outliers:     &outlier.Detector{},
 		unresponsive: &unresponsive.Detector{},
+		backoff:      &backoff.Tracker{},
 	}
 	var incarnation peer.Incarnation
 	var err error
@@ -175,6 +178,7 @@
 		Affinity:     d.affinity,
 		Outliers:     d.outliers,
 		Unresponsive: d.unresponsive,
+		Backoff:      d.backoff,
 		Queues:       &waiting.Queues{},
 		Budget:       &retry.FleetBudget{Limits: retry.Limits{Ratio: budget.Ratio, Slack: budget.Slack, Window: budget.Window}},
 		Connections:  d.connections,
@@ -184,6 +188,7 @@
 		Log:          d.log,
 		Scope:        scope,
 	}
+	dispatcher.OnLeaving = d.recordLeaving
 	d.unresponsive.OnChange = func(id settings.UpstreamID, noResponse bool) {
 		if !noResponse {
 			d.log.Info("upstream heard again", "upstream", id)
@@ -263,6 +268,18 @@
 	}
 }
 
+// recordLeaving stops the use of an upstream that has stated in an answer that it is leaving, and passes it on to the other
+// routers.
+func (d *Direct) recordLeaving(inst members.Instance) {
+	events := d.members.MarkLeaving(inst)
+	if len(events) == 0 {
+		return
+	}
+	d.metrics.Scope.Counter("upstreams_leaving").Inc(1)
+	d.applyMemberEvents("answer", events)
+	d.routers.Broadcast(members.ChangesOf(events))
+}
+
 // applyDeclarations gives the client server the routing table of an accepted version of the declarations.
 func (d *Direct) applyDeclarations(c revision.Change) {
 	table := routing.New(c.Declarations, c.Version.Revision)
@@ -298,7 +315,7 @@
 			Address: d.cfg.Operator,
 			Metrics: d.metrics,
 			Ready:   d.ready,
-			Dumpers: []operator.Dumper{d.client, d.members, d.routers, d.gossip, &operator.Links{Endpoint: d.endpoint}},
+			Dumpers: []operator.Dumper{d.client, d.members, &pauses{tracker: d.backoff}, d.routers, d.gossip, &operator.Links{Endpoint: d.endpoint}},
 		},
 		d.readiness,
 		&peer.Listener{Address: d.cfg.Peer, Endpoint: d.endpoint, IdleTimeout: idleLinkTimeout},
@@ -338,31 +355,3 @@
 	d.routers.SetSeeds(cfg.Peers)
 	d.log.Info("settings reloaded", "peers", len(cfg.Peers))
 }
-
-// readiness answers the load balancer's readiness checks.
-type readiness struct {
-	address, path string
-	ready         func() bool
-}
-
-// readinessStopTimeout bounds the wait for open checks when the process stops.
-const readinessStopTimeout = 100 * time.Millisecond
-
-// String returns the service's name.
-func (r *readiness) String() string { return "readiness" }
-
-// Run serves until ctx ends.
-func (r *readiness) Run(ctx context.Context, ready func()) error {
-	srv := &http.Server{Handler: r, ReadHeaderTimeout: settings.DefaultHeaderTime}
-	return operator.ServeHTTP(ctx, srv, r.address, readinessStopTimeout, ready)
-}
-
-// ServeHTTP answers one readiness check.
-func (r *readiness) ServeHTTP(w http.ResponseWriter, req *http.Request) {
-	switch {
-	case req.URL.Path != r.path:
-		w.WriteHeader(http.StatusNotFound)
-	case !r.ready():
-		w.WriteHeader(http.StatusServiceUnavailable)
-	}
-}
--- a/router/internal/direct/attempt.go
+++ b/router/internal/direct/attempt.go
@@ -63,6 +63,7 @@
 		return ex.noResponse(ctx, inst, err)
 	}
 	dispatcher.Unresponsive.ResponseReceived(dispatcher.Clock.Now(), inst.ID)
+	ex.recordStatements(inst, res.Answer)
 	if ex.res.FirstByte == 0 {
 		ex.res.FirstByte = dispatcher.Clock.Now().Sub(ex.Arrived)
 	}
@@ -77,6 +78,24 @@
 	return ending
 }
 
+// recordStatements records what an upstream states about itself, before the client gets its answer. A misdirected response
+// comes from another process than inst.
+func (ex *exchange) recordStatements(inst members.Instance, a call.Answer) {
+	if a.Misdirected {
+		return
+	}
+	d := ex.dispatcher
+	if a.RetryAfter > 0 {
+		now := d.Clock.Now()
+		until := d.Backoff.Record(now, inst, a.RetryAfter)
+		d.Scope.Counter("upstream_pauses").Inc(1)
+		d.Log.Info("upstream asks for a pause", "request", ex.ID, "upstream", inst.ID, "pause_ms", until.Sub(now).Milliseconds())
+	}
+	if a.Leaving {
+		d.OnLeaving(inst)
+	}
+}
+
 // outbound returns the request with the header fields of this attempt.
 func (ex *exchange) outbound(inst members.Instance) *upstream.Request {
 	out := ex.Outbound
--- a/router/internal/direct/dispatch.go
+++ b/router/internal/direct/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -12,6 +13,7 @@
 
 	"rattantrack.dev/core/affinity"
 	"rattantrack.dev/core/attempt"
+	"rattantrack.dev/core/backoff"
 	"rattantrack.dev/core/call"
 	"rattantrack.dev/core/clock"
 	"rattantrack.dev/core/inflight"
@@ -56,14 +58,17 @@
 	Affinity     *affinity.Index
 	Outliers     *outlier.Detector
 	Unresponsive *unresponsive.Detector
+	Backoff      *backoff.Tracker
 	Queues       *waiting.Queues
 	Budget       *retry.FleetBudget
 	Connections  Connections
 	Dialect      Dialect
 	Warmup       Warmup
 	Clock        Clock
-	Log          *log.Logger
-	Scope        tally.Scope
+	// OnLeaving is called when an upstream states in an answer that it is leaving.
+	OnLeaving func(inst members.Instance)
+	Log       *log.Logger
+	Scope     tally.Scope
 
 	reserving sync.Mutex
 }
@@ -162,7 +167,7 @@
 			return instance, true
 		case choice.Reason == placement.NoUpstream && ex.res.Attempts > 0:
 			// A request that has made an attempt does not wait for further upstreams.
-			ex.giveUp(ctx, CodeNoUpstream, defaultRetryAfter)
+			ex.giveUp(ctx, CodeNoUpstream, ex.retryAfter(defaultRetryAfter))
 			return members.Instance{}, false
 		}
 		if !ex.waitForRoom(ctx, choice.Reason, start) {
@@ -175,6 +180,10 @@
 func (ex *exchange) waitForRoom(ctx context.Context, reason placement.Reason, start clock.Instant) bool {
 	now := ex.dispatcher.Clock.Now()
 	if reason == placement.NoUpstream {
+		if ex.dispatcher.pauseLeft(now, ex.Service) > 0 {
+			ex.giveUp(ctx, CodePaused, ex.retryAfter(defaultRetryAfter))
+			return false
+		}
 		if now.Sub(start) >= waiting.NoUpstreamWait(ex.Remaining(start)) {
 			ex.giveUp(ctx, CodeNoUpstream, defaultRetryAfter)
 			return false
@@ -233,6 +242,15 @@
 	}
 }
 
+// retryAfter returns when the client may retry: after a pause that all upstreams have asked for or, without one, after the given
+// time.
+func (ex *exchange) retryAfter(d time.Duration) time.Duration {
+	if soonest := ex.dispatcher.pauseLeft(ex.dispatcher.Clock.Now(), ex.Service); soonest > 0 {
+		return max(d, backoff.RetryAfter(soonest, rand.Float64()))
+	}
+	return d
+}
+
 // clientGone reports whether the client has disconnected; a passed deadline does not count.
 func clientGone(ctx context.Context) bool { return errors.Is(ctx.Err(), context.Canceled) }
 
@@ -257,7 +275,7 @@
 		if ending == attempt.Refused {
 			res.Code = CodeRefused
 		}
-		res.RetryAfter = ex.dispatcher.Queues.RetryAfter(ex.Service)
+		res.RetryAfter = ex.retryAfter(ex.dispatcher.Queues.RetryAfter(ex.Service))
 	case ctx.Err() != nil:
 		res.Outcome, res.Code = peer.OutcomeUnknown, CodeDeadline
 	default:
--- a/router/internal/direct/dispatch_test.go
+++ b/router/internal/direct/dispatch_test.go
@@ -18,6 +18,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"rattantrack.dev/core/affinity"
+	"rattantrack.dev/core/backoff"
 	"rattantrack.dev/core/call"
 	"rattantrack.dev/core/clock"
 	"rattantrack.dev/core/inflight"
@@ -43,8 +44,10 @@
 }
 
 func (testDialect) ReadAnswer(status int, h http.Header) call.Answer {
+	pause, _ := time.ParseDuration(h.Get("Pause"))
 	return call.Answer{
 		ID: call.ID(h.Get("Id")), NotRun: h.Get("Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest,
+		Leaving: h.Get("Leaving") != "", RetryAfter: pause,
 	}
 }
 
@@ -174,11 +177,12 @@
 	t.Cleanup(func() { cancel(); <-stopped })
 	b := &fixture{Dispatcher: &Dispatcher{
 		DataCentre: "kano", Members: &members.Registry{}, InFlight: &inflight.Tracker{}, Affinity: &affinity.Index{},
-		Outliers: &outlier.Detector{}, Unresponsive: &unresponsive.Detector{}, Queues: &waiting.Queues{},
+		Outliers: &outlier.Detector{}, Unresponsive: &unresponsive.Detector{}, Queues: &waiting.Queues{}, Backoff: &backoff.Tracker{},
 		Budget:      &retry.FleetBudget{Limits: retry.Limits{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}},
 		Connections: pool,
 		Dialect:     testDialect{}, Warmup: noWarmup{}, Clock: clock.Boot{}, Log: log.New(io.Discard), Scope: tally.NoopScope,
 	}}
+	b.OnLeaving = func(inst members.Instance) { b.Members.MarkLeaving(inst) }
 	var list []members.Change
 	for i, script := range upstreams {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -518,3 +522,58 @@
 	close(hold)
 	wg.Wait()
 }
+
+// TestLeavingUpstreamGetsNoFurtherRequests covers upstreams that state in an answer of any kind that they are leaving, while their
+// entries in the directory stay as they are.
+func TestLeavingUpstreamGetsNoFurtherRequests(t *testing.T) {
+	tests := []struct {
+		name  string
+		first func(net.Conn, *http.Request) bool
+	}{
+		{"success", respond(200, "ok", "Leaving: 1")},
+		{"refusal", respond(503, "", "Not-Run: 1", "Leaving: 1")},
+		{"failure", respond(500, "no", "Leaving: 1")},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			b := newFixture(t, handlers{tt.first}, handlers{respond(200, "ok")})
+			b.do(once, "r0")
+			for i := range 10 {
+				res, _ := b.do(once, fmt.Sprintf("r%d", i+1))
+				c.Assert(res.Upstream, qt.Equals, settings.UpstreamID("u1"))
+			}
+			c.Assert(b.upstreams[0].requests(), qt.HasLen, 1)
+		})
+	}
+}
+
+// TestMisdirectedAnswerSaysNothingAboutTheIntendedUpstream covers an address that another process has taken over, which is leaving.
+func TestMisdirectedAnswerSaysNothingAboutTheIntendedUpstream(t *testing.T) {
+	c := qt.New(t)
+	b := newFixture(t, handlers{respond(421, "", "Leaving: 1", "Pause: 1h"), respond(200, "ok")})
+	b.do(once, "r1")
+	c.Assert(b.Members.Serving("desk"), qt.HasLen, 1)
+	paused, _ := b.Backoff.Paused(b.Clock.Now(), b.Members.Serving("desk"))
+	c.Assert(paused, qt.DeepEquals, []bool{false})
+}
+
+// TestPausedUpstreamGetsNoRequests covers an upstream that turns a request away and asks for a pause: until its end, requests go
+// elsewhere or, if all upstreams ask for one, are refused at once with a time at which the first of them wants requests.
+func TestPausedUpstreamGetsNoRequests(t *testing.T) {
+	c := qt.New(t)
+	away := respond(503, "", "Not-Run: 1", "Pause: 2s")
+	b := newFixture(t, handlers{away}, handlers{respond(200, "ok"), away})
+	for i := range 3 {
+		res, _ := b.do(once, fmt.Sprintf("r%d", i))
+		c.Assert(res.Outcome, qt.Equals, []peer.Outcome{peer.OutcomeDone, peer.OutcomeNotRun, peer.OutcomeNotRun}[i])
+	}
+	c.Assert(b.upstreams[0].requests(), qt.HasLen, 1)
+	c.Assert(b.upstreams[1].requests(), qt.HasLen, 2)
+	start := time.Now()
+	res, _ := b.do(once, "last")
+	c.Assert(res.Code, qt.Equals, CodePaused)
+	c.Assert(res.RetryAfter > 1500*time.Millisecond && res.RetryAfter < 4*time.Second, qt.IsTrue, qt.Commentf("%v", res.RetryAfter))
+	c.Assert(time.Since(start) < 200*time.Millisecond, qt.IsTrue)
+	c.Assert(res.Attempts, qt.Equals, 0)
+}
--- a/router/internal/direct/place.go
+++ b/router/internal/direct/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"rattantrack.dev/core/attempt"
 	"rattantrack.dev/core/call"
@@ -103,7 +104,8 @@
 	now clock.Instant, r *Request, serving []members.Instance, ids []settings.UpstreamID,
 ) []placement.Candidate {
 	loads := d.InFlight.Loads(now, ids)
-	excluded := d.excluded(now, ids)
+	paused, _ := d.Backoff.Paused(now, serving)
+	excluded := d.excluded(now, ids, paused)
 	var cachedTokens []settings.Tokens
 	ranks := make([]int, len(ids))
 	if r.RouteConfig.Affinity {
@@ -128,12 +130,19 @@
 	return candidates
 }
 
-// excluded reports for each upstream whether it should get no requests now, because it fails more than others or is
-// unresponsive. If that excludes all of them, only unresponsiveness counts, which never excludes more than half.
-func (d *Dispatcher) excluded(now clock.Instant, ids []settings.UpstreamID) []bool {
+// pauseLeft returns the time until the first upstream of a service wants requests again, 0 if one wants requests now.
+func (d *Dispatcher) pauseLeft(now clock.Instant, name settings.ServiceName) time.Duration {
+	_, soonest := d.Backoff.Paused(now, d.Members.Serving(name))
+	return soonest
+}
+
+// excluded reports for each upstream whether it should get no requests now, because it fails more than others, is unresponsive
+// or has asked for a pause. If that excludes all of them, failures do not count.
+func (d *Dispatcher) excluded(now clock.Instant, ids []settings.UpstreamID, paused []bool) []bool {
 	unresponsive := d.Unresponsive.Unresponsive(now, ids)
 	excluded := d.Outliers.Ejected(now, ids)
 	for i := range excluded {
+		unresponsive[i] = unresponsive[i] || paused[i]
 		excluded[i] = excluded[i] || unresponsive[i]
 	}
 	if !slices.Contains(excluded, false) {
--- a/router/internal/direct/request.go
+++ b/router/internal/direct/request.go
@@ -43,6 +43,7 @@
 const (
 	CodeNoUpstream  = "no_upstream"
 	CodeOverloaded  = "overloaded"
+	CodePaused      = "upstreams_paused"
 	CodeDeadline    = "deadline"
 	CodeUnreachable = "unreachable"
 	CodeRefused     = "refused_by_upstream"
