feat(members,directory,platform): the directory may come back from an older copy

Cause: the store's revisions alone ordered what routers believe. Change: members.Revision holds the era above the number, so the registry and the messages between routers keep their form; the first era is left out, so that older programs understand it. Reads and watches check the era. The declarations stay ordered by version. Ruled out: a field for the era in the messages, which would end the links between old and new programs.

--- a/core/directory/update.go
+++ b/core/directory/update.go
@@ -9,7 +9,13 @@
 )
 
 // Position is a point in the history of the platform's directory.
-type Position uint64
+type Position struct {
+	Era    members.Era
+	Number uint64
+}
+
+// Revision returns the position as the revision of an entry that was written at it.
+func (p Position) Revision() members.Revision { return members.NewRevision(p.Era, p.Number) }
 
 // Update is the result of a read or a watch of the directory.
 type Update struct {
@@ -39,7 +45,17 @@
 }
 
 func (e *HistoryLostError) Error() string {
-	return fmt.Sprintf("the history after position %d is no longer available", e.After)
+	return fmt.Sprintf("the history after %v is no longer available", e.After.Revision())
+}
+
+// RestoredError reports that the directory was restored from an older copy during a read or since the position of a watch.
+type RestoredError struct {
+	// Before is the era that was expected, Now that of the response.
+	Before, Now members.Era
+}
+
+func (e *RestoredError) Error() string {
+	return fmt.Sprintf("the directory was restored: era %d, not %d", e.Now, e.Before)
 }
 
 // StatusError reports a response of the directory with a status other than 200.
--- a/core/members/registry.go
+++ b/core/members/registry.go
@@ -12,69 +12,6 @@
 	"rattantrack.dev/core/settings"
 )
 
-// Revision is the position in the directory's history at which an instance's entry was written. It is unrelated to the
-// revision of the declarations.
-type Revision uint64
-
-// Incarnation distinguishes the successive processes of an upstream under one id. It is the Unix time of the process's
-// start in milliseconds.
-type Incarnation int64
-
-// Instance is one upstream process as the platform's directory lists it.
-type Instance struct {
-	ID         settings.UpstreamID
-	Service    settings.ServiceName
-	Address    string
-	DataCentre settings.DataCentre
-	// Slots is the number of requests that the instance executes at a time.
-	Slots    int
-	Draining bool
-	// ColdRemaining is how much longer the instance is slow after its start, counted from when its entry was read.
-	ColdRemaining time.Duration
-	Incarnation   Incarnation
-}
-
-// Change is a new state of one instance's entry.
-type Change struct {
-	ID       settings.UpstreamID
-	Revision Revision
-	// Removed is set if the entry no longer exists; Instance is then empty.
-	Removed  bool
-	Instance Instance
-}
-
-// Event is a change of the registry's state of an instance.
-type Event struct {
-	ID   settings.UpstreamID
-	Kind EventKind
-	// Instance is the current state, or the last one if the instance is gone.
-	Instance Instance
-	Revision Revision
-}
-
-// ChangesOf returns the changes that tell another router of events in which the entry stayed as it was.
-func ChangesOf(events []Event) []Change {
-	changes := make([]Change, len(events))
-	for i, e := range events {
-		changes[i] = Change{ID: e.ID, Revision: e.Revision, Instance: e.Instance}
-	}
-	return changes
-}
-
-// EventKind is the kind of an Event.
-type EventKind string
-
-// The kinds of event.
-const (
-	EventAdded     EventKind = "added"
-	EventRestarted EventKind = "restarted"
-	EventDraining  EventKind = "draining"
-	EventChanged   EventKind = "changed"
-	EventRemoved   EventKind = "removed"
-	// EventMissing is an entry that disappeared around an outage of the directory and may come back.
-	EventMissing EventKind = "missing"
-)
-
 // reappearTime is how long after an outage of the directory a missing entry may still come back. The platform specifies
 // about two seconds; the rest is a margin.
 const reappearTime = 2300 * time.Millisecond
@@ -92,9 +29,9 @@
 	missingUntil clock.Instant
 }
 
-// process identifies one process of an upstream.
-type process struct {
-	id          settings.UpstreamID
+// removal is the last known state of a removed instance.
+type removal struct {
+	revision    Revision
 	incarnation Incarnation
 }
 
@@ -102,12 +39,19 @@
 type Registry struct {
 	mu       sync.Mutex
 	entries  map[settings.UpstreamID]*entry
-	removed  map[settings.UpstreamID]Revision
+	removed  map[settings.UpstreamID]removal
 	services map[settings.ServiceName][]Instance
 	// outage is set while the directory cannot be read, recoveredAt is when it last became readable again.
 	outage      bool
 	recoveredAt clock.Instant
 	complete    bool
+	// listedAt is the revision of the latest complete listing.
+	listedAt Revision
+	// era is the latest era, eraSince is when this registry learnt of it.
+	era      Era
+	eraSince clock.Instant
+	// held holds the changes of a new era that contradict what was known before, until restoreTime has passed.
+	held map[settings.UpstreamID]Change
 	// leaving holds the processes that are known to be leaving. A process that leaves does not come back, whatever an entry
 	// says that was written later or by somebody else.
 	leaving *simplelru.LRU[process, struct{}]
@@ -116,9 +60,6 @@
 // maxRemoved bounds the remembered removals, which keep older changes from restoring an instance.
 const maxRemoved = 8192
 
-// maxLeaving bounds the remembered leaving processes, the longest unused of which go first.
-const maxLeaving = 8192
-
 // maxSnapshot is the number of changes from which on a snapshot contains no more removals.
 const maxSnapshot = 10_000
 
@@ -132,6 +73,14 @@
 	r.outage = down
 }
 
+// makeMaps creates the maps of the zero value.
+func (r *Registry) makeMaps() {
+	if r.entries == nil {
+		r.entries = make(map[settings.UpstreamID]*entry)
+		r.removed = make(map[settings.UpstreamID]removal)
+	}
+}
+
 // unsettled reports whether an entry that disappears now may have expired because of an outage.
 func (r *Registry) unsettled(now clock.Instant) bool {
 	return r.outage || (r.recoveredAt != 0 && now.Sub(r.recoveredAt) < reappearTime)
@@ -141,6 +90,9 @@
 func (r *Registry) Replace(now clock.Instant, at Revision, listed []Change) []Event {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.makeMaps()
+	r.enterEra(now, at)
+	r.listedAt = max(r.listedAt, at)
 	var events []Event
 	present := make(map[settings.UpstreamID]bool, len(listed))
 	until := max(now, r.recoveredAt).Add(reappearTime)
@@ -154,6 +106,11 @@
 		}
 		events = append(events, r.remove(now, id, max(e.revision, at), until)...)
 	}
+	for id := range r.held {
+		if !present[id] {
+			events = append(events, r.dropHeld(id, at)...)
+		}
+	}
 	r.complete = true
 	r.services = nil
 	return events
@@ -172,8 +129,14 @@
 func (r *Registry) applyAll(now clock.Instant, changes []Change, until clock.Instant) []Event {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.makeMaps()
 	var events []Event
 	for _, c := range changes {
+		r.enterEra(now, c.Revision)
+		if r.isUnlisted(c) {
+			events = append(events, r.handleUnlisted(now, c)...)
+			continue
+		}
 		events = append(events, r.apply(now, c, until)...)
 	}
 	if len(events) > 0 {
@@ -182,22 +145,44 @@
 	return events
 }
 
+// isUnlisted reports whether a change adds an entry that the latest complete listing would have if it still existed.
+func (r *Registry) isUnlisted(c Change) bool {
+	if _, held := r.held[c.ID]; held || c.Removed || r.entries[c.ID] != nil {
+		return false
+	}
+	return c.Revision <= r.listedAt && c.Revision > r.removed[c.ID].revision
+}
+
+// handleUnlisted handles an entry that another router still has. Its event tells that router of the removal. If the directory has
+// been restored since, the entry may come back.
+func (r *Registry) handleUnlisted(now clock.Instant, c Change) []Event {
+	if c.Revision.Era() < r.listedAt.Era() {
+		c.Instance.Draining = r.recordLeaving(c.Instance)
+		r.entries[c.ID] = &entry{instance: c.Instance, revision: r.listedAt, missingUntil: now.Add(reappearTime)}
+		return []Event{{ID: c.ID, Kind: EventMissing, Instance: c.Instance, Revision: r.listedAt}}
+	}
+	r.recordRemoval(c.ID, r.listedAt, c.Instance.Incarnation)
+	return []Event{{ID: c.ID, Kind: EventRemoved, Instance: c.Instance, Revision: r.listedAt}}
+}
+
 // apply applies one change and keeps an entry that may have expired in an outage until the given time.
 func (r *Registry) apply(now clock.Instant, c Change, until clock.Instant) []Event {
-	if r.entries == nil {
-		r.entries = make(map[settings.UpstreamID]*entry)
-		r.removed = make(map[settings.UpstreamID]Revision)
-	}
 	e := r.entries[c.ID]
 	if e != nil && c.Revision == e.revision && c.Instance.Draining && !e.instance.Draining {
 		// Another router has learnt from an answer that the process is leaving.
 		return r.markLeaving(e, c.Instance.Incarnation)
 	}
-	if c.Revision <= r.removed[c.ID] || (e != nil && c.Revision <= e.revision) {
+	if c.Revision <= r.removed[c.ID].revision || (e != nil && c.Revision <= e.revision) {
 		return nil
 	}
 	if c.Removed {
-		return r.remove(now, c.ID, c.Revision, until)
+		if events := r.remove(now, c.ID, c.Revision, until); events != nil {
+			return events
+		}
+		return r.dropHeld(c.ID, c.Revision)
+	}
+	if r.hold(now, e, c) {
+		return nil
 	}
 	c.Instance.Draining = r.recordLeaving(c.Instance)
 	next := &entry{instance: c.Instance, revision: c.Revision, coldUntil: now.Add(c.Instance.ColdRemaining)}
@@ -216,50 +201,11 @@
 	return []Event{{ID: c.ID, Kind: kind, Instance: c.Instance, Revision: c.Revision}}
 }
 
-// recordLeaving remembers a draining process, and reports whether the instance's process is known to be leaving.
-func (r *Registry) recordLeaving(inst Instance) bool {
-	if r.leaving == nil {
-		// NewLRU fails only for a size below one.
-		r.leaving, _ = simplelru.NewLRU[process, struct{}](maxLeaving, nil)
-	}
-	p := process{id: inst.ID, incarnation: inst.Incarnation}
-	if inst.Draining {
-		r.leaving.Add(p, struct{}{})
-		return true
-	}
-	_, ok := r.leaving.Get(p)
-	return ok
-}
-
-// MarkLeaving records that a process has stated in an answer that it is leaving. Its entry may say so later or not at all.
-func (r *Registry) MarkLeaving(inst Instance) []Event {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	inst.Draining = true
-	r.recordLeaving(inst)
-	e := r.entries[inst.ID]
-	if e == nil || e.instance.Draining {
-		return nil
-	}
-	return r.markLeaving(e, inst.Incarnation)
-}
-
-// markLeaving marks an entry as draining if it is of the given process.
-func (r *Registry) markLeaving(e *entry, incarnation Incarnation) []Event {
-	if e.instance.Incarnation != incarnation {
-		return nil
-	}
-	e.instance.Draining = true
-	r.recordLeaving(e.instance)
-	r.services = nil
-	return []Event{{ID: e.instance.ID, Kind: EventDraining, Instance: e.instance, Revision: e.revision}}
-}
-
 // remove drops an instance, or marks it missing while entries may have expired because of an outage.
 func (r *Registry) remove(now clock.Instant, id settings.UpstreamID, at Revision, until clock.Instant) []Event {
 	e := r.entries[id]
 	if e == nil {
-		r.recordRemoval(id, at)
+		r.recordRemoval(id, at, 0)
 		return nil
 	}
 	if r.unsettled(now) && !e.instance.Draining && until > now {
@@ -272,19 +218,21 @@
 		return []Event{{ID: id, Kind: EventMissing, Instance: e.instance, Revision: at}}
 	}
 	delete(r.entries, id)
-	r.recordRemoval(id, at)
+	r.recordRemoval(id, at, e.instance.Incarnation)
 	return []Event{{ID: id, Kind: EventRemoved, Instance: e.instance, Revision: at}}
 }
 
-// recordRemoval remembers the revision at which an instance was removed.
-func (r *Registry) recordRemoval(id settings.UpstreamID, at Revision) {
+// recordRemoval remembers the removal of an instance; incarnation is 0 if its last process is not known.
+func (r *Registry) recordRemoval(id settings.UpstreamID, at Revision, incarnation Incarnation) {
 	if len(r.removed) >= maxRemoved {
 		clear(r.removed)
 	}
-	r.removed[id] = max(r.removed[id], at)
+	was := r.removed[id]
+	r.removed[id] = removal{revision: max(was.revision, at), incarnation: max(was.incarnation, incarnation)}
 }
 
-// Expire removes the missing instances whose time to come back has passed.
+// Expire removes the missing instances whose time to come back has passed, and applies the changes that were held back while
+// the directory was restored.
 func (r *Registry) Expire(now clock.Instant) []Event {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -294,9 +242,15 @@
 			continue
 		}
 		delete(r.entries, id)
-		r.recordRemoval(id, e.revision)
+		r.recordRemoval(id, e.revision, e.instance.Incarnation)
 		events = append(events, Event{ID: id, Kind: EventRemoved, Instance: e.instance, Revision: e.revision})
 	}
+	if !r.restoring(now) {
+		for id, c := range r.held {
+			delete(r.held, id)
+			events = append(events, r.apply(now, c, now)...)
+		}
+	}
 	if len(events) > 0 {
 		r.services = nil
 	}
@@ -361,41 +315,11 @@
 			list = append(list, Change{ID: id, Revision: e.revision, Instance: e.instance})
 		}
 	}
-	for id, at := range r.removed {
+	for id, gone := range r.removed {
 		if len(list) >= maxSnapshot {
 			break
 		}
-		list = append(list, Change{ID: id, Revision: at, Removed: true})
-	}
-	return list
-}
-
-// Status is the state of one instance in a dump.
-type Status struct {
-	ID         settings.UpstreamID  `json:"id"`
-	Service    settings.ServiceName `json:"service"`
-	Address    string               `json:"address"`
-	DataCentre settings.DataCentre  `json:"data_centre"`
-	Draining   bool                 `json:"draining,omitempty"`
-	Missing    bool                 `json:"missing,omitempty"`
-	Revision   Revision             `json:"revision"`
-}
-
-// String returns the registry's name in dumps.
-func (r *Registry) String() string { return "members" }
-
-// Dump returns the instances, sorted by id.
-func (r *Registry) Dump() any {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	list := make([]Status, 0, len(r.entries))
-	for id, e := range r.entries {
-		instance := e.instance
-		list = append(list, Status{
-			ID: id, Service: instance.Service, Address: instance.Address, DataCentre: instance.DataCentre,
-			Draining: instance.Draining, Missing: e.missingUntil != 0, Revision: e.revision,
-		})
+		list = append(list, Change{ID: id, Revision: gone.revision, Removed: true})
 	}
-	slices.SortFunc(list, func(x, y Status) int { return cmp.Compare(x.ID, y.ID) })
 	return list
 }
--- a/rattantrack/internal/cmd/status.go
+++ b/rattantrack/internal/cmd/status.go
@@ -24,7 +24,9 @@
 	Address  string              `json:"address"`
 	Revision settings.Revision   `json:"revision"`
 	Side     *process.SideStatus `json:"door,omitempty"`
-	Error    string              `json:"error,omitempty"`
+	// Router is the state of a router without sides.
+	Router *process.RouterStatus `json:"router,omitempty"`
+	Error  string                `json:"error,omitempty"`
 }
 
 // fleetView is the state of a fleet at one time.
@@ -71,6 +73,7 @@
 		return processRow{Address: address, Error: err.Error()}
 	}
 	r := processRow{Address: address, Revision: process.Revision(sections)}
+	r.Router = process.Router(sections)
 	var side process.SideStatus
 	if process.Find(sections, "door", &side) {
 		r.Side = &side
@@ -133,6 +136,9 @@
 	if r.Error != "" {
 		return fmt.Sprintf("%s\t-\t%s\t\t\t\t", r.Address, r.Error)
 	}
+	if r.Router != nil {
+		return fmt.Sprintf("%s\t%d\t%s\t\t\t\t", r.Address, r.Revision, r.Router)
+	}
 	if r.Side == nil {
 		return fmt.Sprintf("%s\t%d\trouter\t\t\t\t", r.Address, r.Revision)
 	}
--- a/router/internal/directory/watcher.go
+++ b/router/internal/directory/watcher.go
@@ -82,16 +82,17 @@
 	OnEvents  func(source string, events []members.Event)
 	Broadcast func(changes []members.Change)
 
-	position directory.Position
 	// complete reports that changes after position are enough, without a read of the complete directory.
 	complete   bool
 	retryPause time.Duration
-	polling    bool
 
 	mu sync.Mutex
+	// position is written by Run only.
+	position directory.Position
 	// lastRead is the time of the latest directory read by any router, lastOwnRead by this one.
 	lastRead, lastOwnRead clock.Instant
 	failing               bool
+	polling               bool
 }
 
 // String returns the service's name.
@@ -129,8 +130,11 @@
 	_, declarations := w.Store.Current()
 	poll := !anyRead || declarations == nil || !w.Members.Complete() ||
 		polling.Selected(polling.State{Self: w.Self, Others: w.Routers.Pollers(), UpdateAge: now.Sub(othersRead)})
-	if poll != w.polling {
-		w.polling = poll
+	w.mu.Lock()
+	changed := poll != w.polling
+	w.polling = poll
+	w.mu.Unlock()
+	if changed {
 		w.Log.Info("directory reader", "reads", poll, "told", othersRead != 0, "news_age_ms", updateAge(now, othersRead).Milliseconds())
 	}
 	if !poll {
@@ -158,6 +162,23 @@
 	return w.Clock.Now().Sub(w.lastOwnRead), w.failing
 }
 
+// Status is the state of the watcher in a dump.
+type Status struct {
+	// Reads reports that this router reads the directory itself, Failing that it cannot.
+	Reads   bool `json:"reads"`
+	Failing bool `json:"failing"`
+	// Era and Number are the position of this router's last read.
+	Era    members.Era `json:"era"`
+	Number uint64      `json:"revision"`
+}
+
+// Dump returns the state of the watcher.
+func (w *Watcher) Dump() any {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return Status{Reads: w.polling, Failing: w.failing, Era: w.position.Era, Number: w.position.Number}
+}
+
 func (w *Watcher) expire(ctx context.Context) {
 	t := time.NewTicker(expireInterval)
 	defer t.Stop()
@@ -169,7 +190,7 @@
 		}
 		if events := w.Members.Expire(w.Clock.Now()); len(events) > 0 {
 			w.OnEvents("expiry", events)
-			w.Broadcast(changesOf(events, nil))
+			w.Broadcast(members.ChangesOf(events))
 		}
 	}
 }
@@ -202,7 +223,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	return w.Source.Read(ctx)
+	u, err := w.Source.Read(ctx)
+	if err == nil && u.Position.Era < w.position.Era {
+		return nil, &directory.RestoredError{Before: w.position.Era, Now: u.Position.Era}
+	}
+	return u, err
 }
 
 // succeeded records a successful call and returns the current instant.
@@ -223,10 +248,19 @@
 	w.Scope.Counter("directory_failures").Inc(1)
 	var lost *directory.HistoryLostError
 	if errors.As(err, &lost) {
-		w.Log.Info("directory history lost", "after", lost.After)
+		w.Log.Info("directory history lost", "after", lost.After.Revision())
 		w.complete = false
 		return
 	}
+	var restored *directory.RestoredError
+	if errors.As(err, &restored) {
+		w.Log.Warn("directory restored from an older copy", "era", restored.Now, "era_before", restored.Before)
+		w.Scope.Counter("directory_restored").Inc(1)
+		w.complete = false
+		// A response of an earlier era is a late one, or from a part of the directory that lags behind.
+		clock.Sleep(ctx, minRetryPause)
+		return
+	}
 	now := w.Clock.Now()
 	w.mu.Lock()
 	if !w.failing {
@@ -258,44 +292,23 @@
 	now := w.Clock.Now()
 	var events []members.Event
 	if u.Complete {
-		events = w.Members.Replace(now, members.Revision(u.Position), u.Instances)
+		events = w.Members.Replace(now, u.Position.Revision(), u.Instances)
 		w.complete = true
 	} else {
 		events = w.Members.Apply(now, u.Instances)
 	}
+	w.mu.Lock()
 	w.position = u.Position
+	w.mu.Unlock()
 	if len(events) > 0 {
 		w.OnEvents("directory", events)
-		w.Broadcast(changesOf(events, u.Instances))
+		w.Broadcast(members.ChangesOf(events))
 	}
 	if u.Declarations != nil {
 		w.offer(u.Declarations, u.Revision)
 	}
 }
 
-// changesOf returns the changes to send to other routers for the events here.
-func changesOf(events []members.Event, listed []members.Change) []members.Change {
-	byID := make(map[settings.UpstreamID]members.Change, len(listed))
-	for _, c := range listed {
-		byID[c.ID] = c
-	}
-	var changes []members.Change
-	for _, e := range events {
-		if e.Kind == members.EventMissing {
-			// The entry may come back. Other routers that poll the directory decide for themselves.
-			continue
-		}
-		if c, ok := byID[e.ID]; ok {
-			changes = append(changes, c)
-			continue
-		}
-		if e.Kind == members.EventRemoved {
-			changes = append(changes, members.Change{ID: e.ID, Revision: e.Revision, Removed: true})
-		}
-	}
-	return changes
-}
-
 // offer offers a version of the declarations as a delta from the version in force.
 func (w *Watcher) offer(next *settings.Declarations, r settings.Revision) {
 	for range 2 {
--- a/router/internal/routers/state.go
+++ b/router/internal/routers/state.go
@@ -111,7 +111,7 @@
 	}
 	if len(events) > 0 {
 		s.OnEvents(string(state.Router), events)
-		s.Broadcast(effective(state.Members, events))
+		s.Broadcast(members.ChangesOf(events))
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -131,14 +131,3 @@
 		}
 	}
 }
-
-// effective returns the changes that caused events here; other routers may lack them too.
-func effective(changes []members.Change, events []members.Event) []members.Change {
-	var list []members.Change
-	for _, c := range changes {
-		if slices.ContainsFunc(events, func(e members.Event) bool { return e.ID == c.ID }) {
-			list = append(list, c)
-		}
-	}
-	return list
-}
