fix(peer): a load report opens a stream

Cause: opensStream lists the messages that may open a stream, and the new one was not in it, so no relay ever replied.

--- a/core/peer/link_test.go
+++ b/core/peer/link_test.go
@@ -210,3 +210,46 @@
 		}
 	})
 }
+
+// TestOlderProtocolVersionIsSpoken links processes of both versions, in both directions. An old acceptor sends its hello first and
+// closes the connection if the dialler offers another version than its own.
+func TestOlderProtocolVersionIsSpoken(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	address := listen(t, serveFunc(serveChunks), loopback)
+	old := newEndpoint(t, nil, loopback)
+	old.LocalHello = func() Hello { return Hello{Protocol: 1, ID: "old"} }
+	l, err := old.Dial(ctx, address)
+	c.Assert(err, qt.IsNil)
+	c.Assert(l.Version(), qt.Equals, 1)
+	c.Assert(l.Remote().Protocol, qt.Equals, 1)
+	recent := newEndpoint(t, nil, loopback)
+	l, err = recent.Dial(ctx, address)
+	c.Assert(err, qt.IsNil)
+	c.Assert(l.Version(), qt.Equals, ProtocolVersion)
+
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer ln.Close()
+	go acceptVersion1(ln)
+	l, err = recent.Dial(ctx, ln.Addr().String())
+	c.Assert(err, qt.IsNil)
+	c.Assert(l.Version(), qt.Equals, 1)
+}
+
+// acceptVersion1 shakes hands as programs did that knew version 1 alone.
+func acceptVersion1(ln net.Listener) {
+	for {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		var buf bytes.Buffer
+		_ = appendFrame(&buf, 0, &Hello{Protocol: 1, ID: "old"})
+		_, _ = conn.Write(buf.Bytes())
+		_, m, err := readFrame(bufio.NewReader(conn))
+		if hello, ok := m.(*Hello); err != nil || !ok || hello.Protocol != 1 {
+			_ = conn.Close()
+		}
+	}
+}
--- a/core/peer/receive.go
+++ b/core/peer/receive.go
@@ -88,7 +88,7 @@
 func opensStream(m Message) bool {
 	switch m.(type) {
 	case *Submit, *AttemptQuery, *IssueTicket, *ChatServed, *LoadExchange, *Announce, *Pull, *Claim, *Handover, *Leaving,
-		*FetchPrefix, *RouterState:
+		*FetchPrefix, *RouterState, *LoadReport:
 		return true
 	}
 	return false
