feat(waiting,direct): clients of a service that sheds its load come back later

Change: core/waiting.Refusals measures the share of refused attempts, with a half-life of 1 s, and tells clients to come back after as many times the shortest time as attempts are expected to be needed, spread by half.

--- a/router/internal/app/direct.go
+++ b/router/internal/app/direct.go
@@ -196,6 +196,7 @@
 		Unresponsive: d.unresponsive,
 		Backoff:      d.backoff,
 		Queues:       &waiting.Queues{},
+		Refusals:     &waiting.Refusals{},
 		Budget:       &retry.FleetBudget{Limits: retry.Limits{Ratio: budget.Ratio, Slack: budget.Slack, Window: budget.Window}},
 		Connections:  d.connections,
 		Dialect:      platform.Dialect{},
--- a/router/internal/direct/dispatch.go
+++ b/router/internal/direct/dispatch.go
@@ -60,6 +60,7 @@
 	Unresponsive *unresponsive.Detector
 	Backoff      *backoff.Tracker
 	Queues       *waiting.Queues
+	Refusals     *waiting.Refusals
 	Budget       *retry.FleetBudget
 	Connections  Connections
 	Dialect      Dialect
@@ -272,10 +273,12 @@
 		ex.relay.headSent = true
 	case res.Runs == 0:
 		res.Outcome, res.Code = peer.OutcomeNotRun, CodeUnreachable
+		res.RetryAfter = ex.dispatcher.Queues.RetryAfter(ex.Service)
 		if ending == attempt.Refused {
 			res.Code = CodeRefused
+			res.RetryAfter = max(res.RetryAfter, ex.dispatcher.Refusals.RetryAfter(ex.dispatcher.Clock.Now(), ex.Service, rand.Float64()))
 		}
-		res.RetryAfter = ex.retryAfter(ex.dispatcher.Queues.RetryAfter(ex.Service))
+		res.RetryAfter = ex.retryAfter(res.RetryAfter)
 	case ctx.Err() != nil:
 		res.Outcome, res.Code = peer.OutcomeUnknown, CodeDeadline
 	default:
@@ -287,6 +290,7 @@
 func (ex *exchange) recordEnding(ctx context.Context, inst members.Instance, ending attempt.Ending) {
 	now := ex.dispatcher.Clock.Now()
 	ex.tried.record(inst.ID, ending, ex.stalled)
+	ex.dispatcher.Refusals.Record(now, inst.Service, ending == attempt.Refused)
 	switch ending {
 	case attempt.NotSent:
 		avoidTime := ex.dispatcher.Outliers.RecordUnreachable(now, inst.ID, inst.Service)
--- a/router/internal/direct/dispatch_test.go
+++ b/router/internal/direct/dispatch_test.go
@@ -177,7 +177,7 @@
 	t.Cleanup(func() { cancel(); <-stopped })
 	b := &fixture{Dispatcher: &Dispatcher{
 		DataCentre: "kano", Members: &members.Registry{}, InFlight: &inflight.Tracker{}, Affinity: &affinity.Index{},
-		Outliers: &outlier.Detector{}, Unresponsive: &unresponsive.Detector{}, Queues: &waiting.Queues{}, Backoff: &backoff.Tracker{},
+		Outliers: &outlier.Detector{}, Unresponsive: &unresponsive.Detector{}, Queues: &waiting.Queues{}, Refusals: &waiting.Refusals{}, Backoff: &backoff.Tracker{},
 		Budget:      &retry.FleetBudget{Limits: retry.Limits{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}},
 		Connections: pool,
 		Dialect:     testDialect{}, Warmup: noWarmup{}, Clock: clock.Boot{}, Log: log.New(io.Discard), Scope: tally.NoopScope,
