perf(routers): the addresses of all routers are sent when they have changed

Cause: each of the 83 exchanges that a router begins in a second in a fleet of 103 carried 102 addresses in both directions, the largest part of the state. Change: the addresses go out when their digest differs from the last one sent to that router, after a failed exchange, and every 15 s.

--- a/router/internal/routers/service.go
+++ b/router/internal/routers/service.go
@@ -32,6 +32,8 @@
 	retryPause      = 500 * time.Millisecond
 	startRetryPause = 60 * time.Millisecond
 	startTime       = 3 * time.Second
+	// addressesInterval is how often unchanged addresses of routers are sent again to one that may have missed them.
+	addressesInterval = 15 * time.Second
 	// forgetTime is how long a router without contact is kept, unless the settings name it.
 	forgetTime = 30 * time.Second
 	// maxPending bounds the updates queued for one router. Above it all instances are sent again and the queued cache
@@ -63,6 +65,9 @@
 	incarnation peer.Incarnation
 	// fullStateSent reports that the router has been sent all instances, so that changes are enough.
 	fullStateSent bool
+	// sentAddresses is the digest of the routers' addresses that the router was last sent, 0 for none, and sentAt is when.
+	sentAddresses uint64
+	sentAt        clock.Instant
 	cacheUpdates  []affinity.CacheEntry
 	updateTimes   []clock.Instant
 	memberChanges []members.Change
@@ -307,7 +312,7 @@
 	r.lost, r.since = true, now
 	// The router may have applied only a part of the changes, so it is sent all instances again. The cache updates of this
 	// exchange are not queued again.
-	r.fullStateSent = false
+	r.fullStateSent, r.sentAddresses = false, 0
 }
 
 // Serve merges another router's state and responds with the state here. It returns false for other kinds of messages.
@@ -319,7 +324,7 @@
 	s.mu.Lock()
 	r := s.routerAt(state.Address)
 	if r.incarnation != state.Incarnation {
-		r.incarnation, r.fullStateSent = state.Incarnation, false
+		r.incarnation, r.fullStateSent, r.sentAddresses = state.Incarnation, false, 0
 	}
 	r.lastReceived = s.Clock.Now()
 	r.dataCentre, r.version = st.Link().Remote().DataCentre, st.Link().Version()
--- a/router/internal/routers/service_test.go
+++ b/router/internal/routers/service_test.go
@@ -219,3 +219,27 @@
 	s.routers["a"].lastExchange = now
 	c.Assert(*s.Dump().([]Status)[0].SinceExchangeMS < 10_000, qt.IsTrue)
 }
+
+// TestUnchangedAddressesAreSentOnce covers the largest part of a state in a large fleet.
+func TestUnchangedAddressesAreSentOnce(t *testing.T) {
+	c := qt.New(t)
+	now := clock.Boot{}.Now()
+	met := func() *router { return &router{lastExchange: now} }
+	s := &Service{routers: map[string]*router{"a": met(), "b": met(), "c": met()}}
+	for address, r := range s.routers {
+		r.address = address
+	}
+	r := s.routers["a"]
+	c.Assert(s.newAddresses(now, r), qt.HasLen, 2)
+	c.Assert(s.newAddresses(now, r), qt.HasLen, 0)
+	s.routers["d"] = &router{address: "d"}
+	c.Assert(s.newAddresses(now, r), qt.HasLen, 0, qt.Commentf("a router that was not reached is not passed on"))
+	s.routers["d"].lastReceived = now
+	c.Assert(s.newAddresses(now, r), qt.HasLen, 3)
+	c.Assert(s.newAddresses(now, r), qt.HasLen, 0)
+	c.Assert(s.newAddresses(now.Add(addressesInterval), r), qt.HasLen, 3)
+	s.recordFailure(&router{lost: true}, nil, now)
+	r.lost = true
+	s.recordFailure(r, nil, now)
+	c.Assert(s.newAddresses(now, r), qt.HasLen, 3)
+}
--- a/router/internal/routers/state.go
+++ b/router/internal/routers/state.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"rattantrack.dev/core/affinity"
 	"rattantrack.dev/core/clock"
 	"rattantrack.dev/core/members"
@@ -70,11 +72,7 @@
 	state.DirectoryAge, state.DirectoryFailing = s.DirectoryState()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for address, other := range s.routers {
-		if address != r.address && other.reachable() {
-			state.Routers = append(state.Routers, address)
-		}
-	}
+	state.Routers = s.newAddresses(now, r)
 	if !r.fullStateSent {
 		state.MembersComplete = s.Members.Complete()
 		state.Members = s.Members.Snapshot()
@@ -94,6 +92,24 @@
 	return state
 }
 
+// newAddresses returns the addresses of the reachable routers, or nil if the router has been sent the same ones. In a large fleet
+// they would be the largest part of each state.
+func (s *Service) newAddresses(now clock.Instant, r *router) []string {
+	var list []string
+	digest := uint64(1)
+	for address, other := range s.routers {
+		if address != r.address && other.reachable() {
+			list = append(list, address)
+			digest += xxhash.Sum64String(address)
+		}
+	}
+	if digest == r.sentAddresses && now.Sub(r.sentAt) < addressesInterval {
+		return nil
+	}
+	r.sentAddresses, r.sentAt = digest, now
+	return list
+}
+
 // merge applies another router's state.
 func (s *Service) merge(state *peer.RouterState, name settings.DataCentre) {
 	now := s.Clock.Now()
