fix(peer,side,router): no request crosses the end of a stopping side's links

Cause, by reading: a stopping side refuses attempts for 500 ms after its notices and then closes its links. A router that was held up meanwhile sends an attempt on a link that the side closes unread; the side's next process cannot tell whether it was run, so the request ends as unknown. Change: a router that gets the notice retires the link: it opens no further streams on it and closes it when the open ones have ended. The side waits for that up to 2 s before it stops. Open on a retired link proves that nothing was sent. Test: TestRetiredLinkFinishesItsStreamsAndOpensNone. The test now prints the failed attempts and the stops of all processes.

--- a/core/peer/dial.go
+++ b/core/peer/dial.go
@@ -80,11 +80,11 @@
 	err   error
 }
 
-// ended reports whether the dial has failed or its link has ended.
+// ended reports whether the dial has failed or its link has ended or opens no more streams.
 func (d *dialledLink) ended() bool {
 	select {
 	case <-d.ready:
-		return d.err != nil || d.link.Ended()
+		return d.err != nil || d.link.Ended() || d.link.Retired()
 	default:
 		return false
 	}
--- a/core/peer/link.go
+++ b/core/peer/link.go
@@ -84,6 +84,7 @@
 	streams          map[StreamID]*Stream
 	nextID           StreamID
 	heartbeatRunning bool
+	retired          bool
 	// handlers passes the handler to the reader once.
 	handlers chan Handler
 	// minOffset is the smallest difference between the local clock and a message's timestamp so far.
@@ -235,6 +236,13 @@
 	return l.hooks
 }
 
+// Retired reports whether the link opens no more streams.
+func (l *Link) Retired() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.retired
+}
+
 // Ended reports whether the link has ended.
 func (l *Link) Ended() bool {
 	select {
--- a/core/peer/link_test.go
+++ b/core/peer/link_test.go
@@ -253,3 +253,36 @@
 		}
 	}
 }
+
+// TestRetiredLinkFinishesItsStreamsAndOpensNone covers a process that is about to stop: nothing may be sent to it on a link that it
+// may already have closed, and what is open must end well.
+func TestRetiredLinkFinishesItsStreamsAndOpensNone(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	address := listen(t, serveFunc(serveChunks), loopback)
+	e := newEndpoint(t, nil, loopback)
+	l, err := e.Dial(ctx, address)
+	c.Assert(err, qt.IsNil)
+	open, err := l.Open(ctx, &Submit{Offset: 20})
+	c.Assert(err, qt.IsNil)
+	l.Retire()
+	_, err = l.Open(ctx, &Submit{})
+	var retired *RetiredError
+	c.Assert(errors.As(err, &retired), qt.IsTrue)
+	for range 21 {
+		_, err := open.Receive(ctx)
+		c.Assert(err, qt.IsNil)
+	}
+	c.Assert(l.Ended(), qt.IsFalse)
+	fresh, err := e.Dial(ctx, address)
+	c.Assert(err, qt.IsNil)
+	c.Assert(fresh != l, qt.IsTrue)
+	open.Close()
+	<-l.Done()
+	again, err := e.Dial(ctx, address)
+	c.Assert(err, qt.IsNil)
+	c.Assert(again == fresh, qt.IsTrue)
+	again.Retire()
+	<-again.Done()
+}
--- a/core/peer/receive.go
+++ b/core/peer/receive.go
@@ -65,7 +65,10 @@
 	if l.inboundStreams.Load() >= maxInboundStreams {
 		return l.send(ctx, id, &Reset{Reason: "too many open streams"})
 	}
+	l.mu.Lock()
 	s := l.add(id)
+	l.mu.Unlock()
+	l.startHeartbeat()
 	l.inboundStreams.Add(1)
 	wg.Add(1)
 	go func() {
@@ -100,15 +103,12 @@
 	return l.streams[id]
 }
 
+// add adds an open stream; l.mu is held.
 func (l *Link) add(id StreamID) *Stream {
 	s := &Stream{link: l, id: id, inbox: make(chan Message, inboxLength), credit: make(chan struct{}, 1)}
 	s.window.Store(chunkWindow)
-	l.mu.Lock()
 	l.streams[id] = s
-	l.mu.Unlock()
-	if l.openStreams.Add(1) == 1 {
-		l.startHeartbeat()
-	}
+	l.openStreams.Add(1)
 	return s
 }
 
--- a/core/peer/stream.go
+++ b/core/peer/stream.go
@@ -133,18 +133,24 @@
 	s.once.Do(func() {
 		s.link.mu.Lock()
 		delete(s.link.streams, s.id)
-		s.link.mu.Unlock()
 		s.link.openStreams.Add(-1)
+		s.link.mu.Unlock()
+		s.link.closeIfRetired()
 	})
 }
 
 // Open opens a stream with its first message.
 func (l *Link) Open(ctx context.Context, m Message) (*Stream, error) {
 	l.mu.Lock()
+	if l.retired {
+		l.mu.Unlock()
+		return nil, &RetiredError{}
+	}
 	id := l.nextID
 	l.nextID += 2
-	l.mu.Unlock()
 	s := l.add(id)
+	l.mu.Unlock()
+	l.startHeartbeat()
 	if err := s.Send(ctx, m); err != nil {
 		s.Close()
 		return nil, err
@@ -152,6 +158,33 @@
 	return s, nil
 }
 
+// RetiredError reports a link that is about to end and on which nothing was sent.
+type RetiredError struct{}
+
+func (e *RetiredError) Error() string { return "link retired" }
+
+// Retire closes the link once its open streams have ended, and opens no new ones. The other end is about to stop: closing the
+// link here ensures that no request crosses its end.
+func (l *Link) Retire() {
+	l.mu.Lock()
+	l.retired = true
+	idle := l.openStreams.Load() == 0
+	l.mu.Unlock()
+	if idle {
+		l.Close(&RetiredError{})
+	}
+}
+
+// closeIfRetired closes a retired link without open streams.
+func (l *Link) closeIfRetired() {
+	l.mu.Lock()
+	idle := l.retired && l.openStreams.Load() == 0
+	l.mu.Unlock()
+	if idle {
+		l.Close(&RetiredError{})
+	}
+}
+
 // Request opens a stream with a request message and waits up to limit for one reply of type T.
 func Request[T Message](ctx context.Context, l *Link, request Message, limit time.Duration) (T, error) {
 	var zero T
--- a/router/internal/sides/attempt.go
+++ b/router/internal/sides/attempt.go
@@ -81,6 +81,10 @@
 	prog.attempt++
 	submit := d.newSubmit(call, prog, step)
 	st, err := link.Open(ctx, submit)
+	var retired *peer.RetiredError
+	if errors.As(err, &retired) {
+		return attemptResult{ending: endUnreachable, err: err}
+	}
 	if err != nil {
 		// The message may already be in the link's queue although Open failed.
 		return d.resolveLost(ctx, call, prog, step, link, err)
--- a/router/internal/sides/dispatch.go
+++ b/router/internal/sides/dispatch.go
@@ -224,5 +224,6 @@
 		return false
 	}
 	d.View.RecordLeaving(settings.UpstreamID(st.Link().Remote().ID))
+	st.Link().Retire()
 	return true
 }
--- a/side/internal/app/app.go
+++ b/side/internal/app/app.go
@@ -146,6 +146,13 @@
 // leavingTimeout bounds the leaving notices and, separately, the handover of a stopping side.
 const leavingTimeout = 2 * time.Second
 
+// linkEndTimeout bounds how long a stopping side waits for the routers to close their links, and linkEndInterval is how often it
+// checks.
+const (
+	linkEndTimeout  = 2 * time.Second
+	linkEndInterval = 20 * time.Millisecond
+)
+
 // minRefusalTime is the shortest time for which a stopping side still refuses attempts after its leaving notices.
 const minRefusalTime = 500 * time.Millisecond
 
@@ -171,6 +178,35 @@
 	d.side.sides.HandOver(handoverCtx)
 	// Attempts sent before a router received the notice are refused, and the refusals must still be delivered.
 	time.Sleep(time.Until(noticed.Add(minRefusalTime)))
+	d.awaitLinkEnds()
 	d.side.log.Info("side drained")
 	return nil
 }
+
+// awaitLinkEnds waits until the routers have closed their links. A router does so after the notice, when it has no request open,
+// so that no attempt crosses the end of a link. A link that a router opened later gets the notice here.
+func (d *drain) awaitLinkEnds() {
+	ctx, cancel := context.WithTimeout(context.Background(), linkEndTimeout)
+	defer cancel()
+	noticed := make(map[*peer.Link]bool)
+	for {
+		open := 0
+		for _, l := range d.side.endpoint.Links() {
+			if l.Remote().Role != peer.RoleRouter {
+				continue
+			}
+			open++
+			if !noticed[l] {
+				noticed[l] = true
+				_ = peer.Notify(ctx, l, &peer.Leaving{})
+			}
+		}
+		if open == 0 {
+			return
+		}
+		if !clock.Sleep(ctx, linkEndInterval) {
+			d.side.log.Warn("routers have not closed their links", "links", open)
+			return
+		}
+	}
+}
--- a/standin/internal/fleet/stop_test.go
+++ b/standin/internal/fleet/stop_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -48,10 +49,32 @@
 	}
 	stopLoad()
 	got := <-result
-	c.Assert(got.Failed, qt.Equals, int64(0), qt.Commentf("%d sent\n%v", got.Sent, got.Failures))
+	c.Assert(got.Failed, qt.Equals, int64(0), qt.Commentf("%d sent\n%v\n%s", got.Sent, got.Failures, f.failedAttempts()))
 	c.Assert(got.Sent > 500, qt.IsTrue, qt.Commentf("%d sent", got.Sent))
 }
 
+// failedAttempts returns the lines of all processes that explain a failed request in rolling restarts.
+func (f *Fleet) failedAttempts() string {
+	var b strings.Builder
+	var processes []*Process
+	for _, r := range f.Routers {
+		processes = append(processes, r.Process)
+	}
+	for _, u := range f.Upstreams() {
+		processes = append(processes, u.Side)
+	}
+	for _, p := range processes {
+		for _, line := range strings.Split(p.Log(), "\n") {
+			for _, text := range []string{"attempt failed", "side leaving", "side drained", "stopping"} {
+				if strings.Contains(line, text) {
+					fmt.Fprintf(&b, "%s: %s\n", p.Name, line)
+				}
+			}
+		}
+	}
+	return b.String()
+}
+
 func TestStoppedRouterFinishesOpenRequests(t *testing.T) {
 	c := qt.New(t)
 	ctx := testContext(t)
