fix(placement,direct): routers that place requests at the same moment choose different upstreams

Prompts that no upstream caches go to the cheapest upstream, and the routers of a data centre see the same loads at the same time, so within one exchange all choose the one upstream that is the least loaded for all of them. Ruled out: the age of the counts alone (the mean load was seen right, 2.6 of 2.5). Change: the rendezvous order of the upstreams for the prompt, or for the request without one, is part of the cost (OrderCost), so what leaves its primary spreads, and the same prompt leaves to the same upstream.

--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -12,8 +12,10 @@
 	Load, Slots int
 	// CachedTokens is the number of leading prompt tokens that the upstream has cached.
 	CachedTokens settings.Tokens
-	// RendezvousRank is the upstream's position in the rendezvous order for the prompt; 0 is the primary.
-	RendezvousRank int
+	// Primary means that the upstream is the first in the rendezvous order for the prompt.
+	Primary bool
+	// Order is a number in [0, 1) by which the upstreams are ordered for the prompt, the same at all routers.
+	Order float64
 	// Cold means that the upstream has just started and is still slow.
 	Cold bool
 	// Failed means that the request failed at this upstream before.
@@ -43,6 +45,9 @@
 	// NonPrimaryCost is the cost of an upstream other than the primary that lacks some of the shared tokens. It makes
 	// routers without information about a prompt choose the same upstream.
 	NonPrimaryCost float64
+	// OrderCost is the cost of the last upstream in the order for the prompt or, without a prompt, for the request. It makes
+	// routers that see the same loads at the same time choose different upstreams for different prompts.
+	OrderCost float64
 	// DistanceCost is the cost of an upstream in another data centre, ColdCost that of one that has just started.
 	DistanceCost, ColdCost float64
 	// FailureCost is the cost of an upstream at which the request failed before. A long prompt cached there can outweigh
@@ -79,9 +84,10 @@
 	CacheOwner *Candidate
 }
 
-// Choose returns the candidate with the lowest cost within its load bound. The costs serve two load patterns: sessions that
-// return to a long prompt stay at the upstream that caches it until its load is near the bound, and bursts of short
-// requests are distributed over the least loaded upstreams.
+// Choose returns the candidate with the lowest cost within its load bound. The costs serve three load patterns: sessions that
+// return to a long prompt stay at the upstream that caches it until its load is near the bound, bursts of short requests are
+// distributed over the least loaded upstreams, and many routers that place requests at the same moment do not all choose the
+// upstream that is the least loaded for all of them.
 func Choose(p *Policy, r *Request, candidates []Candidate) Choice {
 	totalLoad, n := 0, 0
 	for _, c := range candidates {
@@ -134,13 +140,17 @@
 
 func (p *Policy) cost(r *Request, c *Candidate, mean float64) float64 {
 	cost := float64(c.Load)
+	cached := r.SharedTokens > 0 && c.CachedTokens >= r.SharedTokens
+	if !cached {
+		cost += p.OrderCost * c.Order
+	}
 	if float64(c.Load+1) > p.loadBound(r, c, mean) {
 		return overBoundPenalty + cost
 	}
 	if r.Affinity {
 		cost += float64(max(0, r.SharedTokens-c.CachedTokens) / p.TokensPerRequest)
 	}
-	if c.RendezvousRank > 0 && c.CachedTokens < r.SharedTokens {
+	if r.SharedTokens > 0 && !c.Primary && !cached {
 		cost += p.NonPrimaryCost
 	}
 	if c.DataCentre != r.DataCentre {
--- a/core/placement/choose_test.go
+++ b/core/placement/choose_test.go
@@ -13,7 +13,7 @@
 // policy has the same values as the router's policy for engines.
 var policy = Policy{
 	Multiple: 1.4, Slack: 2, LongMultiple: 1.75, LongSlack: 2.5, LongPrefix: 2000,
-	TokensPerRequest: 300, NonPrimaryCost: 2, DistanceCost: 0.25, ColdCost: 3, FailureCost: 12, Overcommit: 1,
+	TokensPerRequest: 300, NonPrimaryCost: 4, OrderCost: 3, DistanceCost: 0.25, ColdCost: 3, FailureCost: 12, Overcommit: 1,
 }
 
 func candidate(id string, load int, cached settings.Tokens) Candidate {
--- a/core/rendezvous/set.go
+++ b/core/rendezvous/set.go
@@ -66,6 +66,16 @@
 	return n
 }
 
+// Order returns, for each upstream in the order of IDs, a number in [0, 1) by which the upstreams rank for a key: the primary has
+// the lowest one.
+func (s *Set) Order(key uint64) []float64 {
+	order := make([]float64, len(s.seeds))
+	for i, seed := range s.seeds {
+		order[i] = float64(^mix(seed^key)>>11) / (1 << 53)
+	}
+	return order
+}
+
 // insert adds index i to the descending list of best scores and returns the new length, at most k.
 func insert(best *[MaxTop]int, scores *[MaxTop]uint64, n, k, i int, score uint64) int {
 	if n < k {
--- a/router/internal/direct/place.go
+++ b/router/internal/direct/place.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"rattantrack.dev/core/attempt"
 	"rattantrack.dev/core/call"
 	"rattantrack.dev/core/clock"
@@ -44,7 +46,8 @@
 	LongPrefix: 2000,
 	// Processing 300 prompt tokens takes an engine as long as a few steps of a batch with one more request.
 	TokensPerRequest: 300,
-	NonPrimaryCost:   2,
+	NonPrimaryCost:   4,
+	OrderCost:        3,
 	DistanceCost:     0.25,
 	ColdCost:         3,
 	FailureCost:      12,
@@ -55,6 +58,7 @@
 var plainPolicy = placement.Policy{
 	Multiple: 1.6, Slack: 2,
 	DistanceCost: 0.9,
+	OrderCost:    0.5,
 	ColdCost:     2,
 	FailureCost:  1000,
 	// With one request waiting per slot at the upstream, responses are still on time.
@@ -107,21 +111,27 @@
 	paused, _ := d.Backoff.Paused(now, serving)
 	excluded := d.excluded(now, ids, paused)
 	var cachedTokens []settings.Tokens
-	ranks := make([]int, len(ids))
+	order := rendezvous.New(ids).Order(r.orderKey())
+	primary := 0
+	for i := range order {
+		if order[i] < order[primary] {
+			primary = i
+		}
+	}
 	if r.RouteConfig.Affinity {
 		cachedTokens = d.Affinity.CachedTokens(now, r.sharedBlocks(), ids)
-		ranks = d.rendezvousRanks(r, ids)
 	}
 	candidates := make([]placement.Candidate, len(serving))
 	for i := range serving {
 		candidates[i] = placement.Candidate{
-			ID:             ids[i],
-			DataCentre:     serving[i].DataCentre,
-			Load:           loads[i],
-			Slots:          serving[i].Slots,
-			RendezvousRank: ranks[i],
-			Cold:           serving[i].ColdRemaining > 0 && d.Members.ColdRemaining(now, ids[i]) > 0,
-			Excluded:       excluded[i],
+			ID:         ids[i],
+			DataCentre: serving[i].DataCentre,
+			Load:       loads[i],
+			Slots:      serving[i].Slots,
+			Primary:    i == primary,
+			Order:      order[i],
+			Cold:       serving[i].ColdRemaining > 0 && d.Members.ColdRemaining(now, ids[i]) > 0,
+			Excluded:   excluded[i],
 		}
 		if cachedTokens != nil {
 			candidates[i].CachedTokens = cachedTokens[i]
@@ -156,19 +166,11 @@
 	return r.PromptBlocks[:max(0, len(r.PromptBlocks)-1)]
 }
 
-// rendezvousRanks returns 0 for the primary of the last shared prompt block and 1 for all other upstreams, or 0 for all
-// if there is no shared block.
-func (d *Dispatcher) rendezvousRanks(r *Request, ids []settings.UpstreamID) []int {
-	ranks := make([]int, len(ids))
-	blocks := r.sharedBlocks()
-	if len(blocks) == 0 {
-		return ranks
-	}
-	primary, ok := rendezvous.New(ids).Primary(uint64(blocks[len(blocks)-1].ID))
-	for i, id := range ids {
-		if !ok || id != primary {
-			ranks[i] = 1
-		}
+// orderKey returns the key by which the upstreams are ordered for the request: its last shared prompt block or, without one, the
+// request's id.
+func (r *Request) orderKey() uint64 {
+	if blocks := r.sharedBlocks(); len(blocks) > 0 {
+		return uint64(blocks[len(blocks)-1].ID)
 	}
-	return ranks
+	return xxhash.Sum64String(string(r.ID))
 }
