perf(loads,directory): reads of the directory become known through the relays

A router polls when the newest read that it knows of is older than 1.6 s, and the exchange of states, with an interval of 1.24 s, brings a poller's read after up to 2.3 s. Change: load reports and totals carry the age of the newest read. It takes the way of the counts, from routers to relay to relays to their routers, so that a read never comes back younger (TestReadsOfTheDirectoryAreKnownEverywhere stops the only reader).

--- a/core/peer/loadreport.go
+++ b/core/peer/loadreport.go
@@ -1,6 +1,8 @@
 package peer
 
 import (
+	"time"
+
 	"rattantrack.dev/core/inflight"
 	"rattantrack.dev/core/settings"
 )
@@ -13,6 +15,8 @@
 	// Sum reports that Open holds the sums over the sender's data centre and not its own counts alone.
 	Sum  bool
 	Open inflight.Packed
+	// DirectoryAge is the time since the sender or, with Sum, a router of its data centre read the platform's directory.
+	DirectoryAge time.Duration
 }
 
 // Kind returns KindLoadReport.
@@ -23,6 +27,8 @@
 type LoadTotals struct {
 	DataCentre settings.DataCentre
 	Open       inflight.Packed
+	// DirectoryAge is the time since one of the routers in Open read the platform's directory.
+	DirectoryAge time.Duration
 }
 
 // Kind returns KindLoadTotals.
--- a/router/internal/app/direct.go
+++ b/router/internal/app/direct.go
@@ -151,18 +151,19 @@
 		Self: relay.Router{
 			Address: d.cfg.Advertise, DataCentre: d.cfg.DataCentre, Cores: d.cfg.Direct.Cores,
 		},
-		Routers:  d.routers,
-		Dialer:   d.endpoint,
-		InFlight: inFlight,
-		Members:  d.members,
-		Clock:    clock.Boot{},
-		Log:      d.log,
-		Scope:    scope,
+		Routers:        d.routers,
+		Dialer:         d.endpoint,
+		InFlight:       inFlight,
+		Members:        d.members,
+		DirectoryState: func() (time.Duration, bool) { return d.watcher.State() },
+		Clock:          clock.Boot{},
+		Log:            d.log,
+		Scope:          scope,
 	}
 	d.gossip = &gossip.Service{Store: d.store, Dialer: d.endpoint, Log: d.log, Candidates: d.routers.Addresses}
 	d.watcher = &directory.Watcher{
 		Self:      polling.Candidate{Address: d.cfg.Advertise, Cores: d.cfg.Direct.Cores},
-		Routers:   d.routers,
+		Routers:   directoryRouters{Service: d.routers, loads: d.loads},
 		Source:    &platform.Store{URL: d.cfg.Direct.Directory, HTTP: directoryClient()},
 		Store:     d.store,
 		Offer:     d.gossip,
@@ -227,6 +228,17 @@
 	d.announcer = &operator.Announcer{Log: d.log, Message: "router ready"}
 }
 
+// directoryRouters reports the directory reads of the other routers, by whatever way they became known first.
+type directoryRouters struct {
+	*routers.Service
+	loads *loads.Service
+}
+
+// LastDirectoryRead returns the time of the latest directory read of another router.
+func (r directoryRouters) LastDirectoryRead() clock.Instant {
+	return max(r.Service.LastDirectoryRead(), r.loads.LastDirectoryRead())
+}
+
 // cachingServices returns the services whose upstreams cache prompts, nil while there are no declarations.
 func (d *Direct) cachingServices() []settings.ServiceName {
 	_, declarations := d.store.Current()
--- a/router/internal/loads/service.go
+++ b/router/internal/loads/service.go
@@ -13,6 +13,7 @@
 	"rattantrack.dev/core/members"
 	"rattantrack.dev/core/peer"
 	"rattantrack.dev/core/relay"
+	"rattantrack.dev/core/settings"
 )
 
 // Times of an exchange.
@@ -59,15 +60,20 @@
 	Dialer   Dialer
 	InFlight *inflight.Tracker
 	Members  *members.Registry
-	Clock    Clock
-	Log      *log.Logger
-	Scope    tally.Scope
+	// DirectoryState returns how long ago this router read the directory, and whether it cannot read it.
+	DirectoryState func() (age time.Duration, failing bool)
+	Clock          Clock
+	Log            *log.Logger
+	Scope          tally.Scope
 
 	mu       sync.Mutex
 	partners map[string]*partner
 	ids      inflight.IDs
 	relays   bool
-	wg       sync.WaitGroup
+	// directoryReads holds, by data centre, when another router last read the directory. Like the counts, reads are passed on from
+	// a router to its relay, from there to the other relays, and from these to their routers, so that none comes back younger.
+	directoryReads map[settings.DataCentre]clock.Instant
+	wg             sync.WaitGroup
 }
 
 // String returns the service's name.
@@ -160,6 +166,10 @@
 		Router: s.ID, DataCentre: s.Self.DataCentre, Sum: relays, Open: inflight.Pack(ids, counts, p.digest != ids.Digest),
 	}
 	s.mu.Unlock()
+	report.DirectoryAge, _ = s.DirectoryState()
+	if relays {
+		report.DirectoryAge = min(report.DirectoryAge, s.directoryAge(now, s.Self.DataCentre))
+	}
 	totals, err := s.request(ctx, address, report)
 	s.mu.Lock()
 	p.exchanging = false
@@ -184,8 +194,37 @@
 	return peer.Request[*peer.LoadTotals](ctx, link, report, requestTimeout)
 }
 
+// recordRead records when a router of a data centre read the directory.
+func (s *Service) recordRead(name settings.DataCentre, at clock.Instant) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.directoryReads == nil {
+		s.directoryReads = make(map[settings.DataCentre]clock.Instant)
+	}
+	s.directoryReads[name] = max(s.directoryReads[name], at)
+}
+
+// LastDirectoryRead returns when another router last read the directory, 0 if none is known to have.
+func (s *Service) LastDirectoryRead() clock.Instant {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var latest clock.Instant
+	for _, at := range s.directoryReads {
+		latest = max(latest, at)
+	}
+	return latest
+}
+
+// directoryAge returns the time since another router of a data centre read the directory.
+func (s *Service) directoryAge(now clock.Instant, name settings.DataCentre) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Sub(s.directoryReads[name])
+}
+
 // record stores the sums of a reply.
 func (s *Service) record(at clock.Instant, totals *peer.LoadTotals, relays bool) {
+	s.recordRead(totals.DataCentre, at.Add(-totals.DirectoryAge))
 	counts, ok := s.unpack(totals.Open)
 	if !ok {
 		return
@@ -218,6 +257,7 @@
 		return false
 	}
 	now := s.Clock.Now()
+	s.recordRead(report.DataCentre, now.Add(-report.DirectoryAge))
 	if counts, ok := s.unpack(report.Open); ok {
 		if report.Sum {
 			s.InFlight.ReportSum(now, report.DataCentre, counts)
@@ -231,10 +271,18 @@
 	} else {
 		counts = s.InFlight.TotalsFor(now, report.Router, s.Self.DataCentre)
 	}
+	age, _ := s.DirectoryState()
+	if report.Sum {
+		age = min(age, s.directoryAge(now, s.Self.DataCentre))
+	} else {
+		age = min(age, now.Sub(s.LastDirectoryRead()))
+	}
 	s.mu.Lock()
 	ids := s.currentIDs()
 	s.mu.Unlock()
-	totals := &peer.LoadTotals{DataCentre: s.Self.DataCentre, Open: inflight.Pack(ids, counts, report.Open.Digest != ids.Digest)}
+	totals := &peer.LoadTotals{
+		DataCentre: s.Self.DataCentre, Open: inflight.Pack(ids, counts, report.Open.Digest != ids.Digest), DirectoryAge: age,
+	}
 	if err := st.Send(ctx, totals); err != nil {
 		s.Log.Debug("cannot send counts to a router", "router", report.Router, "error", err)
 	}
--- a/router/internal/loads/service_test.go
+++ b/router/internal/loads/service_test.go
@@ -84,6 +84,12 @@
 			ID:      inflight.RouterID(id),
 			Self:    relay.Router{Address: ln.Addr().String(), DataCentre: settings.DataCentre(fmt.Sprint(i / 3)), Cores: 1},
 			Routers: one, Dialer: endpoint, InFlight: &inflight.Tracker{}, Members: &members.Registry{}, Clock: clock.Boot{},
+			DirectoryState: func() (time.Duration, bool) {
+				if i == 0 {
+					return 0, false
+				}
+				return time.Hour, false
+			},
 			Log: log.New(io.Discard), Scope: tally.NoopScope,
 		}
 		one.service.Members.Replace(clock.Boot{}.Now(), 1, instances(4))
@@ -174,3 +180,33 @@
 	}
 	f.eventually(t, 6)
 }
+
+// TestReadsOfTheDirectoryAreKnownEverywhere covers a fleet in which one router reads the directory. When that ends, the read must age
+// everywhere: no router may take it for a newer one that it has heard back.
+func TestReadsOfTheDirectoryAreKnownEverywhere(t *testing.T) {
+	c := qt.New(t)
+	f := startFleet(t, 9)
+	oldest := func(nodes []*node) time.Duration {
+		var age time.Duration
+		for _, n := range nodes {
+			age = max(age, clock.Boot{}.Now().Sub(n.service.LastDirectoryRead()))
+		}
+		return age
+	}
+	for range 500 {
+		if oldest(f.nodes[1:]) < time.Second {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	c.Assert(oldest(f.nodes[1:]) < time.Second, qt.IsTrue)
+	f.nodes[0].stop()
+	f.mu.Lock()
+	f.nodes[0].lost = true
+	f.mu.Unlock()
+	time.Sleep(2 * time.Second)
+	for _, n := range f.nodes[1:] {
+		age := clock.Boot{}.Now().Sub(n.service.LastDirectoryRead())
+		c.Assert(age > 1500*time.Millisecond, qt.IsTrue, qt.Commentf("%s: %v", n.service.ID, age))
+	}
+}
