--- a/core/placement/choose_test.go
+++ b/core/placement/choose_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"rattantrack.dev/core/rendezvous"
 	"rattantrack.dev/core/settings"
 )
 
@@ -111,3 +112,54 @@
 	// Each prompt is prefilled at least once, and the hot one at several engines.
 	c.Assert(prefills < 10*76, qt.IsTrue, qt.Commentf("%d prefills", prefills))
 }
+
+// TestRoutersWithTheSameViewSpreadTheirRequests replays the start of the traffic at a hundred routers: prompts that no engine
+// caches arrive at 1,200 a second, and all routers see the same loads, 150 ms old. No more than 3 in 100 requests may find an
+// engine above twice the mean and three, the operators' limit.
+func TestRoutersWithTheSameViewSpreadTheirRequests(t *testing.T) {
+	c := qt.New(t)
+	r := rand.New(rand.NewPCG(3, 4))
+	const (
+		engines, prompts   = 160, 800
+		arrivals, duration = 180, 2 // requests in each step of 150 ms, and steps that a request takes
+		steps              = 200
+	)
+	ids := make([]settings.UpstreamID, engines)
+	for i := range ids {
+		ids[i] = settings.UpstreamID(fmt.Sprintf("engine-%03d", i))
+	}
+	set := rendezvous.New(ids)
+	loads, seen := make([]int, engines), make([]int, engines)
+	var running [duration + 1][]int
+	above, placed := 0, 0
+	for step := range steps {
+		copy(seen, loads)
+		for _, i := range running[step%len(running)] {
+			loads[i]--
+		}
+		running[step%len(running)] = nil
+		for range arrivals {
+			order := set.Order(r.Uint64N(prompts) * 0x9e3779b97f4a7c15)
+			candidates := make([]Candidate, engines)
+			primary := 0
+			for i := range candidates {
+				candidates[i] = Candidate{ID: ids[i], DataCentre: "kano", Load: seen[i], Slots: 24, Order: order[i]}
+				if order[i] < order[primary] {
+					primary = i
+				}
+			}
+			candidates[primary].Primary = true
+			choice := Choose(&policy, &Request{DataCentre: "kano", SharedTokens: 800, Affinity: true}, candidates)
+			c.Assert(choice.Reason, qt.Equals, Chosen)
+			mean := float64(arrivals*duration) / engines
+			if float64(loads[choice.Index]) > 2*mean+3 {
+				above++
+			}
+			placed++
+			loads[choice.Index]++
+			at := (step + duration) % len(running)
+			running[at] = append(running[at], choice.Index)
+		}
+	}
+	c.Assert(float64(above) < 0.03*float64(placed), qt.IsTrue, qt.Commentf("%d of %d", above, placed))
+}
