--- a/core/inflight/tracker.go
+++ b/core/inflight/tracker.go
@@ -121,15 +121,15 @@
 func (t *Tracker) TotalsFor(now clock.Instant, to RouterID, name settings.DataCentre) Counts {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	sum, _, _ := t.addUp(now, to, name)
+	sum, _ := t.addUp(now, to, name)
 	sum.add(t.local)
 	return sum
 }
 
 // addUp adds up the counts of the other routers without those of one. own is the data centre whose sums are not used, since
-// they would include that router. It returns when the first of the used counts expires and how many routers' counts there are.
-func (t *Tracker) addUp(now clock.Instant, without RouterID, own settings.DataCentre) (Counts, clock.Instant, int) {
-	sum, expires, routers := make(Counts), now.Add(reportLifetime), 0
+// they would include that router. It also returns when the first of the used counts expires.
+func (t *Tracker) addUp(now clock.Instant, without RouterID, own settings.DataCentre) (Counts, clock.Instant) {
+	sum, expires := make(Counts), now.Add(reportLifetime)
 	fresh := make(map[settings.DataCentre]bool, len(t.sums))
 	for name, r := range t.sums {
 		end := r.at.Add(sumLifetime)
@@ -146,14 +146,13 @@
 			delete(t.reports, from)
 			continue
 		}
-		routers++
 		if from == without || (r.dataCentre != "" && fresh[r.dataCentre]) {
 			continue
 		}
 		expires = min(expires, end)
 		sum.add(r.counts)
 	}
-	return sum, expires, routers
+	return sum, expires
 }
 
 func (c Counts) add(other Counts) {
@@ -167,7 +166,7 @@
 	if t.remoteTotal != nil && now.Before(t.expires) {
 		return
 	}
-	t.remoteTotal, t.expires, _ = t.addUp(now, "", "")
+	t.remoteTotal, t.expires = t.addUp(now, "", "")
 	if end := t.totals.at.Add(sumLifetime); t.totals.at != 0 && now.Before(end) {
 		t.remoteTotal, t.expires = t.totals.counts, end
 	}
--- a/core/members/registry.go
+++ b/core/members/registry.go
@@ -155,16 +155,16 @@
 	return c.Revision <= r.listedAt && c.Revision > r.removed[c.ID].revision
 }
 
-// handleUnlisted handles an entry that another router still has. Its event tells that router of the removal. If the directory has
-// been restored since, the entry may come back.
+// handleUnlisted keeps an entry that another router still has as missing, since it may have lapsed in an outage that this router
+// has not seen, or be lacking in an older copy. The event of its expiry tells the other router of the removal.
 func (r *Registry) handleUnlisted(now clock.Instant, c Change) []Event {
+	keep := removalDelay
 	if c.Revision.Era() < r.listedAt.Era() {
-		c.Instance.Draining = r.recordLeaving(c.Instance)
-		r.entries[c.ID] = &entry{instance: c.Instance, revision: r.listedAt, missingUntil: now.Add(reappearTime)}
-		return []Event{{ID: c.ID, Kind: EventMissing, Instance: c.Instance, Revision: r.listedAt}}
+		keep = reappearTime
 	}
-	r.recordRemoval(c.ID, r.listedAt, c.Instance.Incarnation)
-	return []Event{{ID: c.ID, Kind: EventRemoved, Instance: c.Instance, Revision: r.listedAt}}
+	c.Instance.Draining = r.recordLeaving(c.Instance)
+	r.entries[c.ID] = &entry{instance: c.Instance, revision: r.listedAt, missingUntil: now.Add(keep)}
+	return []Event{{ID: c.ID, Kind: EventMissing, Instance: c.Instance, Revision: r.listedAt}}
 }
 
 // apply applies one change and keeps an entry that may have expired in an outage until the given time.
