--- a/router/internal/direct/attempt.go
+++ b/router/internal/direct/attempt.go
@@ -48,6 +48,7 @@
 		return attempt.NotSent
 	}
 	ex.res.Upstream = inst.ID
+	ex.answeredAt = 0
 	if ex.RouteConfig.Affinity {
 		dispatcher.Affinity.RecordUse(now, ex.sharedBlocks(), inst.ID)
 	}
@@ -62,10 +63,11 @@
 		conn.Close()
 		return ex.noResponse(ctx, inst, err)
 	}
-	dispatcher.Unresponsive.ResponseReceived(dispatcher.Clock.Now(), inst.ID)
+	ex.answeredAt = dispatcher.Clock.Now()
+	dispatcher.Unresponsive.ResponseReceived(ex.answeredAt, inst.ID)
 	ex.recordStatements(inst, res.Answer)
 	if ex.res.FirstByte == 0 {
-		ex.res.FirstByte = dispatcher.Clock.Now().Sub(ex.Arrived)
+		ex.res.FirstByte = ex.answeredAt.Sub(ex.Arrived)
 	}
 	ending, complete := ex.relayResponse(ctx, inst, res, timer)
 	ex.stalled = timer.stop()
@@ -120,7 +122,7 @@
 	if ctx.Err() != nil {
 		return attempt.ClientGone
 	}
-	ex.dispatcher.Log.Warn("answer lost", "request", ex.ID, "upstream", inst.ID, "error", err)
+	ex.dispatcher.Log.Warn("answer lost", "request", ex.ID, "upstream", inst.ID, "blocks", blockList(ex.sharedBlocks()), "error", err)
 	return attempt.Lost
 }
 
@@ -187,7 +189,8 @@
 	if ctx.Err() != nil {
 		return attempt.ClientGone
 	}
-	ex.dispatcher.Log.Warn("answer broken off", "request", ex.ID, "upstream", inst.ID, "events", ex.relay.events, "error", err)
+	ex.dispatcher.Log.Warn("answer broken off", "request", ex.ID, "upstream", inst.ID, "events", ex.relay.events,
+		"answered_ms", ex.dispatcher.Clock.Now().Sub(ex.answeredAt).Milliseconds(), "blocks", blockList(ex.sharedBlocks()), "error", err)
 	if ex.relay.headSent {
 		return attempt.Cut
 	}
--- a/router/internal/direct/dispatch.go
+++ b/router/internal/direct/dispatch.go
@@ -93,8 +93,10 @@
 	tried      triedUpstreams
 	// stalled reports that the stall timer ended the last attempt.
 	stalled bool
-	res     Result
-	relay   relay
+	// answeredAt is when the upstream began to answer the last attempt, 0 if it did not.
+	answeredAt clock.Instant
+	res        Result
+	relay      relay
 	// failure is the last complete failure response of an upstream.
 	failure *bufferedResponse
 }
--- a/router/internal/direct/dispatch_test.go
+++ b/router/internal/direct/dispatch_test.go
@@ -205,6 +205,11 @@
 }
 
 func (b *fixture) do(route settings.Route, id string) (Result, *memorySink) {
+	return b.doPrompt(route, id)
+}
+
+// doPrompt sends a request whose prompt has the given blocks.
+func (b *fixture) doPrompt(route settings.Route, id string, blocks ...call.PromptBlockID) (Result, *memorySink) {
 	now := b.Clock.Now()
 	route.Timeout = 3 * time.Second
 	r := &Request{
@@ -213,6 +218,9 @@
 	r.Outbound = upstream.Request{
 		ID: r.ID, Method: http.MethodGet, URI: "/a/b?c=d", Host: "h.example", Header: http.Header{"Id": {id}},
 	}
+	for _, block := range blocks {
+		r.PromptBlocks = append(r.PromptBlocks, call.PromptBlock{ID: block, Tokens: 100})
+	}
 	sink := &memorySink{}
 	return b.Do(context.Background(), r, sink), sink
 }
@@ -277,6 +285,17 @@
 	}
 }
 
+// TestBrokenAnswerNamesPromptBlocks guards against logs that cannot tell which of the requests at a crashed upstream had just
+// begun, and which blocks of their prompts are the same.
+func TestBrokenAnswerNamesPromptBlocks(t *testing.T) {
+	c := qt.New(t)
+	b := newFixture(t, handlers{streamEvents(0, false)})
+	var out strings.Builder
+	b.Log = log.NewWithOptions(&out, log.Options{Formatter: log.JSONFormatter})
+	_, _ = b.doPrompt(stream, "r1", 0xa1, 0xb2, 0xc3)
+	c.Assert(out.String(), qt.Matches, `(?s).*"msg":"answer broken off".*"events":0,"answered_ms":\d+,"blocks":"a1,b2".*`)
+}
+
 // TestResponseToAnotherRequestIsSkipped guards against relaying a response to the wrong request: the upstream sends a second
 // response to the first request when the second request is due.
 func TestResponseToAnotherRequestIsSkipped(t *testing.T) {
--- a/router/internal/direct/request.go
+++ b/router/internal/direct/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"time"
 
 	"rattantrack.dev/core/attempt"
@@ -31,6 +32,24 @@
 // Remaining returns the time until the deadline.
 func (r *Request) Remaining(now clock.Instant) time.Duration { return r.Deadline.Sub(now) }
 
+// maxLoggedBlocks bounds the prompt blocks in a log line.
+const maxLoggedBlocks = 8
+
+// blockList formats prompt blocks for a log line.
+type blockList []call.PromptBlock
+
+// String returns the ids of the blocks, separated by commas.
+func (l blockList) String() string {
+	var ids []string
+	for _, b := range l[:min(len(l), maxLoggedBlocks)] {
+		ids = append(ids, b.ID.String())
+	}
+	if len(l) > maxLoggedBlocks {
+		ids = append(ids, "...")
+	}
+	return strings.Join(ids, ",")
+}
+
 // Sink writes the response to the client.
 type Sink interface {
 	// WriteHead writes the status and the header fields; length is the size of the body, or -1 if it is unknown.
