--- a/core/peer/control.go
+++ b/core/peer/control.go
@@ -18,15 +18,18 @@
 )
 
 // ProtocolVersion is the latest version of the protocol, and minProtocolVersion the oldest that a process still speaks. Version 2
-// added LoadReport and LoadTotals.
+// added LoadReport and LoadTotals, version 3 CrashEvidence.
 const (
-	ProtocolVersion    = 2
+	ProtocolVersion    = 3
 	minProtocolVersion = 1
 )
 
 // LoadReportVersion is the first version with LoadReport and LoadTotals.
 const LoadReportVersion = 2
 
+// CrashEvidenceVersion is the first version with CrashEvidence.
+const CrashEvidenceVersion = 3
+
 // Hello is the first message in each direction of a link.
 type Hello struct {
 	Protocol    int
--- a/core/peer/message.go
+++ b/core/peer/message.go
@@ -34,6 +34,7 @@
 	KindRouterState
 	KindLoadReport
 	KindLoadTotals
+	KindCrashEvidence
 )
 
 // Message is one typed message of the protocol.
@@ -105,6 +106,8 @@
 		return &LoadReport{}
 	case KindLoadTotals:
 		return &LoadTotals{}
+	case KindCrashEvidence:
+		return &CrashEvidence{}
 	}
 	return nil
 }
--- /dev/null
+++ b/core/quarantine/tracker.go
@@ -0,0 +1,424 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"rattantrack.dev/core/call"
+	"rattantrack.dev/core/clock"
+	"rattantrack.dev/core/inflight"
+	"rattantrack.dev/core/members"
+	"rattantrack.dev/core/settings"
+)
+
+// Bounds of the evidence.
+const (
+	// unexplainedTime is how long a crash is remembered that no block explains.
+	unexplainedTime = time.Minute
+	// maxCrashes bounds the remembered crashes, maxSuspects the prompts of one crash, maxBlocks the blocks of one prompt.
+	maxCrashes  = 256
+	maxSuspects = 16
+	maxBlocks   = 32
+	// maxSeen bounds the blocks whose survivals this router counts.
+	maxSeen = 8192
+	// maxSurvivals bounds the counted survivals of a block at one router, maxPriorSurvivals those before its first crash: a block
+	// may begin to crash upstreams at any time, for example with a new version of theirs.
+	maxSurvivals      = 16
+	maxPriorSurvivals = 2
+	// priorTime is how long a survival before the first crash counts.
+	priorTime = 10 * time.Second
+)
+
+// process identifies one process of an upstream.
+type process struct {
+	id          settings.UpstreamID
+	incarnation members.Incarnation
+}
+
+// record is a crash with the part of it that this router has seen itself.
+type record struct {
+	crash
+	own []Suspect
+	// changed is the number of the change that added the last of own.
+	changed Change
+}
+
+// seen holds the survivals of a block that this router has seen.
+type seen struct {
+	count   uint16
+	last    clock.Instant
+	changed Change
+}
+
+// Change numbers the changes of the evidence that a router has seen itself, in ascending order.
+type Change uint64
+
+// Tracker collects evidence and quarantines the prompt blocks that it speaks against; its zero value is ready to use. One router
+// sees only few of the crashes, so the routers exchange what they have seen. Everything it remembers is bounded and expires.
+type Tracker struct {
+	// OnChange is called for each finding that is new or no longer holds.
+	OnChange func(f Finding, quarantined bool)
+
+	mu      sync.Mutex
+	crashes map[process]*record
+	// own counts the survivals that this router has seen, by block; others those of the other routers.
+	own    *simplelru.LRU[call.PromptBlockID, *seen]
+	others map[call.PromptBlockID]map[inflight.RouterID]uint16
+	// suspected holds the blocks in crashes. open holds those whose survivals could change the decision.
+	suspected map[call.PromptBlockID]bool
+	open      []call.PromptBlockID
+	findings  []Finding
+	undecided bool
+	// expiry is when the next crash expires.
+	expiry clock.Instant
+	change Change
+	wake   chan struct{}
+}
+
+// Wake returns a channel that receives a value after this router has seen a crash.
+func (t *Tracker) Wake() <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.wakeChannel()
+}
+
+func (t *Tracker) wakeChannel() chan struct{} {
+	if t.wake == nil {
+		t.wake = make(chan struct{}, 1)
+	}
+	return t.wake
+}
+
+// RecordCrash records that an upstream ended the connection of a request at the beginning of its answer or before it.
+func (t *Tracker) RecordCrash(now clock.Instant, inst members.Instance, blocks []call.PromptBlock, strength Strength) {
+	if len(blocks) == 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	suspect := Suspect{Blocks: blockIDs(blocks), Strength: strength}
+	r := t.record(process{inst.ID, inst.Incarnation}, now)
+	r.suspects, _ = addSuspect(r.suspects, suspect)
+	var isNew bool
+	if r.own, isNew = addSuspect(r.own, suspect); !isNew {
+		return
+	}
+	t.change++
+	r.changed = t.change
+	t.suspect(now, suspect)
+	select {
+	case t.wakeChannel() <- struct{}{}:
+	default:
+	}
+}
+
+// RecordSurvival records that the answer to a request has gone past its beginning.
+func (t *Tracker) RecordSurvival(now clock.Instant, blocks []call.PromptBlock) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.own == nil {
+		// NewLRU fails only for a size below one.
+		t.own, _ = simplelru.NewLRU[call.PromptBlockID, *seen](maxSeen, nil)
+	}
+	for _, b := range blocks {
+		s, ok := t.own.Get(b.ID)
+		if !ok {
+			s = &seen{}
+			t.own.Add(b.ID, s)
+		}
+		limit := uint16(maxSurvivals)
+		if !t.suspected[b.ID] {
+			limit = maxPriorSurvivals
+			s.count = min(s.count, limit)
+			if now.Sub(s.last) > priorTime {
+				s.count = 0
+			}
+		}
+		s.last = now
+		if s.count >= limit {
+			continue
+		}
+		s.count++
+		if t.suspected[b.ID] {
+			t.change++
+			s.changed = t.change
+			t.undecided = true
+		}
+	}
+}
+
+// Quarantined reports whether requests with a prompt are kept away from the upstreams, and for how long. blocks are those that
+// other requests may share.
+func (t *Tracker) Quarantined(now clock.Instant, blocks []call.PromptBlock) (left time.Duration, quarantined bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.decide(now)
+	for i := range t.findings {
+		if t.findings[i].matches(blocks) {
+			left = max(left, t.findings[i].Until.Sub(now))
+			quarantined = true
+		}
+	}
+	return left, quarantined
+}
+
+// Findings returns the quarantined blocks.
+func (t *Tracker) Findings(now clock.Instant) []Finding {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.decide(now)
+	return slices.Clone(t.findings)
+}
+
+// Since returns what this router itself has seen after a change, 0 for all, and the last change.
+func (t *Tracker) Since(now clock.Instant, after Change) (Evidence, Change) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.decide(now)
+	var e Evidence
+	for p, r := range t.crashes {
+		if r.changed > after {
+			e.Crashes = append(e.Crashes, Crash{Upstream: p.id, Incarnation: p.incarnation, Age: now.Sub(r.at), Suspects: slices.Clone(r.own)})
+		}
+	}
+	for _, block := range t.open {
+		if s, ok := t.ownSurvivals(block); ok && s.changed > after {
+			e.Survivals = append(e.Survivals, Survivals{Block: block, Count: s.count})
+		}
+	}
+	return e, t.change
+}
+
+// All returns the evidence of all routers, for one that has none.
+func (t *Tracker) All(now clock.Instant) Evidence {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.decide(now)
+	var e Evidence
+	for p, r := range t.crashes {
+		e.Crashes = append(e.Crashes, Crash{Upstream: p.id, Incarnation: p.incarnation, Age: now.Sub(r.at), Suspects: slices.Clone(r.suspects)})
+	}
+	for _, block := range t.open {
+		if n := t.survivals(block); n > 0 {
+			e.Survivals = append(e.Survivals, Survivals{Block: block, Count: uint16(min(n, maxSurvivals))})
+		}
+	}
+	return e
+}
+
+// Merge adds the evidence of another router.
+func (t *Tracker) Merge(now clock.Instant, from inflight.RouterID, e Evidence) {
+	if len(e.Crashes) == 0 && len(e.Survivals) == 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, c := range e.Crashes {
+		if c.Age > evidenceTime {
+			continue
+		}
+		r := t.record(process{c.Upstream, c.Incarnation}, now.Add(-max(0, c.Age)))
+		for _, s := range c.Suspects {
+			s.Blocks = s.Blocks[:min(len(s.Blocks), maxBlocks)]
+			var isNew bool
+			if r.suspects, isNew = addSuspect(r.suspects, s); isNew {
+				t.suspect(now, s)
+			}
+		}
+	}
+	for _, s := range e.Survivals {
+		if !t.suspected[s.Block] {
+			continue
+		}
+		if t.others == nil {
+			t.others = make(map[call.PromptBlockID]map[inflight.RouterID]uint16)
+		}
+		if t.others[s.Block] == nil {
+			t.others[s.Block] = make(map[inflight.RouterID]uint16)
+		}
+		t.others[s.Block][from] = max(t.others[s.Block][from], min(s.Count, maxSurvivals))
+		t.undecided = true
+	}
+}
+
+// record returns the record of a crash and adds it if it is new. t.mu is held.
+func (t *Tracker) record(p process, at clock.Instant) *record {
+	if t.crashes == nil {
+		t.crashes = make(map[process]*record)
+	}
+	r := t.crashes[p]
+	if r == nil {
+		r = &record{crash: crash{at: at}}
+		t.crashes[p] = r
+	}
+	return r
+}
+
+// suspect notes the blocks of a suspected prompt. t.mu is held.
+func (t *Tracker) suspect(now clock.Instant, suspect Suspect) {
+	t.undecided = true
+	if t.suspected == nil {
+		t.suspected = make(map[call.PromptBlockID]bool)
+	}
+	for _, block := range suspect.Blocks {
+		if t.suspected[block] {
+			continue
+		}
+		t.suspected[block] = true
+		if s, ok := t.ownSurvivals(block); ok && now.Sub(s.last) > priorTime {
+			s.count = 0
+		}
+	}
+}
+
+func (t *Tracker) ownSurvivals(block call.PromptBlockID) (*seen, bool) {
+	if t.own == nil {
+		return nil, false
+	}
+	return t.own.Peek(block)
+}
+
+// survivals returns the number of survivals of a suspected block at all routers. t.mu is held.
+func (t *Tracker) survivals(block call.PromptBlockID) int {
+	n := 0
+	if s, ok := t.ownSurvivals(block); ok {
+		n = int(s.count)
+	}
+	for _, count := range t.others[block] {
+		n += int(count)
+	}
+	return n
+}
+
+// decide brings the findings up to date. t.mu is held.
+func (t *Tracker) decide(now clock.Instant) {
+	if !t.undecided && (t.expiry == 0 || now < t.expiry) {
+		return
+	}
+	t.undecided = false
+	list := make([]*crash, 0, len(t.crashes))
+	for p, r := range t.crashes {
+		if now.Sub(r.at) >= evidenceTime {
+			delete(t.crashes, p)
+			continue
+		}
+		list = append(list, &r.crash)
+	}
+	slices.SortFunc(list, func(a, b *crash) int { return cmp.Compare(a.at, b.at) })
+	findings, open := t.findings, t.open
+	t.findings, t.open = decide(list, t.survivals)
+	t.expire(now)
+	t.reportSurvivals(open)
+	t.notify(findings)
+}
+
+// reportSurvivals marks the survivals of the blocks that have become open as changed, so that the other routers are told of them.
+// t.mu is held.
+func (t *Tracker) reportSurvivals(before []call.PromptBlockID) {
+	for _, block := range t.open {
+		if s, ok := t.ownSurvivals(block); ok && !slices.Contains(before, block) {
+			t.change++
+			s.changed = t.change
+		}
+	}
+}
+
+// lifetime returns how long a crash is remembered.
+func lifetime(c *crash) time.Duration {
+	if c.explained {
+		return evidenceTime
+	}
+	return unexplainedTime
+}
+
+// expire drops the crashes that have expired and, above maxCrashes, the oldest, those without an explanation first. Survivals are
+// dropped with the crashes that their blocks are suspected of. t.mu is held.
+func (t *Tracker) expire(now clock.Instant) {
+	t.expiry = 0
+	for p, r := range t.crashes {
+		at := r.at.Add(lifetime(&r.crash))
+		if at <= now {
+			delete(t.crashes, p)
+			continue
+		}
+		if t.expiry == 0 || at < t.expiry {
+			t.expiry = at
+		}
+	}
+	for len(t.crashes) > maxCrashes {
+		var oldest process
+		var first *record
+		for p, r := range t.crashes {
+			if first == nil || (r.explained == first.explained && r.at < first.at) || (!r.explained && first.explained) {
+				oldest, first = p, r
+			}
+		}
+		delete(t.crashes, oldest)
+	}
+	clear(t.suspected)
+	for _, r := range t.crashes {
+		for _, s := range r.suspects {
+			for _, block := range s.Blocks {
+				t.suspected[block] = true
+			}
+		}
+	}
+	for block := range t.others {
+		if !t.suspected[block] {
+			delete(t.others, block)
+		}
+	}
+}
+
+// notify calls OnChange for the findings that are new and for those of before that no longer hold. t.mu is held.
+func (t *Tracker) notify(before []Finding) {
+	if t.OnChange == nil {
+		return
+	}
+	for i := range t.findings {
+		if !contains(before, t.findings[i]) {
+			t.OnChange(t.findings[i], true)
+		}
+	}
+	for i := range before {
+		if !contains(t.findings, before[i]) {
+			t.OnChange(before[i], false)
+		}
+	}
+}
+
+// contains reports whether a list has a finding for the same prompts.
+func contains(list []Finding, f Finding) bool {
+	return slices.ContainsFunc(list, func(other Finding) bool { return slices.Equal(other.Blocks, f.Blocks) })
+}
+
+// addSuspect adds a prompt unless it is listed or the list is full, and reports whether the list has changed.
+func addSuspect(list []Suspect, s Suspect) ([]Suspect, bool) {
+	for i := range list {
+		if !slices.Equal(list[i].Blocks, s.Blocks) {
+			continue
+		}
+		if list[i].Strength >= s.Strength {
+			return list, false
+		}
+		list[i].Strength = s.Strength
+		return list, true
+	}
+	if len(list) >= maxSuspects {
+		return list, false
+	}
+	return append(list, s), true
+}
+
+// blockIDs returns the ids of at most maxBlocks blocks.
+func blockIDs(blocks []call.PromptBlock) []call.PromptBlockID {
+	ids := make([]call.PromptBlockID, 0, min(len(blocks), maxBlocks))
+	for _, b := range blocks[:min(len(blocks), maxBlocks)] {
+		ids = append(ids, b.ID)
+	}
+	return ids
+}
--- /dev/null
+++ b/core/quarantine/tracker_test.go
@@ -0,0 +1,412 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"rattantrack.dev/core/call"
+	"rattantrack.dev/core/clock"
+	"rattantrack.dev/core/inflight"
+	"rattantrack.dev/core/members"
+	"rattantrack.dev/core/settings"
+)
+
+func prompt(ids ...call.PromptBlockID) []call.PromptBlock {
+	var blocks []call.PromptBlock
+	for _, id := range ids {
+		blocks = append(blocks, call.PromptBlock{ID: id, Tokens: 100})
+	}
+	return blocks
+}
+
+func instance(n int) members.Instance {
+	return members.Instance{ID: settings.UpstreamID(fmt.Sprintf("u%d", n)), Incarnation: members.Incarnation(n)}
+}
+
+func at(ms int) clock.Instant { return clock.Instant(time.Hour + time.Duration(ms)*time.Millisecond) }
+
+// crashAll records crashes 200 ms apart under answers that had just begun to the given prompts.
+func crashAll(t *Tracker, prompts ...[]call.PromptBlock) clock.Instant {
+	for i, p := range prompts {
+		t.RecordCrash(at(200*i), instance(i), p, Strong)
+	}
+	return at(200 * len(prompts))
+}
+
+func TestCrashingBlockIsFound(t *testing.T) {
+	const bad = 0xbad
+	tests := []struct {
+		name    string
+		crashes [][]call.PromptBlock
+		refused [][]call.PromptBlock
+		served  [][]call.PromptBlock
+	}{
+		{"two crashes may be chance", [][]call.PromptBlock{prompt(1, bad), prompt(1, bad)}, nil, [][]call.PromptBlock{prompt(1, bad)}},
+		{"the same blocks in all crashes", [][]call.PromptBlock{prompt(1, bad), prompt(1, bad), prompt(1, bad)},
+			[][]call.PromptBlock{prompt(1, bad)}, [][]call.PromptBlock{prompt(1, 2), prompt(1)}},
+		{"behind different blocks", [][]call.PromptBlock{prompt(1, bad), prompt(2, bad), prompt(3, bad)},
+			[][]call.PromptBlock{prompt(4, bad)}, [][]call.PromptBlock{prompt(1, 2)}},
+		{"before different blocks", [][]call.PromptBlock{prompt(bad, 1), prompt(bad, 2), prompt(bad, 3)},
+			[][]call.PromptBlock{prompt(bad, 4), prompt(bad)}, [][]call.PromptBlock{prompt(1, 2)}},
+		{"behind a shared block once it differs", [][]call.PromptBlock{prompt(1, bad), prompt(1, bad), prompt(1, bad), prompt(2, bad)},
+			[][]call.PromptBlock{prompt(3, bad), prompt(1, bad)}, [][]call.PromptBlock{prompt(1, 2)}},
+		{"two blocks at the same time", [][]call.PromptBlock{prompt(1, bad), prompt(1, 7), prompt(2, bad), prompt(2, 7), prompt(3, bad), prompt(3, 7)},
+			[][]call.PromptBlock{prompt(4, bad), prompt(4, 7)}, [][]call.PromptBlock{prompt(1, 2)}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			tracker := &Tracker{}
+			now := crashAll(tracker, tt.crashes...)
+			for _, p := range tt.refused {
+				_, quarantined := tracker.Quarantined(now, p)
+				c.Check(quarantined, qt.IsTrue, qt.Commentf("%v", p))
+			}
+			for _, p := range tt.served {
+				_, quarantined := tracker.Quarantined(now, p)
+				c.Check(quarantined, qt.IsFalse, qt.Commentf("%v", p))
+			}
+		})
+	}
+}
+
+// TestBlockOfManyVictimsIsNotQuarantined guards against blaming what the victims of crashes share: a first block that all prompts of
+// a service have.
+func TestBlockOfManyVictimsIsNotQuarantined(t *testing.T) {
+	c := qt.New(t)
+	tracker := &Tracker{}
+	for i := range 8 {
+		now := at(200 * i)
+		tracker.RecordSurvival(now, prompt(1, call.PromptBlockID(100+i)))
+		tracker.RecordCrash(now, instance(i), prompt(1, call.PromptBlockID(200+i)), Strong)
+	}
+	_, quarantined := tracker.Quarantined(at(1600), prompt(1, 300))
+	c.Assert(quarantined, qt.IsFalse)
+}
+
+// TestCrashesAtOneMomentCountOnce guards against blaming the most common block when many upstreams lose power together.
+func TestCrashesAtOneMomentCountOnce(t *testing.T) {
+	c := qt.New(t)
+	tracker := &Tracker{}
+	for i := range 40 {
+		tracker.RecordCrash(at(i), instance(i), prompt(1, call.PromptBlockID(100+i)), Strong)
+	}
+	_, quarantined := tracker.Quarantined(at(50), prompt(1, 300))
+	c.Assert(quarantined, qt.IsFalse)
+}
+
+// TestBlockThatBeginsToCrashIsFound guards against survivals from before the first crash that clear a block for good.
+func TestBlockThatBeginsToCrashIsFound(t *testing.T) {
+	c := qt.New(t)
+	tracker := &Tracker{}
+	for i := range 100 {
+		tracker.RecordSurvival(at(100*i), prompt(1, 2))
+	}
+	for i := range 5 {
+		tracker.RecordCrash(at(10_000+200*i), instance(i), prompt(1, 2), Strong)
+	}
+	_, quarantined := tracker.Quarantined(at(11_000), prompt(1, 2))
+	c.Assert(quarantined, qt.IsTrue)
+}
+
+// TestSurvivalEndsQuarantine covers a block that was only near the crashes: requests that were open when it was quarantined are
+// answered.
+func TestSurvivalEndsQuarantine(t *testing.T) {
+	c := qt.New(t)
+	var changes []bool
+	tracker := &Tracker{OnChange: func(_ Finding, quarantined bool) { changes = append(changes, quarantined) }}
+	now := crashAll(tracker, prompt(1, 2), prompt(1, 2), prompt(1, 2))
+	_, quarantined := tracker.Quarantined(now, prompt(1, 2))
+	c.Assert(quarantined, qt.IsTrue)
+	tracker.RecordSurvival(now, prompt(1, 2))
+	_, quarantined = tracker.Quarantined(now, prompt(1, 2))
+	c.Assert(quarantined, qt.IsFalse)
+	c.Assert(changes, qt.DeepEquals, []bool{true, false})
+}
+
+func TestQuarantineExpires(t *testing.T) {
+	c := qt.New(t)
+	tracker := &Tracker{}
+	now := crashAll(tracker, prompt(1, 2), prompt(1, 2), prompt(1, 2))
+	left, quarantined := tracker.Quarantined(now, prompt(1, 2))
+	c.Assert(quarantined, qt.IsTrue)
+	c.Assert(left > evidenceTime-time.Second && left <= evidenceTime, qt.IsTrue)
+	_, quarantined = tracker.Quarantined(now.Add(evidenceTime-time.Second), prompt(1, 2))
+	c.Assert(quarantined, qt.IsTrue)
+	_, quarantined = tracker.Quarantined(now.Add(evidenceTime), prompt(1, 2))
+	c.Assert(quarantined, qt.IsFalse)
+	c.Assert(tracker.crashes, qt.HasLen, 0)
+	c.Assert(tracker.suspected, qt.HasLen, 0)
+}
+
+// TestMemoryOfSuspectsIsBounded records more crashes, prompts and blocks than are kept, and checks that the quarantined block stays.
+func TestMemoryOfSuspectsIsBounded(t *testing.T) {
+	c := qt.New(t)
+	tracker := &Tracker{}
+	crashAll(tracker, prompt(1, 2), prompt(1, 2), prompt(1, 2))
+	_, _ = tracker.Quarantined(at(1000), nil)
+	var e Evidence
+	for i := range 4 * maxCrashes {
+		crash := Crash{Upstream: "x", Incarnation: members.Incarnation(1000 + i)}
+		for j := range 2 * maxSuspects {
+			var ids []call.PromptBlockID
+			for k := range 2 * maxBlocks {
+				ids = append(ids, call.PromptBlockID(1_000_000*i+1000*j+k+10))
+			}
+			crash.Suspects = append(crash.Suspects, Suspect{Blocks: ids, Strength: Weak})
+		}
+		e.Crashes = append(e.Crashes, crash)
+	}
+	tracker.Merge(at(2000), "other", e)
+	for i := range 3 * maxSeen {
+		tracker.RecordSurvival(at(2000), prompt(call.PromptBlockID(i)))
+	}
+	_, quarantined := tracker.Quarantined(at(2000), prompt(1, 2))
+	c.Assert(quarantined, qt.IsTrue)
+	c.Assert(len(tracker.crashes) <= maxCrashes, qt.IsTrue)
+	c.Assert(len(tracker.suspected) <= maxCrashes*maxSuspects*maxBlocks, qt.IsTrue)
+	c.Assert(tracker.own.Len() <= maxSeen, qt.IsTrue)
+}
+
+// TestEvidenceOfManyRoutersAddsUp guards against a fleet in which each router sees too few crashes to find the block: none of 103
+// sees more than one. A router that starts later learns all from one other.
+func TestEvidenceOfManyRoutersAddsUp(t *testing.T) {
+	c := qt.New(t)
+	const bad = 0xbad
+	fleet := make([]Tracker, 103)
+	for i := range 5 {
+		seenBy := &fleet[17*i]
+		seenBy.RecordCrash(at(300*i), instance(i), prompt(1, bad), Strong)
+		e, _ := seenBy.Since(at(300*i), 0)
+		for j := range fleet {
+			if &fleet[j] != seenBy {
+				fleet[j].Merge(at(300*i+50), "other", e)
+			}
+		}
+	}
+	for i := range fleet {
+		_, quarantined := fleet[i].Quarantined(at(1500), prompt(1, bad))
+		c.Assert(quarantined, qt.IsTrue, qt.Commentf("router %d", i))
+	}
+	var started Tracker
+	started.Merge(at(120_000), "other", fleet[50].All(at(120_000)))
+	left, quarantined := started.Quarantined(at(120_000), prompt(1, bad))
+	c.Assert(quarantined, qt.IsTrue)
+	c.Assert(left < evidenceTime-118*time.Second, qt.IsTrue)
+}
+
+// TestOnlyNewEvidenceIsSent guards against an exchange that repeats all evidence each time.
+func TestOnlyNewEvidenceIsSent(t *testing.T) {
+	c := qt.New(t)
+	var tracker Tracker
+	now := crashAll(&tracker, prompt(1, 2), prompt(1, 2))
+	e, last := tracker.Since(now, 0)
+	c.Assert(e.Crashes, qt.HasLen, 2)
+	e, last = tracker.Since(now, last)
+	c.Assert(e.Crashes, qt.HasLen, 0)
+	tracker.RecordCrash(now, instance(1), prompt(1, 2), Strong)
+	e, last = tracker.Since(now, last)
+	c.Assert(e.Crashes, qt.HasLen, 0)
+	// The evidence of others is theirs to send.
+	tracker.Merge(now, "other", Evidence{Crashes: []Crash{{Upstream: "x", Suspects: []Suspect{{Blocks: []call.PromptBlockID{9}, Strength: Strong}}}}})
+	e, last = tracker.Since(now, last)
+	c.Assert(e.Crashes, qt.HasLen, 0)
+	tracker.RecordSurvival(now, prompt(1, 2))
+	e, _ = tracker.Since(now, last)
+	c.Assert(e.Survivals, qt.DeepEquals, []Survivals{{Block: 1, Count: 1}, {Block: 2, Count: 1}})
+}
+
+// load is the load of the incident on a virtual clock: chats with a first block out of few and a second out of many, whose answers
+// begin after prefill and last some time, and chats with one block that crashes the engine shortly after the answer has begun.
+type load struct {
+	routers, engines int
+	// perSecond and crashingPerSecond are the rates of sound and of crashing requests.
+	perSecond, crashingPerSecond float64
+	// exchange is the longest time until a router has the evidence of another one.
+	exchange time.Duration
+	// crashing returns the prompt of the n-th crashing request.
+	crashing func(n int) []call.PromptBlock
+}
+
+// outcome counts what happened in a load.
+type outcome struct {
+	crashes int
+	// late is the number of crashing requests that reached engines later than three seconds after the fifth crash.
+	late int
+	// refused is the number of sound requests that were quarantined, sound that of all.
+	refused, sound int
+}
+
+// Times of a chat in a load.
+const (
+	step        = 10 * time.Millisecond
+	prefillTime = 80 * time.Millisecond
+	eventTime   = 40 * time.Millisecond
+	answerTime  = 1500 * time.Millisecond
+	crashAfter  = 70 * time.Millisecond
+	downTime    = 3500 * time.Millisecond
+	beginning   = 500 * time.Millisecond
+)
+
+type chat struct {
+	router   int
+	blocks   []call.PromptBlock
+	sent     clock.Instant
+	crashing bool
+	survived bool
+}
+
+func (l load) run(seed uint64, length time.Duration) outcome {
+	r := rand.New(rand.NewPCG(seed, 1))
+	trackers := make([]Tracker, l.routers)
+	sent := make([]Change, l.routers)
+	type delivery struct {
+		at clock.Instant
+		e  Evidence
+	}
+	var inTransit []delivery
+	engines := make([][]*chat, l.engines)
+	upAt := make([]clock.Instant, l.engines)
+	incarnations := 0
+	processes := make([]members.Instance, l.engines)
+	for i := range processes {
+		incarnations++
+		processes[i] = instance(incarnations)
+	}
+	var out outcome
+	var fifth clock.Instant
+	n := 0
+	for now := at(0); now < at(0).Add(length); now = now.Add(step) {
+		arrive := func(blocks []call.PromptBlock, crashing bool) {
+			router, engine := r.IntN(l.routers), r.IntN(l.engines)
+			if !crashing {
+				out.sound++
+			}
+			if _, quarantined := trackers[router].Quarantined(now, blocks); quarantined {
+				if !crashing {
+					out.refused++
+				}
+				return
+			}
+			if upAt[engine] > now {
+				return
+			}
+			if crashing && fifth != 0 && now.Sub(fifth) > 3*time.Second {
+				out.late++
+			}
+			engines[engine] = append(engines[engine], &chat{router: router, blocks: blocks, sent: now, crashing: crashing})
+		}
+		for p := l.perSecond * step.Seconds(); r.Float64() < p; p-- {
+			arrive(prompt(call.PromptBlockID(1+r.IntN(20)), call.PromptBlockID(1000+r.IntN(120))), false)
+		}
+		if r.Float64() < l.crashingPerSecond*step.Seconds() {
+			n++
+			arrive(l.crashing(n), true)
+		}
+		for i := range engines {
+			crashed := false
+			kept := engines[i][:0]
+			for _, ch := range engines[i] {
+				age := now.Sub(ch.sent)
+				crashed = crashed || (ch.crashing && age >= prefillTime+crashAfter)
+				if !ch.survived && !ch.crashing && age >= prefillTime+beginning {
+					ch.survived = true
+					trackers[ch.router].RecordSurvival(now, ch.blocks)
+				}
+				if age < prefillTime+answerTime {
+					kept = append(kept, ch)
+				}
+			}
+			engines[i] = kept
+			if !crashed {
+				continue
+			}
+			out.crashes++
+			if out.crashes == 5 {
+				fifth = now
+			}
+			for _, ch := range engines[i] {
+				switch age := now.Sub(ch.sent); {
+				case age < prefillTime, age >= prefillTime+eventTime && !ch.crashing && age < prefillTime+beginning:
+					trackers[ch.router].RecordCrash(now, processes[i], ch.blocks, Weak)
+				case age < prefillTime+beginning:
+					trackers[ch.router].RecordCrash(now, processes[i], ch.blocks, Strong)
+				}
+			}
+			engines[i] = nil
+			upAt[i] = now.Add(downTime)
+			incarnations++
+			processes[i] = instance(incarnations)
+		}
+		for i := range trackers {
+			e, last := trackers[i].Since(now, sent[i])
+			sent[i] = last
+			if len(e.Crashes) > 0 || len(e.Survivals) > 0 {
+				inTransit = append(inTransit, delivery{at: now.Add(time.Duration(r.Float64() * float64(l.exchange))), e: e})
+			}
+		}
+		var left []delivery
+		for i, d := range inTransit {
+			if d.at > now {
+				left = append(left, d)
+				continue
+			}
+			for j := range trackers {
+				trackers[j].Merge(now, inflight.RouterID(fmt.Sprint("r", i)), d.e)
+			}
+		}
+		inTransit = left
+	}
+	return out
+}
+
+// TestLoadOfTheIncidentIsContained replays the load of the incident, and that of a fleet of 103 routers, with different prompts
+// around the crashing block.
+func TestLoadOfTheIncidentIsContained(t *testing.T) {
+	prompts := map[string]func(n int) []call.PromptBlock{
+		"constant":          func(int) []call.PromptBlock { return prompt(3, 0xbad) },
+		"shared before":     func(n int) []call.PromptBlock { return prompt(call.PromptBlockID(1+n%20), 0xbad) },
+		"shared behind":     func(n int) []call.PromptBlock { return prompt(0xbad, call.PromptBlockID(1000+n%120)) },
+		"shared on its way": func(n int) []call.PromptBlock { return prompt(3, 0xbad, call.PromptBlockID(1000+n%120)) },
+	}
+	fleets := map[string]load{
+		"4 routers, rare":   {routers: 4, engines: 18, perSecond: 130, crashingPerSecond: 1, exchange: 100 * time.Millisecond},
+		"4 routers":         {routers: 4, engines: 18, perSecond: 130, crashingPerSecond: 5, exchange: 100 * time.Millisecond},
+		"103 routers":       {routers: 103, engines: 160, perSecond: 500, crashingPerSecond: 10, exchange: time.Second},
+		"103 routers, rare": {routers: 103, engines: 160, perSecond: 500, crashingPerSecond: 2, exchange: time.Second},
+	}
+	for name, l := range fleets {
+		for kind, crashing := range prompts {
+			t.Run(name+", "+kind, func(t *testing.T) {
+				t.Parallel()
+				for seed := range uint64(2) {
+					c := qt.New(t)
+					l := l
+					l.crashing = crashing
+					out := l.run(seed, 12*time.Second)
+					c.Check(out.late <= 3, qt.IsTrue, qt.Commentf("seed %d: %+v", seed, out))
+					c.Check(out.refused*100 <= out.sound, qt.IsTrue, qt.Commentf("seed %d: %+v", seed, out))
+				}
+			})
+		}
+	}
+}
+
+// TestOtherCrashesQuarantineNothing replays engines that crash for reasons of their own, one each half a second, for forty
+// seconds.
+func TestOtherCrashesQuarantineNothing(t *testing.T) {
+	c := qt.New(t)
+	for seed := range uint64(3) {
+		// Each crashing request has blocks of its own, so nothing that requests share is to blame.
+		l := load{routers: 4, engines: 18, perSecond: 130, crashingPerSecond: 2, exchange: 100 * time.Millisecond,
+			crashing: func(n int) []call.PromptBlock {
+				return prompt(call.PromptBlockID(1_000_000+n), call.PromptBlockID(2_000_000+n))
+			}}
+		out := l.run(seed, 40*time.Second)
+		c.Check(out.refused, qt.Equals, 0, qt.Commentf("seed %d: %+v", seed, out))
+	}
+}
--- a/router/internal/app/direct.go
+++ b/router/internal/app/direct.go
@@ -23,6 +23,7 @@
 	"rattantrack.dev/core/outlier"
 	"rattantrack.dev/core/peer"
 	"rattantrack.dev/core/polling"
+	"rattantrack.dev/core/quarantine"
 	"rattantrack.dev/core/relay"
 	"rattantrack.dev/core/retry"
 	"rattantrack.dev/core/revision"
@@ -32,6 +33,7 @@
 	"rattantrack.dev/core/waiting"
 	"rattantrack.dev/platform"
 	"rattantrack.dev/router/internal/client"
+	"rattantrack.dev/router/internal/crashes"
 	"rattantrack.dev/router/internal/direct"
 	"rattantrack.dev/router/internal/directory"
 	"rattantrack.dev/router/internal/engines"
@@ -74,9 +76,11 @@
 	outliers     *outlier.Detector
 	unresponsive *unresponsive.Detector
 	backoff      *backoff.Tracker
+	quarantine   *quarantine.Tracker
 	connections  *upstream.Pool
 	endpoint     *peer.Endpoint
 	loads        *loads.Service
+	crashes      *crashes.Service
 	gossip       *gossip.Service
 	routers      *routers.Service
 	client       *client.Server
@@ -100,6 +104,7 @@
 		outliers:     &outlier.Detector{},
 		unresponsive: &unresponsive.Detector{},
 		backoff:      &backoff.Tracker{},
+		quarantine:   &quarantine.Tracker{},
 	}
 	var incarnation peer.Incarnation
 	var err error
@@ -160,6 +165,15 @@
 		Log:            d.log,
 		Scope:          scope,
 	}
+	d.crashes = &crashes.Service{
+		ID:         inflight.RouterID(d.cfg.ID),
+		Routers:    d.routers,
+		Dialer:     d.endpoint,
+		Quarantine: d.quarantine,
+		Clock:      clock.Boot{},
+		Log:        d.log,
+		Scope:      scope,
+	}
 	d.gossip = &gossip.Service{Store: d.store, Dialer: d.endpoint, Log: d.log, Candidates: d.routers.Addresses}
 	d.watcher = &directory.Watcher{
 		Self:      polling.Candidate{Address: d.cfg.Advertise, Cores: d.cfg.Direct.Cores},
@@ -196,6 +210,7 @@
 		Outliers:     d.outliers,
 		Unresponsive: d.unresponsive,
 		Backoff:      d.backoff,
+		Quarantine:   d.quarantine,
 		Queues:       &waiting.Queues{},
 		Refusals:     &waiting.Refusals{},
 		Budget:       &retry.FleetBudget{Limits: retry.Limits{Ratio: budget.Ratio, Slack: budget.Slack, Window: budget.Window}},
@@ -207,6 +222,7 @@
 		Scope:        scope,
 	}
 	dispatcher.OnLeaving = d.recordLeaving
+	d.quarantine.OnChange = d.logFinding
 	d.unresponsive.OnChange = func(id settings.UpstreamID, noResponse bool) {
 		if !noResponse {
 			d.log.Info("upstream heard again", "upstream", id)
@@ -324,7 +340,7 @@
 
 // Serve passes a peer's message to the service that handles it.
 func (d *Direct) Serve(ctx context.Context, st *peer.Stream, m peer.Message) {
-	if d.routers.Serve(ctx, st, m) || d.loads.Serve(ctx, st, m) || d.gossip.Serve(ctx, st, m) {
+	if d.routers.Serve(ctx, st, m) || d.loads.Serve(ctx, st, m) || d.crashes.Serve(ctx, st, m) || d.gossip.Serve(ctx, st, m) {
 		return
 	}
 	d.log.Warn("unexpected message", "kind", m.Kind(), "peer", st.Link().Remote().ID)
@@ -344,13 +360,14 @@
 			Address: d.cfg.Operator,
 			Metrics: d.metrics,
 			Ready:   d.ready,
-			Dumpers: []operator.Dumper{d.client, d.watcher, d.members, &pauses{tracker: d.backoff}, d.routers, d.gossip, &operator.Links{Endpoint: d.endpoint}},
+			Dumpers: []operator.Dumper{d.client, d.watcher, d.members, &pauses{tracker: d.backoff}, &suspects{tracker: d.quarantine}, d.routers, d.gossip, &operator.Links{Endpoint: d.endpoint}},
 		},
 		d.readiness,
 		&peer.Listener{Address: d.cfg.Peer, Endpoint: d.endpoint, IdleTimeout: idleLinkTimeout},
 		d.connections,
 		d.routers,
 		d.loads,
+		d.crashes,
 		d.watcher,
 		d.warmup,
 		d.client,
--- a/router/internal/direct/attempt.go
+++ b/router/internal/direct/attempt.go
@@ -48,7 +48,7 @@
 		return attempt.NotSent
 	}
 	ex.res.Upstream = inst.ID
-	ex.answeredAt = 0
+	ex.answeredAt, ex.eventsBefore, ex.survived = 0, ex.relay.events, false
 	if ex.RouteConfig.Affinity {
 		dispatcher.Affinity.RecordUse(now, ex.sharedBlocks(), inst.ID)
 	}
@@ -123,6 +123,7 @@
 		return attempt.ClientGone
 	}
 	ex.dispatcher.Log.Warn("answer lost", "request", ex.ID, "upstream", inst.ID, "blocks", blockList(ex.sharedBlocks()), "error", err)
+	ex.recordBroken(inst, err)
 	return attempt.Lost
 }
 
@@ -191,6 +192,7 @@
 	}
 	ex.dispatcher.Log.Warn("answer broken off", "request", ex.ID, "upstream", inst.ID, "events", ex.relay.events,
 		"answered_ms", ex.dispatcher.Clock.Now().Sub(ex.answeredAt).Milliseconds(), "blocks", blockList(ex.sharedBlocks()), "error", err)
+	ex.recordBroken(inst, err)
 	if ex.relay.headSent {
 		return attempt.Cut
 	}
@@ -222,6 +224,7 @@
 			}
 			return attempt.ClientGone, false
 		}
+		ex.recordProgress(false)
 	}
 }
 
--- a/router/internal/direct/dispatch.go
+++ b/router/internal/direct/dispatch.go
@@ -21,6 +21,7 @@
 	"rattantrack.dev/core/outlier"
 	"rattantrack.dev/core/peer"
 	"rattantrack.dev/core/placement"
+	"rattantrack.dev/core/quarantine"
 	"rattantrack.dev/core/retry"
 	"rattantrack.dev/core/settings"
 	"rattantrack.dev/core/unresponsive"
@@ -59,6 +60,7 @@
 	Outliers     *outlier.Detector
 	Unresponsive *unresponsive.Detector
 	Backoff      *backoff.Tracker
+	Quarantine   *quarantine.Tracker
 	Queues       *waiting.Queues
 	Refusals     *waiting.Refusals
 	Budget       *retry.FleetBudget
@@ -95,8 +97,12 @@
 	stalled bool
 	// answeredAt is when the upstream began to answer the last attempt, 0 if it did not.
 	answeredAt clock.Instant
-	res        Result
-	relay      relay
+	// eventsBefore is the number of events of earlier attempts. survived reports that the last attempt got past the beginning
+	// of its answer.
+	eventsBefore int
+	survived     bool
+	res          Result
+	relay        relay
 	// failure is the last complete failure response of an upstream.
 	failure *bufferedResponse
 }
@@ -162,6 +168,10 @@
 	start := ex.dispatcher.Clock.Now()
 	for {
 		now := ex.dispatcher.Clock.Now()
+		if left, quarantined := ex.dispatcher.Quarantine.Quarantined(now, ex.sharedBlocks()); quarantined {
+			ex.giveUp(ctx, CodeQuarantined, left)
+			return members.Instance{}, false
+		}
 		instance, choice := ex.dispatcher.reserve(now, ex.Request, &ex.tried)
 		switch {
 		case choice.Reason == placement.Chosen:
@@ -300,6 +310,7 @@
 			"avoided_ms", avoidTime.Milliseconds())
 	case attempt.Complete:
 		ex.dispatcher.Outliers.RecordResult(now, inst.ID, inst.Service, false)
+		ex.recordProgress(true)
 	case attempt.Failed, attempt.Lost, attempt.Cut:
 		if ctx.Err() == nil && ex.dispatcher.Outliers.RecordResult(now, inst.ID, inst.Service, true) {
 			ex.dispatcher.Log.Warn("upstream ejected", "request", ex.ID, "upstream", inst.ID, "ending", ending)
--- a/router/internal/direct/dispatch_test.go
+++ b/router/internal/direct/dispatch_test.go
@@ -25,6 +25,7 @@
 	"rattantrack.dev/core/members"
 	"rattantrack.dev/core/outlier"
 	"rattantrack.dev/core/peer"
+	"rattantrack.dev/core/quarantine"
 	"rattantrack.dev/core/retry"
 	"rattantrack.dev/core/settings"
 	"rattantrack.dev/core/unresponsive"
@@ -177,7 +178,7 @@
 	t.Cleanup(func() { cancel(); <-stopped })
 	b := &fixture{Dispatcher: &Dispatcher{
 		DataCentre: "kano", Members: &members.Registry{}, InFlight: &inflight.Tracker{}, Affinity: &affinity.Index{},
-		Outliers: &outlier.Detector{}, Unresponsive: &unresponsive.Detector{}, Queues: &waiting.Queues{}, Refusals: &waiting.Refusals{}, Backoff: &backoff.Tracker{},
+		Outliers: &outlier.Detector{}, Unresponsive: &unresponsive.Detector{}, Queues: &waiting.Queues{}, Refusals: &waiting.Refusals{}, Backoff: &backoff.Tracker{}, Quarantine: &quarantine.Tracker{},
 		Budget:      &retry.FleetBudget{Limits: retry.Limits{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}},
 		Connections: pool,
 		Dialect:     testDialect{}, Warmup: noWarmup{}, Clock: clock.Boot{}, Log: log.New(io.Discard), Scope: tally.NoopScope,
@@ -296,6 +297,56 @@
 	c.Assert(out.String(), qt.Matches, `(?s).*"msg":"answer broken off".*"events":0,"answered_ms":\d+,"blocks":"a1,b2".*`)
 }
 
+// beginAnswer writes the head of a stream and ends the connection, as an engine does that crashes at the beginning of its answer.
+func beginAnswer(conn net.Conn, req *http.Request) bool {
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n", req.Header.Get("Id"))
+	return false
+}
+
+// TestPromptThatCrashesUpstreamsIsRefused guards against a prompt that ends one upstream after the other: after three of them a
+// request with the block is refused as not run, and others are served.
+func TestPromptThatCrashesUpstreamsIsRefused(t *testing.T) {
+	c := qt.New(t)
+	engine := handlers{func(conn net.Conn, req *http.Request) bool {
+		if req.Header.Get("Id") == "sound" {
+			return streamEvents(1, true)(conn, req)
+		}
+		return beginAnswer(conn, req)
+	}}
+	b := newFixture(t, engine, engine, engine, engine, engine, engine, engine, engine)
+	for i := range 3 {
+		res, _ := b.doPrompt(stream, fmt.Sprintf("r%d", i), 0xaa, 0xbad, call.PromptBlockID(i))
+		c.Assert(res.Code, qt.Equals, CodeLost)
+		// An upstream that has crashed cannot be reached. Crashes at one moment count once.
+		b.Outliers.RecordUnreachable(b.Clock.Now().Add(time.Second), res.Upstream, "desk")
+		time.Sleep(120 * time.Millisecond)
+	}
+	res, _ := b.doPrompt(stream, "r4", 0xaa, 0xbad, 0x99)
+	c.Assert(res.Outcome, qt.Equals, peer.OutcomeNotRun)
+	c.Assert(res.Code, qt.Equals, CodeQuarantined)
+	c.Assert(res.Attempts, qt.Equals, 0)
+	c.Assert(res.RetryAfter > time.Minute, qt.IsTrue)
+	for _, blocks := range [][]call.PromptBlockID{{0xaa, 0xb, 0xc}, {0xaa, 0xbad}, {0xbad}, nil} {
+		res, _ = b.doPrompt(stream, "sound", blocks...)
+		c.Assert(res.Outcome, qt.Equals, peer.OutcomeDone, qt.Commentf("%v", blocks))
+	}
+}
+
+// TestRetryOfQuarantinedPromptIsNotSent guards against requests whose prompt is quarantined between two of their attempts.
+func TestRetryOfQuarantinedPromptIsNotSent(t *testing.T) {
+	c := qt.New(t)
+	b := newFixture(t, handlers{beginAnswer}, handlers{streamEvents(1, true)})
+	for i := range 2 {
+		b.Quarantine.RecordCrash(b.Clock.Now(), members.Instance{ID: settings.UpstreamID(fmt.Sprint("gone", i))},
+			[]call.PromptBlock{{ID: 0xbad}}, quarantine.Strong)
+		time.Sleep(120 * time.Millisecond)
+	}
+	res, sink := b.doPrompt(resumable, "r1", 0xbad, 0x1)
+	c.Assert(res.Outcome, qt.Equals, peer.OutcomeUnknown)
+	c.Assert(res.Attempts, qt.Equals, 1)
+	c.Assert(sink.status, qt.Equals, 0)
+}
+
 // TestResponseToAnotherRequestIsSkipped guards against relaying a response to the wrong request: the upstream sends a second
 // response to the first request when the second request is due.
 func TestResponseToAnotherRequestIsSkipped(t *testing.T) {
--- a/router/internal/direct/request.go
+++ b/router/internal/direct/request.go
@@ -63,6 +63,7 @@
 	CodeNoUpstream  = "no_upstream"
 	CodeOverloaded  = "overloaded"
 	CodePaused      = "upstreams_paused"
+	CodeQuarantined = "prompt_quarantined"
 	CodeDeadline    = "deadline"
 	CodeUnreachable = "unreachable"
 	CodeRefused     = "refused_by_upstream"
--- a/router/internal/routers/view.go
+++ b/router/internal/routers/view.go
@@ -8,6 +8,7 @@
 	"rattantrack.dev/core/polling"
 	"rattantrack.dev/core/relay"
 	"rattantrack.dev/core/settings"
+	"rattantrack.dev/router/internal/crashes"
 )
 
 // Addresses returns the addresses of the other routers.
@@ -69,6 +70,19 @@
 	return list, s.interval() > interval
 }
 
+// CrashRouters returns the reachable routers that exchange crashes of upstreams.
+func (s *Service) CrashRouters() []crashes.Router {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []crashes.Router
+	for address, r := range s.routers {
+		if address != s.Address && r.reachable() && r.version >= peer.CrashEvidenceVersion {
+			list = append(list, crashes.Router{Address: address, Incarnation: r.incarnation})
+		}
+	}
+	return list
+}
+
 // LastDirectoryRead returns the time of the latest directory read that another router has reported.
 func (s *Service) LastDirectoryRead() clock.Instant {
 	s.mu.Lock()
