--- a/router/internal/direct/attempt.go
+++ b/router/internal/direct/attempt.go
@@ -206,6 +206,9 @@
 	events := upstream.NewEvents(res.Body)
 	for {
 		e, err := events.Next()
+		if errors.Is(err, io.EOF) && ex.endsUnbegun(res) {
+			err = io.ErrUnexpectedEOF
+		}
 		if errors.Is(err, io.EOF) {
 			if err := ex.relay.end(res); err != nil {
 				return attempt.ClientGone, true
@@ -228,6 +231,12 @@
 	}
 }
 
+// endsUnbegun reports whether a stream that has ended without an event was broken off. Without a length or chunks, nothing but the end
+// of the connection marks its end.
+func (ex *exchange) endsUnbegun(res *upstream.Response) bool {
+	return res.ContentLength < 0 && len(res.TransferEncoding) == 0 && ex.relay.events == 0 && ex.relay.lastEvent == ""
+}
+
 // stallTimer closes the connection of a repeatable request that makes no progress for too long. The zero value never
 // fires.
 type stallTimer struct {
--- a/router/internal/direct/dispatch_test.go
+++ b/router/internal/direct/dispatch_test.go
@@ -135,6 +135,14 @@
 	}
 }
 
+// unframedStream returns a handler that writes a stream without a length or chunks and ends the connection.
+func unframedStream(body string) func(net.Conn, *http.Request) bool {
+	return func(conn net.Conn, req *http.Request) bool {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\n\r\n%s", req.Header.Get("Id"), body)
+		return false
+	}
+}
+
 func closeConn(net.Conn, *http.Request) bool { return false }
 
 // memorySink records a response.
@@ -259,6 +267,12 @@
 			"id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\nid: 4\ndata: 4\n\n"},
 		{"stream that is not resumable is cut", stream, handlers{streamEvents(2, false)}, handlers{streamEvents(4, true)}, peer.OutcomeUnknown, CodeCut, 200, 1,
 			"id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n"},
+		{"unframed stream ends with its connection", stream, handlers{unframedStream("id: 1\ndata: 1\n\n")}, handlers{closeConn}, peer.OutcomeDone, "", 200, 1,
+			"id: 1\ndata: 1\n\n"},
+		{"unframed stream that ends within an event is broken off", resumable, handlers{unframedStream("id: 1\ndata: 1\n\nid: 2\nda")}, handlers{streamEvents(3, true)},
+			peer.OutcomeDone, "", 200, 2, "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\n"},
+		{"unframed stream without an event is broken off", resumable, handlers{unframedStream("")}, handlers{streamEvents(2, true)}, peer.OutcomeDone, "", 200, 2,
+			"id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n"},
 		{"malformed response", idempotent, handlers{func(conn net.Conn, _ *http.Request) bool {
 			_, _ = io.WriteString(conn, "garbage\r\n\r\n")
 			return false
