--- a/router/internal/direct/dispatch_test.go
+++ b/router/internal/direct/dispatch_test.go
@@ -361,6 +361,23 @@
 	c.Assert(sink.status, qt.Equals, 0)
 }
 
+// TestRejectionSaysNothingAboutThePrompt guards against a response that rejects a request clearing the prompt blocks of crashes.
+func TestRejectionSaysNothingAboutThePrompt(t *testing.T) {
+	c := qt.New(t)
+	b := newFixture(t, handlers{respond(400, "no")})
+	for i := range 3 {
+		b.Quarantine.RecordCrash(b.Clock.Now(), members.Instance{ID: settings.UpstreamID(fmt.Sprint("gone", i))},
+			[]call.PromptBlock{{ID: 0xbad}}, quarantine.Strong)
+		if i == 1 {
+			res, _ := b.doPrompt(stream, "r1", 0xbad, 0x1)
+			c.Assert(res.Status, qt.Equals, 400)
+		}
+		time.Sleep(120 * time.Millisecond)
+	}
+	_, quarantined := b.Quarantine.Quarantined(b.Clock.Now(), []call.PromptBlock{{ID: 0xbad}})
+	c.Assert(quarantined, qt.IsTrue)
+}
+
 // TestResponseToAnotherRequestIsSkipped guards against relaying a response to the wrong request: the upstream sends a second
 // response to the first request when the second request is due.
 func TestResponseToAnotherRequestIsSkipped(t *testing.T) {
