--- a/core/quarantine/tracker_test.go
+++ b/core/quarantine/tracker_test.go
@@ -228,6 +228,8 @@
 	perSecond, crashingPerSecond float64
 	// exchange is the longest time until a router has the evidence of another one.
 	exchange time.Duration
+	// restart is when all routers lose what they know, 0 for never.
+	restart time.Duration
 	// crashing returns the prompt of the n-th crashing request.
 	crashing func(n int) []call.PromptBlock
 }
@@ -235,7 +237,8 @@
 // outcome counts what happened in a load.
 type outcome struct {
 	crashes int
-	// late is the number of crashing requests that reached engines later than three seconds after the fifth crash.
+	// late is the number of crashing requests that reached engines later than three seconds after the fifth crash and, if the
+	// routers restart, after that.
 	late int
 	// refused is the number of sound requests that were quarantined, sound that of all.
 	refused, sound int
@@ -278,9 +281,13 @@
 		processes[i] = instance(incarnations)
 	}
 	var out outcome
-	var fifth clock.Instant
+	var fifth, restarted clock.Instant
 	n := 0
 	for now := at(0); now < at(0).Add(length); now = now.Add(step) {
+		if l.restart > 0 && restarted == 0 && now >= at(0).Add(l.restart) {
+			restarted = now
+			trackers, sent, inTransit = make([]Tracker, l.routers), make([]Change, l.routers), nil
+		}
 		arrive := func(blocks []call.PromptBlock, crashing bool) {
 			router, engine := r.IntN(l.routers), r.IntN(l.engines)
 			if !crashing {
@@ -295,7 +302,7 @@
 			if upAt[engine] > now {
 				return
 			}
-			if crashing && fifth != 0 && now.Sub(fifth) > 3*time.Second {
+			if crashing && fifth != 0 && now.Sub(max(fifth, restarted)) > 3*time.Second {
 				out.late++
 			}
 			engines[engine] = append(engines[engine], &chat{router: router, blocks: blocks, sent: now, crashing: crashing})
@@ -374,7 +381,9 @@
 		"shared on its way": func(n int) []call.PromptBlock { return prompt(3, 0xbad, call.PromptBlockID(1000+n%120)) },
 	}
 	fleets := map[string]load{
-		"4 routers, rare":   {routers: 4, engines: 18, perSecond: 130, crashingPerSecond: 1, exchange: 100 * time.Millisecond},
+		"4 routers, rare": {routers: 4, engines: 18, perSecond: 130, crashingPerSecond: 1, exchange: 100 * time.Millisecond},
+		"4 routers that restart": {routers: 4, engines: 18, perSecond: 130, crashingPerSecond: 1, exchange: 100 * time.Millisecond,
+			restart: 7 * time.Second},
 		"4 routers":         {routers: 4, engines: 18, perSecond: 130, crashingPerSecond: 5, exchange: 100 * time.Millisecond},
 		"103 routers":       {routers: 103, engines: 160, perSecond: 500, crashingPerSecond: 10, exchange: time.Second},
 		"103 routers, rare": {routers: 103, engines: 160, perSecond: 500, crashingPerSecond: 2, exchange: time.Second},
