--- a/core/call/call.go
+++ b/core/call/call.go
@@ -73,6 +73,9 @@
 	Rank int
 }
 
+// Rate is a number of requests per second.
+type Rate float64
+
 // Load is the load that an upstream reports.
 type Load struct {
 	Running, Waiting, Slots int
@@ -92,6 +95,8 @@
 	Leaving bool
 	// RetryAfter is the pause that an upstream which turned the request away wants from this router, 0 for none.
 	RetryAfter time.Duration
+	// RateLimit is the rate of requests that an overloaded upstream takes from all routers together, nil if not stated.
+	RateLimit *Rate
 	// IdleTime is how long the upstream keeps an idle connection open, 0 if not stated.
 	IdleTime time.Duration
 }
--- a/router/internal/app/direct.go
+++ b/router/internal/app/direct.go
@@ -24,6 +24,7 @@
 	"rattantrack.dev/core/peer"
 	"rattantrack.dev/core/polling"
 	"rattantrack.dev/core/quarantine"
+	"rattantrack.dev/core/ratelimit"
 	"rattantrack.dev/core/relay"
 	"rattantrack.dev/core/retry"
 	"rattantrack.dev/core/revision"
@@ -77,6 +78,7 @@
 	unresponsive *unresponsive.Detector
 	backoff      *backoff.Tracker
 	quarantine   *quarantine.Tracker
+	rateLimits   *ratelimit.Tracker
 	connections  *upstream.Pool
 	endpoint     *peer.Endpoint
 	loads        *loads.Service
@@ -105,6 +107,7 @@
 		unresponsive: &unresponsive.Detector{},
 		backoff:      &backoff.Tracker{},
 		quarantine:   &quarantine.Tracker{},
+		rateLimits:   &ratelimit.Tracker{},
 	}
 	var incarnation peer.Incarnation
 	var err error
@@ -211,6 +214,7 @@
 		Unresponsive: d.unresponsive,
 		Backoff:      d.backoff,
 		Quarantine:   d.quarantine,
+		RateLimits:   d.rateLimits,
 		Queues:       &waiting.Queues{},
 		Refusals:     &waiting.Refusals{},
 		Budget:       &retry.FleetBudget{Limits: retry.Limits{Ratio: budget.Ratio, Slack: budget.Slack, Window: budget.Window}},
@@ -303,10 +307,12 @@
 			d.affinity.Forget(e.ID)
 			d.outliers.Forget(e.ID)
 			d.unresponsive.Forget(e.ID)
+			d.rateLimits.Forget(e.ID)
 		case members.EventRestarted:
 			d.affinity.Forget(e.ID)
 			d.outliers.Forget(e.ID)
 			d.unresponsive.Forget(e.ID)
+			d.rateLimits.Forget(e.ID)
 		case members.EventDraining:
 			d.connections.Forget(e.Instance)
 		}
--- a/router/internal/direct/attempt.go
+++ b/router/internal/direct/attempt.go
@@ -65,7 +65,7 @@
 	}
 	ex.answeredAt = dispatcher.Clock.Now()
 	dispatcher.Unresponsive.ResponseReceived(ex.answeredAt, inst.ID)
-	ex.recordStatements(inst, res.Answer)
+	ex.recordStatements(inst, res.StatusCode, res.Answer)
 	if ex.res.FirstByte == 0 {
 		ex.res.FirstByte = ex.answeredAt.Sub(ex.Arrived)
 	}
@@ -82,7 +82,7 @@
 
 // recordStatements records what an upstream states about itself, before the client gets its answer. A misdirected response
 // comes from another process than inst.
-func (ex *exchange) recordStatements(inst members.Instance, a call.Answer) {
+func (ex *exchange) recordStatements(inst members.Instance, status int, a call.Answer) {
 	if a.Misdirected {
 		return
 	}
@@ -93,11 +93,29 @@
 		d.Scope.Counter("upstream_pauses").Inc(1)
 		d.Log.Info("upstream asks for a pause", "request", ex.ID, "upstream", inst.ID, "pause_ms", until.Sub(now).Milliseconds())
 	}
+	// A failure may come from a part of the upstream that knows no limit, so it ends none.
+	if a.RateLimit != nil || status < http.StatusBadRequest {
+		ex.recordRateLimit(inst, a.RateLimit)
+	}
 	if a.Leaving {
 		d.OnLeaving(inst)
 	}
 }
 
+// recordRateLimit records the rate limit that an upstream has stated in an answer, nil for none.
+func (ex *exchange) recordRateLimit(inst members.Instance, rate *call.Rate) {
+	d := ex.dispatcher
+	if !d.RateLimits.Record(d.Clock.Now(), inst, rate) {
+		return
+	}
+	if rate == nil {
+		d.Log.Info("upstream ends its rate limit", "request", ex.ID, "upstream", inst.ID)
+		return
+	}
+	d.Scope.Counter("upstream_rate_limits").Inc(1)
+	d.Log.Info("upstream names a rate limit", "request", ex.ID, "upstream", inst.ID, "per_second", float64(*rate))
+}
+
 // outbound returns the request with the header fields of this attempt.
 func (ex *exchange) outbound(inst members.Instance) *upstream.Request {
 	out := ex.Outbound
--- a/router/internal/direct/dispatch.go
+++ b/router/internal/direct/dispatch.go
@@ -22,6 +22,7 @@
 	"rattantrack.dev/core/peer"
 	"rattantrack.dev/core/placement"
 	"rattantrack.dev/core/quarantine"
+	"rattantrack.dev/core/ratelimit"
 	"rattantrack.dev/core/retry"
 	"rattantrack.dev/core/settings"
 	"rattantrack.dev/core/unresponsive"
@@ -61,6 +62,7 @@
 	Unresponsive *unresponsive.Detector
 	Backoff      *backoff.Tracker
 	Quarantine   *quarantine.Tracker
+	RateLimits   *ratelimit.Tracker
 	Queues       *waiting.Queues
 	Refusals     *waiting.Refusals
 	Budget       *retry.FleetBudget
--- a/router/internal/direct/dispatch_test.go
+++ b/router/internal/direct/dispatch_test.go
@@ -26,6 +26,7 @@
 	"rattantrack.dev/core/outlier"
 	"rattantrack.dev/core/peer"
 	"rattantrack.dev/core/quarantine"
+	"rattantrack.dev/core/ratelimit"
 	"rattantrack.dev/core/retry"
 	"rattantrack.dev/core/settings"
 	"rattantrack.dev/core/unresponsive"
@@ -46,8 +47,13 @@
 
 func (testDialect) ReadAnswer(status int, h http.Header) call.Answer {
 	pause, _ := time.ParseDuration(h.Get("Pause"))
+	var limit *call.Rate
+	if v, err := strconv.ParseFloat(h.Get("Limit"), 64); err == nil {
+		limit = (*call.Rate)(&v)
+	}
 	return call.Answer{
-		ID: call.ID(h.Get("Id")), NotRun: h.Get("Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest,
+		RateLimit: limit,
+		ID:        call.ID(h.Get("Id")), NotRun: h.Get("Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest,
 		Leaving: h.Get("Leaving") != "", RetryAfter: pause,
 	}
 }
@@ -187,6 +193,7 @@
 	b := &fixture{Dispatcher: &Dispatcher{
 		DataCentre: "kano", Members: &members.Registry{}, InFlight: &inflight.Tracker{}, Affinity: &affinity.Index{},
 		Outliers: &outlier.Detector{}, Unresponsive: &unresponsive.Detector{}, Queues: &waiting.Queues{}, Refusals: &waiting.Refusals{}, Backoff: &backoff.Tracker{}, Quarantine: &quarantine.Tracker{},
+		RateLimits:  &ratelimit.Tracker{},
 		Budget:      &retry.FleetBudget{Limits: retry.Limits{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}},
 		Connections: pool,
 		Dialect:     testDialect{}, Warmup: noWarmup{}, Clock: clock.Boot{}, Log: log.New(io.Discard), Scope: tally.NoopScope,
@@ -378,6 +385,19 @@
 	c.Assert(quarantined, qt.IsTrue)
 }
 
+// TestRateLimitIsLogged guards against logs that do not tell which rate an upstream has named, or when it ended.
+func TestRateLimitIsLogged(t *testing.T) {
+	c := qt.New(t)
+	b := newFixture(t, handlers{respond(200, "a", "Limit: 2.5"), respond(200, "b", "Limit: 2.5"), respond(500, "c"), respond(200, "d")})
+	var out strings.Builder
+	b.Log = log.NewWithOptions(&out, log.Options{Formatter: log.JSONFormatter})
+	for range 4 {
+		_, _ = b.do(once, "r1")
+	}
+	c.Assert(strings.Count(out.String(), `"msg":"upstream names a rate limit"`), qt.Equals, 1)
+	c.Assert(out.String(), qt.Matches, `(?s).*"upstream":"u0","per_second":2.5.*"msg":"upstream ends its rate limit".*`)
+}
+
 // TestResponseToAnotherRequestIsSkipped guards against relaying a response to the wrong request: the upstream sends a second
 // response to the first request when the second request is due.
 func TestResponseToAnotherRequestIsSkipped(t *testing.T) {
