--- a/core/inflight/packed.go
+++ b/core/inflight/packed.go
@@ -34,6 +34,9 @@
 	Values []byte
 }
 
+// Empty reports whether p holds no counts at all, not even zeros.
+func (p Packed) Empty() bool { return len(p.Values) == 0 }
+
 // PackError reports counts that cannot be decoded.
 type PackError struct {
 	Reason string
--- a/core/inflight/tracker.go
+++ b/core/inflight/tracker.go
@@ -62,6 +62,13 @@
 	t.local[id]--
 }
 
+// SetLocal replaces this router's counts.
+func (t *Tracker) SetLocal(counts Counts) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.local = counts
+}
+
 // Local returns a copy of this router's counts.
 func (t *Tracker) Local() Counts {
 	t.mu.Lock()
@@ -184,6 +191,18 @@
 	return loads
 }
 
+// Others returns the number of requests that the other routers have open at each upstream, in the given order.
+func (t *Tracker) Others(now clock.Instant, ids []settings.UpstreamID) []int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.refresh(now)
+	others := make([]int, len(ids))
+	for i, id := range ids {
+		others[i] = t.remoteTotal[id]
+	}
+	return others
+}
+
 // RouterCount returns the number of routers with valid counts, including this one.
 func (t *Tracker) RouterCount(now clock.Instant) int {
 	t.mu.Lock()
--- a/core/peer/control.go
+++ b/core/peer/control.go
@@ -18,9 +18,10 @@
 )
 
 // ProtocolVersion is the latest version of the protocol, and minProtocolVersion the oldest that a process still speaks. Version 2
-// added LoadReport and LoadTotals, version 3 CrashEvidence.
+// added LoadReport and LoadTotals, version 3 CrashEvidence, version 4
+// UsageReport and UsageTotals.
 const (
-	ProtocolVersion    = 3
+	ProtocolVersion    = 4
 	minProtocolVersion = 1
 )
 
@@ -30,6 +31,9 @@
 // CrashEvidenceVersion is the first version with CrashEvidence.
 const CrashEvidenceVersion = 3
 
+// UsageReportVersion is the first version with UsageReport and UsageTotals.
+const UsageReportVersion = 4
+
 // Hello is the first message in each direction of a link.
 type Hello struct {
 	Protocol    int
--- a/core/peer/message.go
+++ b/core/peer/message.go
@@ -35,6 +35,8 @@
 	KindLoadReport
 	KindLoadTotals
 	KindCrashEvidence
+	KindUsageReport
+	KindUsageTotals
 )
 
 // Message is one typed message of the protocol.
@@ -108,6 +110,10 @@
 		return &LoadTotals{}
 	case KindCrashEvidence:
 		return &CrashEvidence{}
+	case KindUsageReport:
+		return &UsageReport{}
+	case KindUsageTotals:
+		return &UsageTotals{}
 	}
 	return nil
 }
--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -20,6 +20,8 @@
 	Cold bool
 	// Failed means that the request failed at this upstream before.
 	Failed bool
+	// RateLimited means that the upstream has named a rate limit, Refused that this allows it no further request now.
+	RateLimited, Refused bool
 	// Excluded means that the request must not be sent there, for example because the upstream is ejected or was unreachable.
 	Excluded bool
 }
@@ -66,7 +68,7 @@
 	Chosen Reason = "chosen"
 	// NoUpstream means that there is no candidate or that all are excluded.
 	NoUpstream Reason = "no_upstream"
-	// Full means that every candidate that is not excluded has as many open requests as Policy.Overcommit allows.
+	// Full means that every candidate that is not excluded has as many open requests as Policy.Overcommit allows, or is refused.
 	Full Reason = "full"
 )
 
@@ -89,15 +91,10 @@
 // distributed over the least loaded upstreams, and many routers that place requests at the same moment do not all choose the
 // upstream that is the least loaded for all of them.
 func Choose(p *Policy, r *Request, candidates []Candidate) Choice {
-	totalLoad, n := 0, 0
-	for _, c := range candidates {
-		totalLoad += c.Load
-		n++
-	}
-	if n == 0 {
+	if len(candidates) == 0 {
 		return Choice{Reason: NoUpstream}
 	}
-	choice := Choice{Reason: NoUpstream, MeanLoad: float64(totalLoad) / float64(n)}
+	choice := Choice{Reason: NoUpstream, MeanLoad: meanLoad(candidates)}
 	lowestCost := 0.0
 	var owner *Candidate
 	for i := range candidates {
@@ -108,7 +105,7 @@
 		if c.Excluded {
 			continue
 		}
-		if float64(c.Load+1) > p.Overcommit*float64(c.Slots) {
+		if c.Refused || float64(c.Load+1) > p.Overcommit*float64(c.Slots) {
 			if choice.Reason == NoUpstream {
 				choice.Reason = Full
 			}
@@ -127,6 +124,24 @@
 	return choice
 }
 
+// meanLoad returns the mean load of the candidates. Those with rate limits hold little, whatever the others do; they count only if all
+// have limits.
+func meanLoad(candidates []Candidate) float64 {
+	total, n, limitedTotal := 0, 0, 0
+	for _, c := range candidates {
+		if c.RateLimited {
+			limitedTotal += c.Load
+			continue
+		}
+		total += c.Load
+		n++
+	}
+	if n == 0 {
+		return float64(limitedTotal) / float64(len(candidates))
+	}
+	return float64(total) / float64(n)
+}
+
 // overBoundPenalty is the penalty of a candidate above its load bound. It outweighs every other cost, so such a candidate is
 // chosen only if all are above their bounds, and then it is the least loaded one.
 const overBoundPenalty = 1e6
--- a/core/placement/choose_test.go
+++ b/core/placement/choose_test.go
@@ -30,6 +30,8 @@
 	failed.Failed = true
 	failedShort := candidate("b", 4, 600)
 	failedShort.Failed = true
+	limited := candidate("b", 0, 10_500)
+	limited.RateLimited, limited.Refused = true, true
 	full := candidate("a", 64, 0)
 	tests := []struct {
 		name       string
@@ -51,6 +53,8 @@
 		{"only excluded ones", longPrompt, []Candidate{excluded}, NoUpstream, ""},
 		{"a long prompt is tried again where it is cached", longPrompt, []Candidate{candidate("a", 4, 0), failed}, Chosen, "b"},
 		{"a short prompt is tried elsewhere", shortPrompt, []Candidate{candidate("a", 4, 0), failedShort}, Chosen, "a"},
+		{"a limited upstream gets nothing", longPrompt, []Candidate{candidate("a", 9, 0), limited}, Chosen, "a"},
+		{"only limited ones", longPrompt, []Candidate{limited, excluded}, Full, ""},
 		{"all are full", longPrompt, []Candidate{full, full}, Full, ""},
 	}
 	for _, tt := range tests {
--- a/core/waiting/queue.go
+++ b/core/waiting/queue.go
@@ -115,11 +115,22 @@
 		queue.endInterval += (gap - queue.endInterval) / 16
 	}
 	queue.lastEnd = now
-	if len(queue.waiters) == 0 {
+	queue.wakeFirst()
+}
+
+// WakeFirst wakes the first waiter, whose request may find room although none has ended.
+func (q *Queues) WakeFirst(name settings.ServiceName) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.ofService(name).wakeFirst()
+}
+
+func (q *serviceQueue) wakeFirst() {
+	if len(q.waiters) == 0 {
 		return
 	}
-	first := queue.waiters[0]
-	queue.waiters = queue.waiters[1:]
+	first := q.waiters[0]
+	q.waiters = q.waiters[1:]
 	close(first.ready)
 }
 
--- a/router/internal/app/direct.go
+++ b/router/internal/app/direct.go
@@ -163,6 +163,7 @@
 		Dialer:         d.endpoint,
 		InFlight:       inFlight,
 		Members:        d.members,
+		RateLimits:     d.rateLimits,
 		DirectoryState: func() (time.Duration, bool) { return d.watcher.State() },
 		Clock:          clock.Boot{},
 		Log:            d.log,
@@ -222,6 +223,7 @@
 		Dialect:      platform.Dialect{},
 		Warmup:       d.warmup,
 		Clock:        clock.Boot{},
+		KnownRouters: d.routers.Known,
 		Log:          d.log,
 		Scope:        scope,
 	}
--- a/router/internal/direct/dispatch.go
+++ b/router/internal/direct/dispatch.go
@@ -70,6 +70,8 @@
 	Dialect      Dialect
 	Warmup       Warmup
 	Clock        Clock
+	// KnownRouters returns the number of routers that may send requests to the upstreams, with this one.
+	KnownRouters func() int
 	// OnLeaving is called when an upstream states in an answer that it is leaving.
 	OnLeaving func(inst members.Instance)
 	Log       *log.Logger
@@ -80,6 +82,8 @@
 
 // Wait times of a request.
 const (
+	// limitPoll is how often the first waiting request is placed again, since limits have room again without an event.
+	limitPoll = 50 * time.Millisecond
 	// noUpstreamPoll is how often placement is retried while the service has no usable upstream.
 	noUpstreamPoll = 20 * time.Millisecond
 	// defaultRetryAfter is when the client may retry a request that found no upstream.
@@ -214,15 +218,24 @@
 	defer ex.dispatcher.Queues.Leave(ex.Service, waiter)
 	timer := time.NewTimer(limit.Sub(now))
 	defer timer.Stop()
-	select {
-	case <-waiter.Ready():
-		return true
-	case <-timer.C:
-		ex.giveUp(ctx, CodeOverloaded, ex.dispatcher.Queues.RetryAfter(ex.Service))
-	case <-ctx.Done():
-		ex.giveUp(ctx, CodeDeadline, ex.dispatcher.Queues.RetryAfter(ex.Service))
+	poll := time.NewTicker(limitPoll)
+	defer poll.Stop()
+	for {
+		select {
+		case <-waiter.Ready():
+			return true
+		case <-poll.C:
+			if ex.dispatcher.RateLimits.Active(ex.dispatcher.Clock.Now()) {
+				ex.dispatcher.Queues.WakeFirst(ex.Service)
+			}
+			continue
+		case <-timer.C:
+			ex.giveUp(ctx, CodeOverloaded, ex.dispatcher.Queues.RetryAfter(ex.Service))
+		case <-ctx.Done():
+			ex.giveUp(ctx, CodeDeadline, ex.dispatcher.Queues.RetryAfter(ex.Service))
+		}
+		return false
 	}
-	return false
 }
 
 // waitLimit returns when a queued request is given up: after its objective or, if the route has none, after a quarter of
--- a/router/internal/direct/dispatch_test.go
+++ b/router/internal/direct/dispatch_test.go
@@ -193,7 +193,7 @@
 	b := &fixture{Dispatcher: &Dispatcher{
 		DataCentre: "kano", Members: &members.Registry{}, InFlight: &inflight.Tracker{}, Affinity: &affinity.Index{},
 		Outliers: &outlier.Detector{}, Unresponsive: &unresponsive.Detector{}, Queues: &waiting.Queues{}, Refusals: &waiting.Refusals{}, Backoff: &backoff.Tracker{}, Quarantine: &quarantine.Tracker{},
-		RateLimits:  &ratelimit.Tracker{},
+		RateLimits: &ratelimit.Tracker{}, KnownRouters: func() int { return 1 },
 		Budget:      &retry.FleetBudget{Limits: retry.Limits{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}},
 		Connections: pool,
 		Dialect:     testDialect{}, Warmup: noWarmup{}, Clock: clock.Boot{}, Log: log.New(io.Discard), Scope: tally.NoopScope,
@@ -398,6 +398,36 @@
 	c.Assert(out.String(), qt.Matches, `(?s).*"upstream":"u0","per_second":2.5.*"msg":"upstream ends its rate limit".*`)
 }
 
+// TestUpstreamGetsNoMoreThanItsRateLimit guards against requests beyond the rate that an upstream has named: they go elsewhere or, without
+// another upstream, are refused as not run.
+func TestUpstreamGetsNoMoreThanItsRateLimit(t *testing.T) {
+	c := qt.New(t)
+	limited := handlers{respond(200, "ok", "Limit: 2")}
+	b := newFixture(t, limited, handlers{respond(200, "ok")})
+	for i := range 40 {
+		res, _ := b.do(once, fmt.Sprint("r", i))
+		c.Assert(res.Outcome, qt.Equals, peer.OutcomeDone)
+		time.Sleep(10 * time.Millisecond)
+	}
+	c.Assert(len(b.upstreams[0].requests()) <= 7, qt.IsTrue, qt.Commentf("%d requests", len(b.upstreams[0].requests())))
+	c.Assert(len(b.upstreams[0].requests()) >= 2, qt.IsTrue)
+
+	b = newFixture(t, limited)
+	objective := once
+	objective.Objective = 100 * time.Millisecond
+	refused := 0
+	for i := range 10 {
+		res, _ := b.do(objective, fmt.Sprint("r", i))
+		if res.Outcome == peer.OutcomeNotRun {
+			c.Assert(res.Code, qt.Equals, CodeOverloaded)
+			c.Assert(res.RetryAfter > 0, qt.IsTrue)
+			refused++
+		}
+	}
+	c.Assert(refused > 0, qt.IsTrue)
+	c.Assert(len(b.upstreams[0].requests()) <= 7, qt.IsTrue, qt.Commentf("%d requests", len(b.upstreams[0].requests())))
+}
+
 // TestResponseToAnotherRequestIsSkipped guards against relaying a response to the wrong request: the upstream sends a second
 // response to the first request when the second request is due.
 func TestResponseToAnotherRequestIsSkipped(t *testing.T) {
--- a/router/internal/direct/place.go
+++ b/router/internal/direct/place.go
@@ -70,15 +70,25 @@
 func (d *Dispatcher) reserve(now clock.Instant, r *Request, tried *triedUpstreams) (members.Instance, placement.Choice) {
 	d.reserving.Lock()
 	defer d.reserving.Unlock()
-	inst, choice := d.place(now, r, tried)
-	if choice.Reason == placement.Chosen {
-		d.InFlight.Begin(inst.ID)
+	known := d.KnownRouters()
+	var refused []settings.UpstreamID
+	for {
+		inst, choice := d.place(now, r, tried, refused)
+		if choice.Reason != placement.Chosen {
+			return inst, choice
+		}
+		if d.RateLimits.Admit(now, inst.ID, known) {
+			d.InFlight.Begin(inst.ID)
+			return inst, choice
+		}
+		refused = append(refused, inst.ID)
 	}
-	return inst, choice
 }
 
-// place chooses the upstream of an attempt.
-func (d *Dispatcher) place(now clock.Instant, r *Request, tried *triedUpstreams) (members.Instance, placement.Choice) {
+// place chooses the upstream of an attempt. refused holds those whose rate limits do not allow the attempt.
+func (d *Dispatcher) place(
+	now clock.Instant, r *Request, tried *triedUpstreams, refused []settings.UpstreamID,
+) (members.Instance, placement.Choice) {
 	serving := d.Members.Serving(r.Service)
 	if len(serving) == 0 {
 		return members.Instance{}, placement.Choice{Reason: placement.NoUpstream}
@@ -91,6 +101,7 @@
 	for i := range candidates {
 		candidates[i].Excluded = candidates[i].Excluded || slices.Contains(tried.unusable, ids[i])
 		candidates[i].Failed = slices.Contains(tried.failed, ids[i])
+		candidates[i].Refused = slices.Contains(refused, ids[i])
 	}
 	policy := &plainPolicy
 	if r.RouteConfig.Affinity {
@@ -110,6 +121,7 @@
 	loads := d.InFlight.Loads(now, ids)
 	paused, _ := d.Backoff.Paused(now, serving)
 	excluded := d.excluded(now, ids, paused)
+	limited := d.RateLimits.Limited(now, ids)
 	var cachedTokens []settings.Tokens
 	order := rendezvous.New(ids).Order(r.orderKey())
 	primary := 0
@@ -124,14 +136,15 @@
 	candidates := make([]placement.Candidate, len(serving))
 	for i := range serving {
 		candidates[i] = placement.Candidate{
-			ID:         ids[i],
-			DataCentre: serving[i].DataCentre,
-			Load:       loads[i],
-			Slots:      serving[i].Slots,
-			Primary:    i == primary,
-			Order:      order[i],
-			Cold:       serving[i].ColdRemaining > 0 && d.Members.ColdRemaining(now, ids[i]) > 0,
-			Excluded:   excluded[i],
+			ID:          ids[i],
+			DataCentre:  serving[i].DataCentre,
+			Load:        loads[i],
+			Slots:       serving[i].Slots,
+			Primary:     i == primary,
+			Order:       order[i],
+			Cold:        serving[i].ColdRemaining > 0 && d.Members.ColdRemaining(now, ids[i]) > 0,
+			RateLimited: limited[i],
+			Excluded:    excluded[i],
 		}
 		if cachedTokens != nil {
 			candidates[i].CachedTokens = cachedTokens[i]
--- a/router/internal/loads/service_test.go
+++ b/router/internal/loads/service_test.go
@@ -18,6 +18,7 @@
 	"rattantrack.dev/core/inflight"
 	"rattantrack.dev/core/members"
 	"rattantrack.dev/core/peer"
+	"rattantrack.dev/core/ratelimit"
 	"rattantrack.dev/core/relay"
 	"rattantrack.dev/core/settings"
 )
@@ -83,7 +84,7 @@
 		one.service = &Service{
 			ID:      inflight.RouterID(id),
 			Self:    relay.Router{Address: ln.Addr().String(), DataCentre: settings.DataCentre(fmt.Sprint(i / 3)), Cores: 1},
-			Routers: one, Dialer: endpoint, InFlight: &inflight.Tracker{}, Members: &members.Registry{}, Clock: clock.Boot{},
+			Routers: one, Dialer: endpoint, InFlight: &inflight.Tracker{}, RateLimits: &ratelimit.Tracker{}, Members: &members.Registry{}, Clock: clock.Boot{},
 			DirectoryState: func() (time.Duration, bool) {
 				if i == 0 {
 					return 0, false
--- a/router/internal/routers/service.go
+++ b/router/internal/routers/service.go
@@ -75,7 +75,9 @@
 	// when the router was added or, later, when an exchange last failed.
 	lastExchange, lastReceived, since clock.Instant
 	lost                              bool
-	exchanging                        bool
+	// lostAt is when the router was last lost, valid while lost is set.
+	lostAt     clock.Instant
+	exchanging bool
 	// hasCacheEntries reports that the cache warm-up of the router has ended, so that it can send its cache entries.
 	hasCacheEntries bool
 	// directoryRead is when the router last read the directory, directoryFailing reports that it cannot read it.
@@ -306,6 +308,7 @@
 // recordFailure records a failed exchange. The caller holds the lock.
 func (s *Service) recordFailure(r *router, state *peer.RouterState, now clock.Instant) {
 	if !r.lost {
+		r.lostAt = now
 		s.Log.Warn("router lost", "router", r.address)
 		s.Scope.Counter("routers_lost").Inc(1)
 	}
--- a/router/internal/routers/view.go
+++ b/router/internal/routers/view.go
@@ -83,6 +83,25 @@
 	return list
 }
 
+// Known returns the number of routers that may be running, with this one: the reachable ones and, for forgetTime, those that were lost
+// or of which this router has only heard.
+func (s *Service) Known() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Clock.Now()
+	n := 1
+	for address, r := range s.routers {
+		silentSince := r.since
+		if r.lost {
+			silentSince = r.lostAt
+		}
+		if address != s.Address && (r.reachable() || now.Sub(silentSince) < forgetTime) {
+			n++
+		}
+	}
+	return n
+}
+
 // LastDirectoryRead returns the time of the latest directory read that another router has reported.
 func (s *Service) LastDirectoryRead() clock.Instant {
 	s.mu.Lock()
