--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -20,8 +20,10 @@
 	Cold bool
 	// Failed means that the request failed at this upstream before.
 	Failed bool
-	// RateLimited means that the upstream has named a rate limit, Refused that this allows it no further request now.
+	// RateLimited means that the upstream has named a rate limit, Refused that this allows it no further request now. Excess is by how
+	// much of the limit more is wanted of the upstream than it allows, 0 or above.
 	RateLimited, Refused bool
+	Excess               float64
 	// Excluded means that the request must not be sent there, for example because the upstream is ejected or was unreachable.
 	Excluded bool
 }
@@ -52,6 +54,9 @@
 	OrderCost float64
 	// DistanceCost is the cost of an upstream in another data centre, ColdCost that of one that has just started.
 	DistanceCost, ColdCost float64
+	// ExcessCost is the cost of an upstream of which twice as much is wanted as its rate limit allows. It leaves the limit to the
+	// requests for which the upstream is worth most, such as those with long prompts that it has cached.
+	ExcessCost float64
 	// FailureCost is the cost of an upstream at which the request failed before. A long prompt cached there can outweigh
 	// it, so that the request is sent there again.
 	FailureCost float64
@@ -177,5 +182,5 @@
 	if c.Cold {
 		cost += p.ColdCost
 	}
-	return cost
+	return cost + p.ExcessCost*c.Excess
 }
--- a/core/placement/choose_test.go
+++ b/core/placement/choose_test.go
@@ -15,6 +15,29 @@
 var policy = Policy{
 	Multiple: 1.4, Slack: 2, LongMultiple: 1.75, LongSlack: 2.5, LongPrefix: 2000,
 	TokensPerRequest: 300, NonPrimaryCost: 4, OrderCost: 3, DistanceCost: 0.25, ColdCost: 3, FailureCost: 12, Overcommit: 1,
+	ExcessCost: 10,
+}
+
+// TestRateLimitIsLeftToPromptsThatGainMost replays upstreams of which more is wanted than their rate limits allow: short prompts leave the
+// one that caches them, long ones stay, and the load of limited upstreams does not lower the bound of the others.
+func TestRateLimitIsLeftToPromptsThatGainMost(t *testing.T) {
+	c := qt.New(t)
+	limited := func(cached settings.Tokens) Candidate {
+		l := candidate("limited", 1, cached)
+		l.RateLimited, l.Excess, l.Primary = true, 1, true
+		return l
+	}
+	list := func(cached settings.Tokens) []Candidate {
+		return []Candidate{limited(cached), candidate("a", 4, 0), candidate("b", 7, 0)}
+	}
+	short := Request{DataCentre: "kano", SharedTokens: 600, Affinity: true}
+	long := Request{DataCentre: "kano", SharedTokens: 10_500, Affinity: true}
+	got := Choose(&policy, &short, list(600))
+	c.Assert(got.Index, qt.Equals, 1)
+	c.Assert(got.MeanLoad, qt.Equals, 5.5)
+	c.Assert(Choose(&policy, &long, list(10_500)).Index, qt.Equals, 0)
+	onlyLimited := []Candidate{limited(0), limited(600)}
+	c.Assert(Choose(&policy, &short, onlyLimited).MeanLoad, qt.Equals, 1.0)
 }
 
 func candidate(id string, load int, cached settings.Tokens) Candidate {
--- a/core/ratelimit/tracker.go
+++ b/core/ratelimit/tracker.go
@@ -207,17 +207,27 @@
 	return demand{wanted: len(r.wanted) + wanted[0], sent: len(r.sent) + sent[0], heard: 1 + wanted[1], known: known}
 }
 
-// Limited reports, for each upstream in the given order, whether a limit is in force for it.
-func (t *Tracker) Limited(now clock.Instant, ids []settings.UpstreamID) []bool {
+// Limited reports, for each upstream in the given order, whether a limit is in force for it, and by how much of it more is wanted than it
+// allows. known is as for Admit.
+func (t *Tracker) Limited(now clock.Instant, ids []settings.UpstreamID, known int) (limited []bool, excess []float64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
-	limited := make([]bool, len(ids))
+	limited, excess = make([]bool, len(ids)), make([]float64, len(ids))
+	if len(t.limits) == 0 {
+		return limited, excess
+	}
 	for i, id := range ids {
 		l := t.limits[id]
-		limited[i] = l != nil && l.rate != nil
+		if l == nil || l.rate == nil {
+			continue
+		}
+		r := t.requestsFor(id)
+		r.trim(now)
+		limited[i] = true
+		excess[i] = max(0, 1/share(*l.rate, t.demand(now, id, r, known))-1)
 	}
-	return limited
+	return limited, excess
 }
 
 // routerKey counts the routers in the counts of requests.
--- a/router/internal/direct/place.go
+++ b/router/internal/direct/place.go
@@ -50,6 +50,7 @@
 	OrderCost:        3,
 	DistanceCost:     0.25,
 	ColdCost:         3,
+	ExcessCost:       10,
 	FailureCost:      12,
 	Overcommit:       1,
 }
@@ -60,6 +61,7 @@
 	DistanceCost: 0.9,
 	OrderCost:    0.5,
 	ColdCost:     2,
+	ExcessCost:   10,
 	FailureCost:  1000,
 	// With one request waiting per slot at the upstream, responses are still on time.
 	Overcommit: 2,
@@ -121,7 +123,7 @@
 	loads := d.InFlight.Loads(now, ids)
 	paused, _ := d.Backoff.Paused(now, serving)
 	excluded := d.excluded(now, ids, paused)
-	limited := d.RateLimits.Limited(now, ids)
+	limited, excess := d.RateLimits.Limited(now, ids, d.KnownRouters())
 	var cachedTokens []settings.Tokens
 	order := rendezvous.New(ids).Order(r.orderKey())
 	primary := 0
@@ -144,6 +146,7 @@
 			Order:       order[i],
 			Cold:        serving[i].ColdRemaining > 0 && d.Members.ColdRemaining(now, ids[i]) > 0,
 			RateLimited: limited[i],
+			Excess:      excess[i],
 			Excluded:    excluded[i],
 		}
 		if cachedTokens != nil {
