--- a/core/ratelimit/decide.go
+++ b/core/ratelimit/decide.go
@@ -12,7 +12,7 @@
 	// is short enough to follow a burst.
 	wantedWindow = 1500 * time.Millisecond
 	// peakDecay is the time constant with which a peak of the demand is forgotten. It spans several exchanges of counts and windows.
-	peakDecay = 4 * time.Second
+	peakDecay = 3 * time.Second
 	// sentWindow is the time over which requests that were sent count against maxExcess.
 	sentWindow = 2 * time.Second
 	// maxExcess is by how much the requests sent within sentWindow may exceed the limit, while the demand changes faster than the
@@ -45,14 +45,10 @@
 	return 1
 }
 
-// load returns the rate of the requests meant for an upstream as a multiple of what it allows. While it seems to have room, the latest
-// peak counts: many routers that find room at the same time would otherwise all use it before the counts show it.
+// load returns the rate of the requests meant for an upstream as a multiple of what it allows. The latest peak counts: many routers that
+// find room at the same time would otherwise all use it before the counts show it.
 func load(rate call.Rate, d demand) float64 {
-	allowed := allowance(rate, d) * wantedWindow.Seconds()
-	if float64(d.wanted) > allowed {
-		return float64(d.wanted) / allowed
-	}
-	return max(float64(d.wanted), d.peak) / allowed
+	return max(float64(d.wanted), d.peak) / (allowance(rate, d) * wantedWindow.Seconds())
 }
 
 // exhausted reports whether so much has been sent that no request may follow now, whatever the share.
--- a/core/ratelimit/tracker_test.go
+++ b/core/ratelimit/tracker_test.go
@@ -32,7 +32,7 @@
 		{"less is wanted than allowed", 2, demand{wanted: 2, heard: 4, known: 4}, 1},
 		{"twice as much is wanted", 2, demand{wanted: 6, heard: 4, known: 4}, 0.5},
 		{"less is wanted than allowed since a herd", 2, demand{wanted: 2, peak: 12, heard: 4, known: 4}, 0.25},
-		{"a peak does not add to what is wanted", 2, demand{wanted: 6, peak: 12, heard: 4, known: 4}, 0.5},
+		{"the peak counts beyond what is wanted now", 2, demand{wanted: 6, peak: 12, heard: 4, known: 4}, 0.25},
 		{"half of the routers are silent", 2, demand{wanted: 6, heard: 2, known: 4}, 0.25},
 		{"more routers are heard than known", 2, demand{wanted: 6, heard: 5, known: 4}, 0.5},
 		{"a rate of zero is tried now and then", 0, demand{wanted: 6, heard: 4, known: 4}, 0.0625},
