--- a/router/internal/app/direct.go
+++ b/router/internal/app/direct.go
@@ -368,7 +368,10 @@
 			Address: d.cfg.Operator,
 			Metrics: d.metrics,
 			Ready:   d.ready,
-			Dumpers: []operator.Dumper{d.client, d.watcher, d.members, &pauses{tracker: d.backoff}, &suspects{tracker: d.quarantine}, d.routers, d.gossip, &operator.Links{Endpoint: d.endpoint}},
+			Dumpers: []operator.Dumper{
+				d.client, d.watcher, d.members, &pauses{tracker: d.backoff}, &suspects{tracker: d.quarantine},
+				&rateLimits{tracker: d.rateLimits}, d.routers, d.gossip, &operator.Links{Endpoint: d.endpoint},
+			},
 		},
 		d.readiness,
 		&peer.Listener{Address: d.cfg.Peer, Endpoint: d.endpoint, IdleTimeout: idleLinkTimeout},
