feat(direct): log lines of lost answers name the digest of the request

Two lost requests could not be told to be the same: a client that sends one again gives it a new id, and neither path nor body is logged. The digest covers path, query, team and body.

--- a/core/call/call.go
+++ b/core/call/call.go
@@ -37,6 +37,8 @@
 	MaxTokens    settings.Tokens
 	// LastEvent is the id of the last event that the client received of an earlier answer, empty for none.
 	LastEvent EventID
+	// Digest identifies the content of the request.
+	Digest RequestDigest
 }
 
 // EventID identifies an event of a stream.
--- a/router/internal/client/serve.go
+++ b/router/internal/client/serve.go
@@ -44,6 +44,7 @@
 		s.refuse(w, r, refused, peer.OutcomeNotRun)
 		return
 	}
+	r.Digest = call.NewRequestDigest(req.Host, r.Outbound.URI, r.Team, r.Outbound.Body)
 	r.Arrived = arrived
 	r.Deadline = arrived.Add(requestTimeout(r))
 	s.dispatch(w, req, r)
--- a/router/internal/direct/attempt.go
+++ b/router/internal/direct/attempt.go
@@ -140,7 +140,8 @@
 	if ctx.Err() != nil {
 		return attempt.ClientGone
 	}
-	ex.dispatcher.Log.Warn("answer lost", "request", ex.ID, "upstream", inst.ID, "blocks", blockList(ex.sharedBlocks()), "error", err)
+	ex.dispatcher.Log.Warn("answer lost", "request", ex.ID, "upstream", inst.ID, "digest", ex.Digest.String(),
+		"blocks", blockList(ex.sharedBlocks()), "error", err)
 	ex.recordBroken(inst, err)
 	return attempt.Lost
 }
@@ -209,7 +210,8 @@
 		return attempt.ClientGone
 	}
 	ex.dispatcher.Log.Warn("answer broken off", "request", ex.ID, "upstream", inst.ID, "events", ex.relay.events,
-		"answered_ms", ex.dispatcher.Clock.Now().Sub(ex.answeredAt).Milliseconds(), "blocks", blockList(ex.sharedBlocks()), "error", err)
+		"answered_ms", ex.dispatcher.Clock.Now().Sub(ex.answeredAt).Milliseconds(), "digest", ex.Digest.String(),
+		"blocks", blockList(ex.sharedBlocks()), "error", err)
 	ex.recordBroken(inst, err)
 	if ex.relay.headSent {
 		return attempt.Cut
