fix(quarantine,direct): a request that crashes upstreams is kept away from them, whatever its prompt

Cause: the quarantine knew prompt blocks only. A request without a prompt left no evidence, and one with a sound prompt was cleared by the survivals of that prompt.

Suspects now bear the digest of the request, and digests are candidates beside blocks: three ends under one digest suffice, whatever shows of the moment of the end and however close together, since nothing else that was open is sent to three upstreams. Requests that the evidence cannot tell from it are kept away too. Before each attempt, also a repeated or a waiting one, the router asks the quarantine; the evidence goes to all routers as before, and without digests to programs that do not know them (protocol 5). An upstream that loses answers without ending could fill the list of suspects and hide a real end; the oldest make room now.

Ruled out: survivals by response of the process after its end (a process that starts again under its id would clear the evidence).

--- a/core/peer/control.go
+++ b/core/peer/control.go
@@ -18,10 +18,10 @@
 )
 
 // ProtocolVersion is the latest version of the protocol, and minProtocolVersion the oldest that a process still speaks. Version 2
-// added LoadReport and LoadTotals, version 3 CrashEvidence, version 4
-// UsageReport and UsageTotals.
+// added LoadReport and LoadTotals, version 3 CrashEvidence, version 4 UsageReport and UsageTotals, version 5 digests in
+// CrashEvidence.
 const (
-	ProtocolVersion    = 4
+	ProtocolVersion    = 5
 	minProtocolVersion = 1
 )
 
@@ -31,6 +31,9 @@
 // CrashEvidenceVersion is the first version with CrashEvidence.
 const CrashEvidenceVersion = 3
 
+// RequestDigestVersion is the first version with digests of requests in CrashEvidence.
+const RequestDigestVersion = 5
+
 // UsageReportVersion is the first version with UsageReport and UsageTotals.
 const UsageReportVersion = 4
 
--- a/core/quarantine/decide.go
+++ b/core/quarantine/decide.go
@@ -16,8 +16,8 @@
 	minStrength = 3 * int(Strong)
 	// strengthPerSurvival is how much one request that survived lowers the sum.
 	strengthPerSurvival = int(Strong)
-	// minGap separates crashes that count. Crashes that come together, such as a power failure, are one event, whatever the
-	// prompts of the requests that were open.
+	// minGap separates crashes that count against a block. Crashes that come together, such as a power failure, are one event,
+	// whatever the prompts of the requests that were open. One request is open at several upstreams only if it was sent again.
 	minGap = 100 * time.Millisecond
 	// evidenceTime is how long a crash speaks against the block that explains it.
 	evidenceTime = 5 * time.Minute
@@ -25,28 +25,41 @@
 	maxFindings = 64
 )
 
-// Finding is a prompt block that explains crashes.
+// Finding is a request or a prompt block that explains crashes.
 type Finding struct {
-	// Block is the block that explains them best. Blocks are all blocks that the suspected prompts with Block have in common; a
-	// request with all of them is quarantined.
+	// Digest is that of the request, 0 for a block.
+	Digest call.RequestDigest
+	// Block is the block that explains the crashes best. Blocks are all blocks that the suspected prompts with Block have in common;
+	// a request with all of them is quarantined.
 	Block  call.PromptBlockID
 	Blocks []call.PromptBlockID
-	// Crashes is the number of crashes that the finding explains, Survivals the number of requests with Block that survived.
+	// Crashes is the number of crashes that the finding explains, Survivals the number of requests that survived nevertheless.
 	Crashes, Survivals int
 	// Until is when the evidence will have expired.
 	Until clock.Instant
 }
 
-// matches reports whether a prompt has all blocks of the finding.
-func (f *Finding) matches(blocks []call.PromptBlock) bool {
+// matches reports whether a request is the one of the finding, or has all of its blocks.
+func (f *Finding) matches(r Request) bool {
+	if f.Digest != 0 {
+		return r.Digest == f.Digest
+	}
 	for _, id := range f.Blocks {
-		if !slices.ContainsFunc(blocks, func(b call.PromptBlock) bool { return b.ID == id }) {
+		if !slices.ContainsFunc(r.Blocks, func(b call.PromptBlock) bool { return b.ID == id }) {
 			return false
 		}
 	}
 	return true
 }
 
+// trait returns what the finding is about.
+func (f *Finding) trait() trait {
+	if f.Digest != 0 {
+		return trait{repeat: true, id: uint64(f.Digest)}
+	}
+	return trait{id: uint64(f.Block)}
+}
+
 // crash is a crash with the instant at which it became known.
 type crash struct {
 	at       clock.Instant
@@ -55,18 +68,56 @@
 	explained bool
 }
 
-// support is a crash that counts against a block.
+// trait is what requests may have in common.
+type trait struct {
+	// repeat means that id is a digest, which only repeats of one request share; otherwise it is a prompt block.
+	repeat bool
+	id     uint64
+}
+
+// traits returns the traits of a suspect in the order of the prompt, and the digest last.
+func (s *Suspect) traits() []trait {
+	list := make([]trait, 0, len(s.Blocks)+1)
+	for _, id := range s.Blocks {
+		list = append(list, trait{id: uint64(id)})
+	}
+	if s.Digest != 0 {
+		list = append(list, trait{repeat: true, id: uint64(s.Digest)})
+	}
+	return list
+}
+
+// has reports whether a suspect of the crash has a trait.
+func (c *crash) has(t trait) bool {
+	return slices.ContainsFunc(c.suspects, func(s Suspect) bool { return slices.Contains(s.traits(), t) })
+}
+
+// commonBlocks returns the blocks that the suspects with a trait have in common with blocks, or with each other if blocks is nil.
+func (c *crash) commonBlocks(t trait, blocks []call.PromptBlockID) []call.PromptBlockID {
+	for _, s := range c.suspects {
+		switch {
+		case !slices.Contains(s.traits(), t):
+		case blocks == nil:
+			blocks = slices.Clone(s.Blocks)
+		default:
+			blocks = slices.DeleteFunc(blocks, func(id call.PromptBlockID) bool { return !slices.Contains(s.Blocks, id) })
+		}
+	}
+	return blocks
+}
+
+// support is a crash that counts against a trait.
 type support struct {
 	at       clock.Instant
 	strength int
 }
 
-// candidate is the evidence against one block.
+// candidate is the evidence against one trait.
 type candidate struct {
-	block    call.PromptBlockID
+	trait    trait
 	supports []support
 	strength int
-	// position is the largest index of the block in a suspected prompt.
+	// position is the largest index of the trait in a suspected request.
 	position  int
 	survivals int
 }
@@ -74,23 +125,29 @@
 // margin is by how much the crashes outweigh the survivals.
 func (c *candidate) margin() int { return c.strength - strengthPerSurvival*c.survivals }
 
-// rate estimates the share of the requests with the block that crash an upstream.
+// ties reports whether the evidence does not tell two requests apart. Then both are kept away: another crash would end all requests
+// at one more upstream.
+func (c *candidate) ties(other *candidate) bool {
+	return c.trait.repeat && other.trait.repeat && c.survivals == other.survivals && slices.Equal(c.supports, other.supports)
+}
+
+// rate estimates the share of the requests with the trait that crash an upstream.
 func (c *candidate) rate() float64 {
 	n := float64(len(c.supports))
 	return n / (n + float64(c.survivals) + 0.5)
 }
 
-// compare orders candidates by how well they explain the crashes. Of two that do so equally, the one later in the prompts comes
-// first: fewer prompts have it.
+// compare orders candidates by how well they explain the crashes. Of two that do so equally, the digest comes first and then the
+// block later in the prompts: fewer requests have it.
 func compare(a, b *candidate) int {
 	return cmp.Or(cmp.Compare(b.rate(), a.rate()), cmp.Compare(b.strength, a.strength), cmp.Compare(b.position, a.position),
-		cmp.Compare(a.block, b.block))
+		cmp.Compare(a.trait.id, b.trait.id))
 }
 
-// decide returns the blocks that explain the crashes, which must be sorted by time, and marks the crashes that they explain. The
-// block that explains them best is found first. Its crashes then count against no other block, since a block that all prompts of
-// a service share is in the prompts of many victims. It also returns the blocks whose survivals could change the decision.
-func decide(crashes []*crash, survivals func(call.PromptBlockID) int) (findings []Finding, open []call.PromptBlockID) {
+// decide returns the traits that explain the crashes, which must be sorted by time, and marks the crashes that they explain. The
+// trait that explains them best is found first. Its crashes then count against no other one, since a block that all prompts of
+// a service share is in the prompts of many victims. It also returns the traits whose survivals could change the decision.
+func decide(crashes []*crash, survivals func(trait) int) (findings []Finding, open []trait) {
 	for _, c := range crashes {
 		c.explained = false
 	}
@@ -103,69 +160,77 @@
 			}
 			// Survivals are of use until they clearly outweigh the crashes.
 			if c.strength > minStrength/2 && c.survivals <= c.strength {
-				open = append(open, c.block)
+				open = append(open, c.trait)
 			}
 		}
 		if len(found) == 0 {
 			break
 		}
-		findings = append(findings, explain(crashes, slices.MinFunc(found, compare)))
+		best := slices.MinFunc(found, compare)
+		for _, c := range found {
+			if c == best || c.ties(best) {
+				findings = append(findings, explain(crashes, c))
+			}
+		}
+		for _, c := range crashes {
+			c.explained = c.explained || c.has(best.trait)
+		}
 	}
 	for i := range findings {
-		open = append(open, findings[i].Block)
+		open = append(open, findings[i].trait())
 	}
 	return findings, open
 }
 
-// candidates returns the evidence against each block, by the crashes that are not explained yet.
-func candidates(crashes []*crash, survivals func(call.PromptBlockID) int) []*candidate {
-	byBlock := make(map[call.PromptBlockID]*candidate)
+// candidates returns the evidence against each trait, by the crashes that are not explained yet.
+func candidates(crashes []*crash, survivals func(trait) int) []*candidate {
+	byTrait := make(map[trait]*candidate)
 	for _, c := range crashes {
 		if c.explained {
 			continue
 		}
-		strengths := make(map[call.PromptBlockID]Strength)
-		for _, s := range c.suspects {
-			for position, block := range s.Blocks {
-				strengths[block] = max(strengths[block], s.Strength)
-				if byBlock[block] == nil {
-					byBlock[block] = &candidate{block: block, survivals: survivals(block)}
+		strengths := make(map[trait]Strength)
+		for i := range c.suspects {
+			for position, t := range c.suspects[i].traits() {
+				strength := c.suspects[i].Strength
+				if t.repeat {
+					// Nothing else that was open comes again, so a repeat needs no sign of the time of the crash.
+					strength = Strong
+				}
+				strengths[t] = max(strengths[t], strength)
+				if byTrait[t] == nil {
+					byTrait[t] = &candidate{trait: t, survivals: survivals(t)}
 				}
-				byBlock[block].position = max(byBlock[block].position, position)
+				byTrait[t].position = max(byTrait[t].position, position)
 			}
 		}
-		for block, strength := range strengths {
-			candidate := byBlock[block]
-			if n := len(candidate.supports); n > 0 && c.at.Sub(candidate.supports[n-1].at) < minGap {
+		for t, strength := range strengths {
+			candidate := byTrait[t]
+			if n := len(candidate.supports); !t.repeat && n > 0 && c.at.Sub(candidate.supports[n-1].at) < minGap {
 				continue
 			}
 			candidate.supports = append(candidate.supports, support{at: c.at, strength: int(strength)})
 			candidate.strength += int(strength)
 		}
 	}
-	return slices.Collect(maps.Values(byBlock))
+	return slices.Collect(maps.Values(byTrait))
 }
 
-// explain returns the finding for a candidate and marks the crashes that it explains.
+// explain returns the finding for a candidate.
 func explain(crashes []*crash, best *candidate) Finding {
-	f := Finding{Block: best.block, Survivals: best.survivals}
+	f := Finding{Survivals: best.survivals}
+	if best.trait.repeat {
+		f.Digest = call.RequestDigest(best.trait.id)
+	} else {
+		f.Block = call.PromptBlockID(best.trait.id)
+	}
 	for _, c := range crashes {
-		if c.explained {
+		if c.explained || !c.has(best.trait) {
 			continue
 		}
-		for _, s := range c.suspects {
-			if !slices.Contains(s.Blocks, best.block) {
-				continue
-			}
-			if !c.explained {
-				c.explained = true
-				f.Crashes++
-			}
-			if f.Blocks == nil {
-				f.Blocks = slices.Clone(s.Blocks)
-				continue
-			}
-			f.Blocks = slices.DeleteFunc(f.Blocks, func(id call.PromptBlockID) bool { return !slices.Contains(s.Blocks, id) })
+		f.Crashes++
+		if !best.trait.repeat {
+			f.Blocks = c.commonBlocks(best.trait, f.Blocks)
 		}
 	}
 	// The finding holds as long as the newest crashes suffice for it.
--- a/core/quarantine/evidence.go
+++ b/core/quarantine/evidence.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"fmt"
 	"time"
 
 	"rattantrack.dev/core/call"
@@ -20,11 +21,19 @@
 	Strong Strength = 2
 )
 
-// Suspect is the prompt of a request that an upstream had just begun to answer when it crashed, without the last block, which
-// belongs to one request or session alone.
+// Request is what requests have in common: their digest, if they are repeats of one request, and prompt blocks that others may
+// share.
+type Request struct {
+	Digest call.RequestDigest
+	Blocks []call.PromptBlock
+}
+
+// Suspect is a request that was open at an upstream when it crashed.
 type Suspect struct {
 	Blocks   []call.PromptBlockID
 	Strength Strength
+	// Digest is 0 if it is not known.
+	Digest call.RequestDigest
 }
 
 // Crash is the end of one process of an upstream, with the requests under which it may have crashed.
@@ -42,8 +51,44 @@
 	Count uint16
 }
 
-// Evidence is what a router has seen of crashes and of the blocks that are suspected of them.
+// RepeatSurvivals is the number of times that one request was answered.
+type RepeatSurvivals struct {
+	Digest call.RequestDigest
+	Count  uint16
+}
+
+// Evidence is what a router has seen of crashes and of the requests and blocks that are suspected of them.
 type Evidence struct {
 	Crashes   []Crash
 	Survivals []Survivals
+	Repeats   []RepeatSurvivals
+}
+
+// Empty reports whether there is no evidence.
+func (e *Evidence) Empty() bool {
+	return len(e.Crashes) == 0 && len(e.Survivals) == 0 && len(e.Repeats) == 0
 }
+
+// WithoutDigests returns the evidence as programs know it that do not exchange digests.
+func (e *Evidence) WithoutDigests() Evidence {
+	out := Evidence{Survivals: e.Survivals}
+	for _, c := range e.Crashes {
+		var suspects []Suspect
+		for _, s := range c.Suspects {
+			if len(s.Blocks) > 0 {
+				suspects = append(suspects, Suspect{Blocks: s.Blocks, Strength: s.Strength})
+			}
+		}
+		if c.Suspects = suspects; len(suspects) > 0 {
+			out.Crashes = append(out.Crashes, c)
+		}
+	}
+	return out
+}
+
+// FieldsError reports evidence with a number of fields that no version of the protocol has.
+type FieldsError struct {
+	Got int
+}
+
+func (e *FieldsError) Error() string { return fmt.Sprintf("evidence with %d fields", e.Got) }
--- a/core/quarantine/exchange.go
+++ b/core/quarantine/exchange.go
@@ -19,9 +19,9 @@
 			e.Crashes = append(e.Crashes, Crash{Upstream: p.id, Incarnation: p.incarnation, Age: now.Sub(r.at), Suspects: slices.Clone(r.own)})
 		}
 	}
-	for _, block := range t.open {
-		if s, ok := t.ownSurvivals(block); ok && s.changed > after {
-			e.Survivals = append(e.Survivals, Survivals{Block: block, Count: s.count})
+	for _, open := range t.open {
+		if s, ok := t.ownSurvivals(open); ok && s.changed > after {
+			e.addSurvivals(open, s.count)
 		}
 	}
 	return e, t.change
@@ -36,17 +36,26 @@
 	for p, r := range t.crashes {
 		e.Crashes = append(e.Crashes, Crash{Upstream: p.id, Incarnation: p.incarnation, Age: now.Sub(r.at), Suspects: slices.Clone(r.suspects)})
 	}
-	for _, block := range t.open {
-		if n := t.survivals(block); n > 0 {
-			e.Survivals = append(e.Survivals, Survivals{Block: block, Count: uint16(min(n, maxSurvivals))})
+	for _, open := range t.open {
+		if n := t.survivals(open); n > 0 {
+			e.addSurvivals(open, uint16(min(n, maxSurvivals)))
 		}
 	}
 	return e
 }
 
+// addSurvivals adds the number of survivals of a trait.
+func (e *Evidence) addSurvivals(t trait, n uint16) {
+	if t.repeat {
+		e.Repeats = append(e.Repeats, RepeatSurvivals{Digest: call.RequestDigest(t.id), Count: n})
+		return
+	}
+	e.Survivals = append(e.Survivals, Survivals{Block: call.PromptBlockID(t.id), Count: n})
+}
+
 // Merge adds the evidence of another router.
 func (t *Tracker) Merge(now clock.Instant, from inflight.RouterID, e Evidence) {
-	if len(e.Crashes) == 0 && len(e.Survivals) == 0 {
+	if e.Empty() {
 		return
 	}
 	t.mu.Lock()
@@ -65,16 +74,24 @@
 		}
 	}
 	for _, s := range e.Survivals {
-		if !t.suspected[s.Block] {
-			continue
-		}
-		if t.others == nil {
-			t.others = make(map[call.PromptBlockID]map[inflight.RouterID]uint16)
-		}
-		if t.others[s.Block] == nil {
-			t.others[s.Block] = make(map[inflight.RouterID]uint16)
-		}
-		t.others[s.Block][from] = max(t.others[s.Block][from], min(s.Count, maxSurvivals))
-		t.undecided = true
+		t.mergeSurvivals(from, trait{id: uint64(s.Block)}, s.Count)
+	}
+	for _, s := range e.Repeats {
+		t.mergeSurvivals(from, trait{repeat: true, id: uint64(s.Digest)}, s.Count)
+	}
+}
+
+// mergeSurvivals adds the number of survivals of a trait that another router has seen. t.mu is held.
+func (t *Tracker) mergeSurvivals(from inflight.RouterID, survived trait, n uint16) {
+	if !t.suspected[survived] {
+		return
+	}
+	if t.others == nil {
+		t.others = make(map[trait]map[inflight.RouterID]uint16)
+	}
+	if t.others[survived] == nil {
+		t.others[survived] = make(map[inflight.RouterID]uint16)
 	}
+	t.others[survived][from] = max(t.others[survived][from], min(n, maxSurvivals))
+	t.undecided = true
 }
--- a/core/quarantine/tracker.go
+++ b/core/quarantine/tracker.go
@@ -17,15 +17,18 @@
 
 // Bounds of the evidence.
 const (
-	// unexplainedTime is how long a crash is remembered that no block explains.
+	// unexplainedTime is how long a crash is remembered that nothing explains.
 	unexplainedTime = time.Minute
-	// maxCrashes bounds the remembered crashes, maxSuspects the prompts of one crash, maxBlocks the blocks of one prompt.
+	// maxCrashes bounds the remembered crashes, maxSuspects the requests of one crash, maxBlocks the blocks of one prompt.
 	maxCrashes  = 256
-	maxSuspects = 16
+	maxSuspects = 64
 	maxBlocks   = 32
-	// maxSeen bounds the blocks whose survivals this router counts.
+	// maxSeen bounds the blocks and digests whose survivals this router counts.
 	maxSeen = 8192
-	// maxSurvivals bounds the counted survivals of a block at one router, maxPriorSurvivals those before its first crash: a block
+	// crashSpread bounds the time between the reports of one crash. A process that ends connections over a longer time has crashed
+	// with the last of them, if at all.
+	crashSpread = time.Second
+	// maxSurvivals bounds the counted survivals of a trait at one router, maxPriorSurvivals those before its first crash: a block
 	// may begin to crash upstreams at any time, for example with a new version of theirs.
 	maxSurvivals      = 16
 	maxPriorSurvivals = 2
@@ -47,7 +50,7 @@
 	changed Change
 }
 
-// seen holds the survivals of a block that this router has seen.
+// seen holds the survivals of a trait that this router has seen.
 type seen struct {
 	count   uint16
 	last    clock.Instant
@@ -57,7 +60,7 @@
 // Change numbers the changes of the evidence that a router has seen itself, in ascending order.
 type Change uint64
 
-// Tracker collects evidence and quarantines the prompt blocks that it speaks against; its zero value is ready to use. One router
+// Tracker collects evidence and quarantines the requests and prompt blocks that it speaks against; its zero value is ready to use. One router
 // sees only few of the crashes, so the routers exchange what they have seen. Everything it remembers is bounded and expires.
 type Tracker struct {
 	// OnChange is called for each finding that is new or no longer holds.
@@ -65,12 +68,12 @@
 
 	mu      sync.Mutex
 	crashes map[process]*record
-	// own counts the survivals that this router has seen, by block; others those of the other routers.
-	own    *simplelru.LRU[call.PromptBlockID, *seen]
-	others map[call.PromptBlockID]map[inflight.RouterID]uint16
-	// suspected holds the blocks in crashes. open holds those whose survivals could change the decision.
-	suspected map[call.PromptBlockID]bool
-	open      []call.PromptBlockID
+	// own counts the survivals that this router has seen, by trait; others those of the other routers.
+	own    *simplelru.LRU[trait, *seen]
+	others map[trait]map[inflight.RouterID]uint16
+	// suspected holds the traits in crashes. open holds those whose survivals could change the decision.
+	suspected map[trait]bool
+	open      []trait
 	findings  []Finding
 	undecided bool
 	// expiry is when the next crash expires.
@@ -94,13 +97,13 @@
 }
 
 // RecordCrash records that an upstream ended the connection of a request at the beginning of its answer or before it.
-func (t *Tracker) RecordCrash(now clock.Instant, inst members.Instance, blocks []call.PromptBlock, strength Strength) {
-	if len(blocks) == 0 {
+func (t *Tracker) RecordCrash(now clock.Instant, inst members.Instance, req Request, strength Strength) {
+	if len(req.Blocks) == 0 && req.Digest == 0 {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	suspect := Suspect{Blocks: blockIDs(blocks), Strength: strength}
+	suspect := Suspect{Blocks: blockIDs(req.Blocks), Strength: strength, Digest: req.Digest}
 	r := t.record(process{inst.ID, inst.Incarnation}, now)
 	r.suspects, _ = addSuspect(r.suspects, suspect)
 	var isNew bool
@@ -117,53 +120,59 @@
 }
 
 // RecordSurvival records that the answer to a request has gone past its beginning.
-func (t *Tracker) RecordSurvival(now clock.Instant, blocks []call.PromptBlock) {
+func (t *Tracker) RecordSurvival(now clock.Instant, req Request) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.own == nil {
 		// NewLRU fails only for a size below one.
-		t.own, _ = simplelru.NewLRU[call.PromptBlockID, *seen](maxSeen, nil)
+		t.own, _ = simplelru.NewLRU[trait, *seen](maxSeen, nil)
 	}
-	for _, b := range blocks {
-		s, ok := t.own.Get(b.ID)
-		if !ok {
-			s = &seen{}
-			t.own.Add(b.ID, s)
-		}
-		limit := uint16(maxSurvivals)
-		if !t.suspected[b.ID] {
-			limit = maxPriorSurvivals
-			s.count = min(s.count, limit)
-			if now.Sub(s.last) > priorTime {
-				s.count = 0
-			}
-		}
-		s.last = now
-		if s.count >= limit {
-			continue
-		}
-		s.count++
-		if t.suspected[b.ID] {
-			t.change++
-			s.changed = t.change
-			t.undecided = true
+	for _, b := range req.Blocks {
+		t.recordSurvival(now, trait{id: uint64(b.ID)})
+	}
+	if req.Digest != 0 {
+		t.recordSurvival(now, trait{repeat: true, id: uint64(req.Digest)})
+	}
+}
+
+// recordSurvival counts a survival of one trait. t.mu is held.
+func (t *Tracker) recordSurvival(now clock.Instant, survived trait) {
+	s, ok := t.own.Get(survived)
+	if !ok {
+		s = &seen{}
+		t.own.Add(survived, s)
+	}
+	limit := uint16(maxSurvivals)
+	if !t.suspected[survived] {
+		limit = maxPriorSurvivals
+		s.count = min(s.count, limit)
+		if now.Sub(s.last) > priorTime {
+			s.count = 0
 		}
 	}
+	s.last = now
+	if s.count >= limit {
+		return
+	}
+	s.count++
+	if t.suspected[survived] {
+		t.change++
+		s.changed = t.change
+		t.undecided = true
+	}
 }
 
-// Quarantined reports whether requests with a prompt are kept away from the upstreams, and for how long. blocks are those that
-// other requests may share.
-func (t *Tracker) Quarantined(now clock.Instant, blocks []call.PromptBlock) (left time.Duration, quarantined bool) {
+// Quarantined returns the finding that keeps a request away from the upstreams, and for how long it still does.
+func (t *Tracker) Quarantined(now clock.Instant, req Request) (f Finding, left time.Duration, quarantined bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.decide(now)
 	for i := range t.findings {
-		if t.findings[i].matches(blocks) {
-			left = max(left, t.findings[i].Until.Sub(now))
-			quarantined = true
+		if until := t.findings[i].Until.Sub(now); t.findings[i].matches(req) && (!quarantined || until > left) {
+			f, left, quarantined = t.findings[i], until, true
 		}
 	}
-	return left, quarantined
+	return f, left, quarantined
 }
 
 // Findings returns the quarantined blocks.
@@ -184,40 +193,43 @@
 		r = &record{crash: crash{at: at}}
 		t.crashes[p] = r
 	}
+	if at.Sub(r.at) > crashSpread {
+		r.at = at
+	}
 	return r
 }
 
-// suspect notes the blocks of a suspected prompt. t.mu is held.
+// suspect notes the traits of a suspected request. t.mu is held.
 func (t *Tracker) suspect(now clock.Instant, suspect Suspect) {
 	t.undecided = true
 	if t.suspected == nil {
-		t.suspected = make(map[call.PromptBlockID]bool)
+		t.suspected = make(map[trait]bool)
 	}
-	for _, block := range suspect.Blocks {
-		if t.suspected[block] {
+	for _, tr := range suspect.traits() {
+		if t.suspected[tr] {
 			continue
 		}
-		t.suspected[block] = true
-		if s, ok := t.ownSurvivals(block); ok && now.Sub(s.last) > priorTime {
+		t.suspected[tr] = true
+		if s, ok := t.ownSurvivals(tr); ok && now.Sub(s.last) > priorTime {
 			s.count = 0
 		}
 	}
 }
 
-func (t *Tracker) ownSurvivals(block call.PromptBlockID) (*seen, bool) {
+func (t *Tracker) ownSurvivals(tr trait) (*seen, bool) {
 	if t.own == nil {
 		return nil, false
 	}
-	return t.own.Peek(block)
+	return t.own.Peek(tr)
 }
 
-// survivals returns the number of survivals of a suspected block at all routers. t.mu is held.
-func (t *Tracker) survivals(block call.PromptBlockID) int {
+// survivals returns the number of survivals of a suspected trait at all routers. t.mu is held.
+func (t *Tracker) survivals(tr trait) int {
 	n := 0
-	if s, ok := t.ownSurvivals(block); ok {
+	if s, ok := t.ownSurvivals(tr); ok {
 		n = int(s.count)
 	}
-	for _, count := range t.others[block] {
+	for _, count := range t.others[tr] {
 		n += int(count)
 	}
 	return n
@@ -245,11 +257,11 @@
 	t.notify(findings)
 }
 
-// reportSurvivals marks the survivals of the blocks that have become open as changed, so that the other routers are told of them.
+// reportSurvivals marks the survivals of the traits that have become open as changed, so that the other routers are told of them.
 // t.mu is held.
-func (t *Tracker) reportSurvivals(before []call.PromptBlockID) {
-	for _, block := range t.open {
-		if s, ok := t.ownSurvivals(block); ok && !slices.Contains(before, block) {
+func (t *Tracker) reportSurvivals(before []trait) {
+	for _, open := range t.open {
+		if s, ok := t.ownSurvivals(open); ok && !slices.Contains(before, open) {
 			t.change++
 			s.changed = t.change
 		}
@@ -265,7 +277,7 @@
 }
 
 // expire drops the crashes that have expired and, above maxCrashes, the oldest, those without an explanation first. Survivals are
-// dropped with the crashes that their blocks are suspected of. t.mu is held.
+// dropped with the crashes that their traits are suspected of. t.mu is held.
 func (t *Tracker) expire(now clock.Instant) {
 	t.expiry = 0
 	for p, r := range t.crashes {
@@ -290,15 +302,15 @@
 	}
 	clear(t.suspected)
 	for _, r := range t.crashes {
-		for _, s := range r.suspects {
-			for _, block := range s.Blocks {
-				t.suspected[block] = true
+		for i := range r.suspects {
+			for _, tr := range r.suspects[i].traits() {
+				t.suspected[tr] = true
 			}
 		}
 	}
-	for block := range t.others {
-		if !t.suspected[block] {
-			delete(t.others, block)
+	for tr := range t.others {
+		if !t.suspected[tr] {
+			delete(t.others, tr)
 		}
 	}
 }
@@ -320,15 +332,17 @@
 	}
 }
 
-// contains reports whether a list has a finding for the same prompts.
+// contains reports whether a list has a finding for the same requests.
 func contains(list []Finding, f Finding) bool {
-	return slices.ContainsFunc(list, func(other Finding) bool { return slices.Equal(other.Blocks, f.Blocks) })
+	return slices.ContainsFunc(list, func(other Finding) bool {
+		return other.Digest == f.Digest && slices.Equal(other.Blocks, f.Blocks)
+	})
 }
 
-// addSuspect adds a prompt unless it is listed or the list is full, and reports whether the list has changed.
+// addSuspect adds a request unless it is listed, in place of the oldest if the list is full, and reports whether the list has changed.
 func addSuspect(list []Suspect, s Suspect) ([]Suspect, bool) {
 	for i := range list {
-		if !slices.Equal(list[i].Blocks, s.Blocks) {
+		if list[i].Digest != s.Digest || !slices.Equal(list[i].Blocks, s.Blocks) {
 			continue
 		}
 		if list[i].Strength >= s.Strength {
@@ -338,7 +352,7 @@
 		return list, true
 	}
 	if len(list) >= maxSuspects {
-		return list, false
+		list = slices.Delete(list, 0, 1)
 	}
 	return append(list, s), true
 }
--- a/core/quarantine/tracker_test.go
+++ b/core/quarantine/tracker_test.go
@@ -15,12 +15,12 @@
 	"rattantrack.dev/core/settings"
 )
 
-func prompt(ids ...call.PromptBlockID) []call.PromptBlock {
-	var blocks []call.PromptBlock
+func prompt(ids ...call.PromptBlockID) Request {
+	var r Request
 	for _, id := range ids {
-		blocks = append(blocks, call.PromptBlock{ID: id, Tokens: 100})
+		r.Blocks = append(r.Blocks, call.PromptBlock{ID: id, Tokens: 100})
 	}
-	return blocks
+	return r
 }
 
 func instance(n int) members.Instance {
@@ -30,7 +30,7 @@
 func at(ms int) clock.Instant { return clock.Instant(time.Hour + time.Duration(ms)*time.Millisecond) }
 
 // crashAll records crashes 200 ms apart under answers that had just begun to the given prompts.
-func crashAll(t *Tracker, prompts ...[]call.PromptBlock) clock.Instant {
+func crashAll(t *Tracker, prompts ...Request) clock.Instant {
 	for i, p := range prompts {
 		t.RecordCrash(at(200*i), instance(i), p, Strong)
 	}
@@ -41,21 +41,21 @@
 	const bad = 0xbad
 	tests := []struct {
 		name    string
-		crashes [][]call.PromptBlock
-		refused [][]call.PromptBlock
-		served  [][]call.PromptBlock
+		crashes []Request
+		refused []Request
+		served  []Request
 	}{
-		{"two crashes may be chance", [][]call.PromptBlock{prompt(1, bad), prompt(1, bad)}, nil, [][]call.PromptBlock{prompt(1, bad)}},
-		{"the same blocks in all crashes", [][]call.PromptBlock{prompt(1, bad), prompt(1, bad), prompt(1, bad)},
-			[][]call.PromptBlock{prompt(1, bad)}, [][]call.PromptBlock{prompt(1, 2), prompt(1)}},
-		{"behind different blocks", [][]call.PromptBlock{prompt(1, bad), prompt(2, bad), prompt(3, bad)},
-			[][]call.PromptBlock{prompt(4, bad)}, [][]call.PromptBlock{prompt(1, 2)}},
-		{"before different blocks", [][]call.PromptBlock{prompt(bad, 1), prompt(bad, 2), prompt(bad, 3)},
-			[][]call.PromptBlock{prompt(bad, 4), prompt(bad)}, [][]call.PromptBlock{prompt(1, 2)}},
-		{"behind a shared block once it differs", [][]call.PromptBlock{prompt(1, bad), prompt(1, bad), prompt(1, bad), prompt(2, bad)},
-			[][]call.PromptBlock{prompt(3, bad), prompt(1, bad)}, [][]call.PromptBlock{prompt(1, 2)}},
-		{"two blocks at the same time", [][]call.PromptBlock{prompt(1, bad), prompt(1, 7), prompt(2, bad), prompt(2, 7), prompt(3, bad), prompt(3, 7)},
-			[][]call.PromptBlock{prompt(4, bad), prompt(4, 7)}, [][]call.PromptBlock{prompt(1, 2)}},
+		{"two crashes may be chance", []Request{prompt(1, bad), prompt(1, bad)}, nil, []Request{prompt(1, bad)}},
+		{"the same blocks in all crashes", []Request{prompt(1, bad), prompt(1, bad), prompt(1, bad)},
+			[]Request{prompt(1, bad)}, []Request{prompt(1, 2), prompt(1)}},
+		{"behind different blocks", []Request{prompt(1, bad), prompt(2, bad), prompt(3, bad)},
+			[]Request{prompt(4, bad)}, []Request{prompt(1, 2)}},
+		{"before different blocks", []Request{prompt(bad, 1), prompt(bad, 2), prompt(bad, 3)},
+			[]Request{prompt(bad, 4), prompt(bad)}, []Request{prompt(1, 2)}},
+		{"behind a shared block once it differs", []Request{prompt(1, bad), prompt(1, bad), prompt(1, bad), prompt(2, bad)},
+			[]Request{prompt(3, bad), prompt(1, bad)}, []Request{prompt(1, 2)}},
+		{"two blocks at the same time", []Request{prompt(1, bad), prompt(1, 7), prompt(2, bad), prompt(2, 7), prompt(3, bad), prompt(3, 7)},
+			[]Request{prompt(4, bad), prompt(4, 7)}, []Request{prompt(1, 2)}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -63,11 +63,11 @@
 			tracker := &Tracker{}
 			now := crashAll(tracker, tt.crashes...)
 			for _, p := range tt.refused {
-				_, quarantined := tracker.Quarantined(now, p)
+				_, _, quarantined := tracker.Quarantined(now, p)
 				c.Check(quarantined, qt.IsTrue, qt.Commentf("%v", p))
 			}
 			for _, p := range tt.served {
-				_, quarantined := tracker.Quarantined(now, p)
+				_, _, quarantined := tracker.Quarantined(now, p)
 				c.Check(quarantined, qt.IsFalse, qt.Commentf("%v", p))
 			}
 		})
@@ -84,7 +84,7 @@
 		tracker.RecordSurvival(now, prompt(1, call.PromptBlockID(100+i)))
 		tracker.RecordCrash(now, instance(i), prompt(1, call.PromptBlockID(200+i)), Strong)
 	}
-	_, quarantined := tracker.Quarantined(at(1600), prompt(1, 300))
+	_, _, quarantined := tracker.Quarantined(at(1600), prompt(1, 300))
 	c.Assert(quarantined, qt.IsFalse)
 }
 
@@ -95,7 +95,7 @@
 	for i := range 40 {
 		tracker.RecordCrash(at(i), instance(i), prompt(1, call.PromptBlockID(100+i)), Strong)
 	}
-	_, quarantined := tracker.Quarantined(at(50), prompt(1, 300))
+	_, _, quarantined := tracker.Quarantined(at(50), prompt(1, 300))
 	c.Assert(quarantined, qt.IsFalse)
 }
 
@@ -109,7 +109,7 @@
 	for i := range 5 {
 		tracker.RecordCrash(at(10_000+200*i), instance(i), prompt(1, 2), Strong)
 	}
-	_, quarantined := tracker.Quarantined(at(11_000), prompt(1, 2))
+	_, _, quarantined := tracker.Quarantined(at(11_000), prompt(1, 2))
 	c.Assert(quarantined, qt.IsTrue)
 }
 
@@ -120,10 +120,10 @@
 	var changes []bool
 	tracker := &Tracker{OnChange: func(_ Finding, quarantined bool) { changes = append(changes, quarantined) }}
 	now := crashAll(tracker, prompt(1, 2), prompt(1, 2), prompt(1, 2))
-	_, quarantined := tracker.Quarantined(now, prompt(1, 2))
+	_, _, quarantined := tracker.Quarantined(now, prompt(1, 2))
 	c.Assert(quarantined, qt.IsTrue)
 	tracker.RecordSurvival(now, prompt(1, 2))
-	_, quarantined = tracker.Quarantined(now, prompt(1, 2))
+	_, _, quarantined = tracker.Quarantined(now, prompt(1, 2))
 	c.Assert(quarantined, qt.IsFalse)
 	c.Assert(changes, qt.DeepEquals, []bool{true, false})
 }
@@ -132,12 +132,12 @@
 	c := qt.New(t)
 	tracker := &Tracker{}
 	now := crashAll(tracker, prompt(1, 2), prompt(1, 2), prompt(1, 2))
-	left, quarantined := tracker.Quarantined(now, prompt(1, 2))
+	_, left, quarantined := tracker.Quarantined(now, prompt(1, 2))
 	c.Assert(quarantined, qt.IsTrue)
 	c.Assert(left > evidenceTime-time.Second && left <= evidenceTime, qt.IsTrue)
-	_, quarantined = tracker.Quarantined(now.Add(evidenceTime-time.Second), prompt(1, 2))
+	_, _, quarantined = tracker.Quarantined(now.Add(evidenceTime-time.Second), prompt(1, 2))
 	c.Assert(quarantined, qt.IsTrue)
-	_, quarantined = tracker.Quarantined(now.Add(evidenceTime), prompt(1, 2))
+	_, _, quarantined = tracker.Quarantined(now.Add(evidenceTime), prompt(1, 2))
 	c.Assert(quarantined, qt.IsFalse)
 	c.Assert(tracker.crashes, qt.HasLen, 0)
 	c.Assert(tracker.suspected, qt.HasLen, 0)
@@ -148,7 +148,7 @@
 	c := qt.New(t)
 	tracker := &Tracker{}
 	crashAll(tracker, prompt(1, 2), prompt(1, 2), prompt(1, 2))
-	_, _ = tracker.Quarantined(at(1000), nil)
+	_, _, _ = tracker.Quarantined(at(1000), Request{})
 	var e Evidence
 	for i := range 4 * maxCrashes {
 		crash := Crash{Upstream: "x", Incarnation: members.Incarnation(1000 + i)}
@@ -165,7 +165,7 @@
 	for i := range 3 * maxSeen {
 		tracker.RecordSurvival(at(2000), prompt(call.PromptBlockID(i)))
 	}
-	_, quarantined := tracker.Quarantined(at(2000), prompt(1, 2))
+	_, _, quarantined := tracker.Quarantined(at(2000), prompt(1, 2))
 	c.Assert(quarantined, qt.IsTrue)
 	c.Assert(len(tracker.crashes) <= maxCrashes, qt.IsTrue)
 	c.Assert(len(tracker.suspected) <= maxCrashes*maxSuspects*maxBlocks, qt.IsTrue)
@@ -189,12 +189,12 @@
 		}
 	}
 	for i := range fleet {
-		_, quarantined := fleet[i].Quarantined(at(1500), prompt(1, bad))
+		_, _, quarantined := fleet[i].Quarantined(at(1500), prompt(1, bad))
 		c.Assert(quarantined, qt.IsTrue, qt.Commentf("router %d", i))
 	}
 	var started Tracker
 	started.Merge(at(120_000), "other", fleet[50].All(at(120_000)))
-	left, quarantined := started.Quarantined(at(120_000), prompt(1, bad))
+	_, left, quarantined := started.Quarantined(at(120_000), prompt(1, bad))
 	c.Assert(quarantined, qt.IsTrue)
 	c.Assert(left < evidenceTime-118*time.Second, qt.IsTrue)
 }
@@ -230,8 +230,8 @@
 	exchange time.Duration
 	// restart is when all routers lose what they know, 0 for never.
 	restart time.Duration
-	// crashing returns the prompt of the n-th crashing request.
-	crashing func(n int) []call.PromptBlock
+	// crashing returns the n-th crashing request.
+	crashing func(n int) Request
 }
 
 // outcome counts what happened in a load.
@@ -257,7 +257,7 @@
 
 type chat struct {
 	router   int
-	blocks   []call.PromptBlock
+	request  Request
 	sent     clock.Instant
 	crashing bool
 	survived bool
@@ -288,12 +288,14 @@
 			restarted = now
 			trackers, sent, inTransit = make([]Tracker, l.routers), make([]Change, l.routers), nil
 		}
-		arrive := func(blocks []call.PromptBlock, crashing bool) {
+		arrive := func(req Request, crashing bool) {
+			// No two requests are alike.
+			req.Digest = call.RequestDigest(r.Uint64())
 			router, engine := r.IntN(l.routers), r.IntN(l.engines)
 			if !crashing {
 				out.sound++
 			}
-			if _, quarantined := trackers[router].Quarantined(now, blocks); quarantined {
+			if _, _, quarantined := trackers[router].Quarantined(now, req); quarantined {
 				if !crashing {
 					out.refused++
 				}
@@ -305,7 +307,7 @@
 			if crashing && fifth != 0 && now.Sub(max(fifth, restarted)) > 3*time.Second {
 				out.late++
 			}
-			engines[engine] = append(engines[engine], &chat{router: router, blocks: blocks, sent: now, crashing: crashing})
+			engines[engine] = append(engines[engine], &chat{router: router, request: req, sent: now, crashing: crashing})
 		}
 		for p := l.perSecond * step.Seconds(); r.Float64() < p; p-- {
 			arrive(prompt(call.PromptBlockID(1+r.IntN(20)), call.PromptBlockID(1000+r.IntN(120))), false)
@@ -322,7 +324,7 @@
 				crashed = crashed || (ch.crashing && age >= prefillTime+crashAfter)
 				if !ch.survived && !ch.crashing && age >= prefillTime+beginning {
 					ch.survived = true
-					trackers[ch.router].RecordSurvival(now, ch.blocks)
+					trackers[ch.router].RecordSurvival(now, ch.request)
 				}
 				if age < prefillTime+answerTime {
 					kept = append(kept, ch)
@@ -339,9 +341,9 @@
 			for _, ch := range engines[i] {
 				switch age := now.Sub(ch.sent); {
 				case age < prefillTime, age >= prefillTime+eventTime && !ch.crashing && age < prefillTime+beginning:
-					trackers[ch.router].RecordCrash(now, processes[i], ch.blocks, Weak)
+					trackers[ch.router].RecordCrash(now, processes[i], ch.request, Weak)
 				case age < prefillTime+beginning:
-					trackers[ch.router].RecordCrash(now, processes[i], ch.blocks, Strong)
+					trackers[ch.router].RecordCrash(now, processes[i], ch.request, Strong)
 				}
 			}
 			engines[i] = nil
@@ -374,11 +376,11 @@
 // TestLoadOfTheIncidentIsContained replays the load of the incident, and that of a fleet of 103 routers, with different prompts
 // around the crashing block.
 func TestLoadOfTheIncidentIsContained(t *testing.T) {
-	prompts := map[string]func(n int) []call.PromptBlock{
-		"constant":          func(int) []call.PromptBlock { return prompt(3, 0xbad) },
-		"shared before":     func(n int) []call.PromptBlock { return prompt(call.PromptBlockID(1+n%20), 0xbad) },
-		"shared behind":     func(n int) []call.PromptBlock { return prompt(0xbad, call.PromptBlockID(1000+n%120)) },
-		"shared on its way": func(n int) []call.PromptBlock { return prompt(3, 0xbad, call.PromptBlockID(1000+n%120)) },
+	prompts := map[string]func(n int) Request{
+		"constant":          func(int) Request { return prompt(3, 0xbad) },
+		"shared before":     func(n int) Request { return prompt(call.PromptBlockID(1+n%20), 0xbad) },
+		"shared behind":     func(n int) Request { return prompt(0xbad, call.PromptBlockID(1000+n%120)) },
+		"shared on its way": func(n int) Request { return prompt(3, 0xbad, call.PromptBlockID(1000+n%120)) },
 	}
 	fleets := map[string]load{
 		"4 routers, rare": {routers: 4, engines: 18, perSecond: 130, crashingPerSecond: 1, exchange: 100 * time.Millisecond},
@@ -412,7 +414,7 @@
 	for seed := range uint64(3) {
 		// Each crashing request has blocks of its own, so nothing that requests share is to blame.
 		l := load{routers: 4, engines: 18, perSecond: 130, crashingPerSecond: 2, exchange: 100 * time.Millisecond,
-			crashing: func(n int) []call.PromptBlock {
+			crashing: func(n int) Request {
 				return prompt(call.PromptBlockID(1_000_000+n), call.PromptBlockID(2_000_000+n))
 			}}
 		out := l.run(seed, 40*time.Second)
--- a/router/internal/app/suspects.go
+++ b/router/internal/app/suspects.go
@@ -8,15 +8,16 @@
 	"rattantrack.dev/core/quarantine"
 )
 
-// suspects exposes the quarantined prompt blocks as a Dumper.
+// suspects exposes the quarantined requests and prompt blocks as a Dumper.
 type suspects struct {
 	tracker *quarantine.Tracker
 }
 
-// findingStatus is one quarantined block in a dump.
+// findingStatus is one quarantined request, by its digest, or one quarantined block in a dump.
 type findingStatus struct {
-	Block     string `json:"block"`
-	Blocks    string `json:"blocks"`
+	Digest    string `json:"digest,omitempty"`
+	Block     string `json:"block,omitempty"`
+	Blocks    string `json:"blocks,omitempty"`
 	Crashes   int    `json:"crashes"`
 	Survivals int    `json:"survivals"`
 	LeftMS    int64  `json:"left_ms"`
@@ -25,27 +26,37 @@
 // String returns the name in dumps.
 func (s *suspects) String() string { return "quarantine" }
 
-// Dump returns the quarantined blocks.
+// Dump returns the findings.
 func (s *suspects) Dump() any {
 	now := clock.Boot{}.Now()
 	list := []findingStatus{}
 	for _, f := range s.tracker.Findings(now) {
-		list = append(list, findingStatus{
-			Block: f.Block.String(), Blocks: joinBlocks(f.Blocks), Crashes: f.Crashes, Survivals: f.Survivals, LeftMS: f.Until.Sub(now).Milliseconds(),
-		})
+		status := findingStatus{Crashes: f.Crashes, Survivals: f.Survivals, LeftMS: f.Until.Sub(now).Milliseconds()}
+		if f.Digest != 0 {
+			status.Digest = f.Digest.String()
+		} else {
+			status.Block, status.Blocks = f.Block.String(), joinBlocks(f.Blocks)
+		}
+		list = append(list, status)
 	}
 	return list
 }
 
-// logFinding logs a block that is quarantined or released.
+// logFinding logs a request or a block that is quarantined or released.
 func (d *Direct) logFinding(f quarantine.Finding, quarantined bool) {
-	fields := []any{"block", f.Block.String(), "blocks", joinBlocks(f.Blocks), "crashes", f.Crashes, "survivals", f.Survivals}
+	subject, counter := "prompt", "prompts_quarantined"
+	fields := []any{"block", f.Block.String(), "blocks", joinBlocks(f.Blocks)}
+	if f.Digest != 0 {
+		subject, counter = "request", "requests_quarantined"
+		fields = []any{"digest", f.Digest.String()}
+	}
+	fields = append(fields, "crashes", f.Crashes, "survivals", f.Survivals)
 	if !quarantined {
-		d.log.Info("prompt released", fields...)
+		d.log.Info(subject+" released", fields...)
 		return
 	}
-	d.metrics.Scope.Counter("prompts_quarantined").Inc(1)
-	d.log.Warn("prompt quarantined", append(fields, "left_ms", f.Until.Sub(clock.Boot{}.Now()).Milliseconds())...)
+	d.metrics.Scope.Counter(counter).Inc(1)
+	d.log.Warn(subject+" quarantined", append(fields, "left_ms", f.Until.Sub(clock.Boot{}.Now()).Milliseconds())...)
 }
 
 // joinBlocks returns the ids of blocks, separated by commas.
--- a/router/internal/crashes/service.go
+++ b/router/internal/crashes/service.go
@@ -121,7 +121,7 @@
 		}
 		evidence, last := s.Quarantine.Since(now, p.sent)
 		message := &peer.CrashEvidence{Router: s.ID, Evidence: evidence, WantsAll: s.requested < sources && !p.asked}
-		if len(evidence.Crashes) == 0 && len(evidence.Survivals) == 0 && !message.WantsAll {
+		if evidence.Empty() && !message.WantsAll {
 			p.sent = last
 			continue
 		}
@@ -165,9 +165,18 @@
 	if err != nil {
 		return nil, err
 	}
+	message.Evidence = understood(link, message.Evidence)
 	return peer.Request[*peer.CrashEvidence](ctx, link, message, requestTimeout)
 }
 
+// understood returns the part of the evidence that the other end of a link can decode.
+func understood(link *peer.Link, e quarantine.Evidence) quarantine.Evidence {
+	if link.Version() < peer.RequestDigestVersion {
+		return e.WithoutDigests()
+	}
+	return e
+}
+
 // Serve merges the evidence of another router and replies; it returns false for messages of other services.
 func (s *Service) Serve(ctx context.Context, st *peer.Stream, m peer.Message) bool {
 	message, ok := m.(*peer.CrashEvidence)
@@ -178,7 +187,7 @@
 	s.Quarantine.Merge(now, message.Router, message.Evidence)
 	reply := &peer.CrashEvidence{Router: s.ID}
 	if message.WantsAll {
-		reply.Evidence = s.Quarantine.All(now)
+		reply.Evidence = understood(st.Link(), s.Quarantine.All(now))
 	}
 	if err := st.Send(ctx, reply); err != nil {
 		s.Log.Debug("cannot reply to a router's crashes", "router", message.Router, "error", err)
--- a/router/internal/crashes/service_test.go
+++ b/router/internal/crashes/service_test.go
@@ -93,7 +93,7 @@
 	return n
 }
 
-var badPrompt = []call.PromptBlock{{ID: 1}, {ID: 0xbad}}
+var badPrompt = quarantine.Request{Blocks: []call.PromptBlock{{ID: 1}, {ID: 0xbad}}}
 
 // crash records a crash under the bad prompt at one router.
 func (n *node) crash(i int) {
@@ -104,7 +104,7 @@
 // quarantines waits until a router quarantines the bad prompt.
 func (n *node) quarantines() bool {
 	for range 500 {
-		if _, quarantined := n.service.Quarantine.Quarantined(clock.Boot{}.Now(), badPrompt); quarantined {
+		if _, _, quarantined := n.service.Quarantine.Quarantined(clock.Boot{}.Now(), badPrompt); quarantined {
 			return true
 		}
 		time.Sleep(10 * time.Millisecond)
--- a/router/internal/direct/crash.go
+++ b/router/internal/direct/crash.go
@@ -36,7 +36,7 @@
 			strength = quarantine.Strong
 		}
 	}
-	ex.dispatcher.Quarantine.RecordCrash(now, inst, ex.sharedBlocks(), strength)
+	ex.dispatcher.Quarantine.RecordCrash(now, inst, ex.suspect(), strength)
 }
 
 // recordProgress records that the upstream has survived the beginning of its answer, once an attempt.
@@ -49,5 +49,10 @@
 		return
 	}
 	ex.survived = true
-	ex.dispatcher.Quarantine.RecordSurvival(now, ex.sharedBlocks())
+	ex.dispatcher.Quarantine.RecordSurvival(now, ex.suspect())
+}
+
+// suspect returns what the request has in common with others that may crash upstreams.
+func (r *Request) suspect() quarantine.Request {
+	return quarantine.Request{Digest: r.Digest, Blocks: r.sharedBlocks()}
 }
--- a/router/internal/direct/dispatch.go
+++ b/router/internal/direct/dispatch.go
@@ -174,8 +174,12 @@
 	start := ex.dispatcher.Clock.Now()
 	for {
 		now := ex.dispatcher.Clock.Now()
-		if left, quarantined := ex.dispatcher.Quarantine.Quarantined(now, ex.sharedBlocks()); quarantined {
-			ex.giveUp(ctx, CodeQuarantined, left)
+		if finding, left, quarantined := ex.dispatcher.Quarantine.Quarantined(now, ex.suspect()); quarantined {
+			code := CodeQuarantined
+			if finding.Digest != 0 {
+				code = CodeRequestQuarantined
+			}
+			ex.giveUp(ctx, code, left)
 			return members.Instance{}, false
 		}
 		instance, choice := ex.dispatcher.reserve(now, ex.Request, &ex.tried)
--- a/router/internal/direct/dispatch_test.go
+++ b/router/internal/direct/dispatch_test.go
@@ -359,7 +359,7 @@
 	b := newFixture(t, handlers{beginAnswer}, handlers{streamEvents(1, true)})
 	for i := range 2 {
 		b.Quarantine.RecordCrash(b.Clock.Now(), members.Instance{ID: settings.UpstreamID(fmt.Sprint("gone", i))},
-			[]call.PromptBlock{{ID: 0xbad}}, quarantine.Strong)
+			quarantine.Request{Blocks: []call.PromptBlock{{ID: 0xbad}}}, quarantine.Strong)
 		time.Sleep(120 * time.Millisecond)
 	}
 	res, sink := b.doPrompt(resumable, "r1", 0xbad, 0x1)
@@ -374,14 +374,14 @@
 	b := newFixture(t, handlers{respond(400, "no")})
 	for i := range 3 {
 		b.Quarantine.RecordCrash(b.Clock.Now(), members.Instance{ID: settings.UpstreamID(fmt.Sprint("gone", i))},
-			[]call.PromptBlock{{ID: 0xbad}}, quarantine.Strong)
+			quarantine.Request{Blocks: []call.PromptBlock{{ID: 0xbad}}}, quarantine.Strong)
 		if i == 1 {
 			res, _ := b.doPrompt(stream, "r1", 0xbad, 0x1)
 			c.Assert(res.Status, qt.Equals, 400)
 		}
 		time.Sleep(120 * time.Millisecond)
 	}
-	_, quarantined := b.Quarantine.Quarantined(b.Clock.Now(), []call.PromptBlock{{ID: 0xbad}})
+	_, _, quarantined := b.Quarantine.Quarantined(b.Clock.Now(), quarantine.Request{Blocks: []call.PromptBlock{{ID: 0xbad}}})
 	c.Assert(quarantined, qt.IsTrue)
 }
 
--- a/router/internal/direct/request.go
+++ b/router/internal/direct/request.go
@@ -64,13 +64,15 @@
 	CodeOverloaded  = "overloaded"
 	CodePaused      = "upstreams_paused"
 	CodeQuarantined = "prompt_quarantined"
-	CodeDeadline    = "deadline"
-	CodeUnreachable = "unreachable"
-	CodeRefused     = "refused_by_upstream"
-	CodeLost        = "answer_lost"
-	CodeCut         = "answer_cut"
-	CodeClientGone  = "client_gone"
-	CodeUpstream    = "upstream_failure"
+	// CodeRequestQuarantined is for a request that crashes the upstreams whatever its prompt.
+	CodeRequestQuarantined = "request_quarantined"
+	CodeDeadline           = "deadline"
+	CodeUnreachable        = "unreachable"
+	CodeRefused            = "refused_by_upstream"
+	CodeLost               = "answer_lost"
+	CodeCut                = "answer_cut"
+	CodeClientGone         = "client_gone"
+	CodeUpstream           = "upstream_failure"
 )
 
 // Result describes how a request ended.
