--- a/core/quarantine/codec.go
+++ b/core/quarantine/codec.go
@@ -1,6 +1,10 @@
 package quarantine
 
-import "github.com/vmihailenco/msgpack/v5"
+import (
+	"github.com/vmihailenco/msgpack/v5"
+
+	"rattantrack.dev/core/wire"
+)
 
 // Programs that do not exchange digests encode a Suspect and an Evidence without their last field, and decode nothing else.
 const (
@@ -11,46 +15,27 @@
 // EncodeMsgpack encodes the suspect without its digest if that is 0.
 func (s Suspect) EncodeMsgpack(enc *msgpack.Encoder) error {
 	if s.Digest == 0 {
-		return encodeArray(enc, s.Blocks, s.Strength)
+		return wire.Encode(enc, s.Blocks, s.Strength)
 	}
-	return encodeArray(enc, s.Blocks, s.Strength, s.Digest)
+	return wire.Encode(enc, s.Blocks, s.Strength, s.Digest)
 }
 
 // DecodeMsgpack decodes a suspect with or without a digest.
 func (s *Suspect) DecodeMsgpack(dec *msgpack.Decoder) error {
 	*s = Suspect{}
-	return decodeArray(dec, suspectFields-1, &s.Blocks, &s.Strength, &s.Digest)
+	return wire.Decode(dec, suspectFields-1, &s.Blocks, &s.Strength, &s.Digest)
 }
 
 // EncodeMsgpack encodes the evidence without the survivals of repeats if there are none.
 func (e Evidence) EncodeMsgpack(enc *msgpack.Encoder) error {
 	if len(e.Repeats) == 0 {
-		return encodeArray(enc, e.Crashes, e.Survivals)
+		return wire.Encode(enc, e.Crashes, e.Survivals)
 	}
-	return encodeArray(enc, e.Crashes, e.Survivals, e.Repeats)
+	return wire.Encode(enc, e.Crashes, e.Survivals, e.Repeats)
 }
 
 // DecodeMsgpack decodes evidence with or without the survivals of repeats.
 func (e *Evidence) DecodeMsgpack(dec *msgpack.Decoder) error {
 	*e = Evidence{}
-	return decodeArray(dec, evidenceFields-1, &e.Crashes, &e.Survivals, &e.Repeats)
-}
-
-func encodeArray(enc *msgpack.Encoder, fields ...any) error {
-	if err := enc.EncodeArrayLen(len(fields)); err != nil {
-		return err
-	}
-	return enc.EncodeMulti(fields...)
-}
-
-// decodeArray decodes an array into fields, of which all but the first required ones may be missing.
-func decodeArray(dec *msgpack.Decoder, required int, fields ...any) error {
-	n, err := dec.DecodeArrayLen()
-	if err != nil {
-		return err
-	}
-	if n < required || n > len(fields) {
-		return &FieldsError{Got: n}
-	}
-	return dec.DecodeMulti(fields[:n]...)
+	return wire.Decode(dec, evidenceFields-1, &e.Crashes, &e.Survivals, &e.Repeats)
 }
--- a/core/quarantine/evidence.go
+++ b/core/quarantine/evidence.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"fmt"
 	"time"
 
 	"rattantrack.dev/core/call"
@@ -85,10 +84,3 @@
 	}
 	return out
 }
-
-// FieldsError reports evidence with a number of fields that no version of the protocol has.
-type FieldsError struct {
-	Got int
-}
-
-func (e *FieldsError) Error() string { return fmt.Sprintf("evidence with %d fields", e.Got) }
