feat(members,direct): the version of upstreams and what a client takes up again, in the log

No line told which version of the software an upstream runs, whether a request goes on with a stream, and with which one. Versions travel with the instances between routers; programs that do not know them get instances without (protocol 5).

--- a/core/call/call.go
+++ b/core/call/call.go
@@ -37,10 +37,15 @@
 	MaxTokens    settings.Tokens
 	// LastEvent is the id of the last event that the client received of an earlier answer, empty for none.
 	LastEvent EventID
+	// FirstAttempt is the id of the client's attempt that brought the first event of the stream which is to go on, empty if not stated.
+	FirstAttempt ID
 	// Digest identifies the content of the request.
 	Digest RequestDigest
 }
 
+// ContinuesStream reports whether the client already has events of the stream.
+func (r *Request) ContinuesStream() bool { return r.LastEvent != "" || r.FirstAttempt != "" }
+
 // EventID identifies an event of a stream.
 type EventID string
 
--- a/core/members/change.go
+++ b/core/members/change.go
@@ -10,6 +10,9 @@
 // start in milliseconds.
 type Incarnation int64
 
+// Version is the version of an upstream's software. Versions have no order.
+type Version string
+
 // Instance is one upstream process as the platform's directory lists it.
 type Instance struct {
 	ID         settings.UpstreamID
@@ -22,6 +25,8 @@
 	// ColdRemaining is how much longer the instance is slow after its start, counted from when its entry was read.
 	ColdRemaining time.Duration
 	Incarnation   Incarnation
+	// Version is empty if it is not known.
+	Version Version
 }
 
 // Change is a new state of one instance's entry.
--- a/core/peer/control.go
+++ b/core/peer/control.go
@@ -19,7 +19,7 @@
 
 // ProtocolVersion is the latest version of the protocol, and minProtocolVersion the oldest that a process still speaks. Version 2
 // added LoadReport and LoadTotals, version 3 CrashEvidence, version 4 UsageReport and UsageTotals, version 5 digests in
-// CrashEvidence.
+// CrashEvidence and versions of instances in RouterState.
 const (
 	ProtocolVersion    = 5
 	minProtocolVersion = 1
@@ -34,6 +34,9 @@
 // RequestDigestVersion is the first version with digests of requests in CrashEvidence.
 const RequestDigestVersion = 5
 
+// InstanceVersionVersion is the first version of the protocol with versions of instances in RouterState.
+const InstanceVersionVersion = 5
+
 // UsageReportVersion is the first version with UsageReport and UsageTotals.
 const UsageReportVersion = 4
 
--- a/router/internal/app/direct.go
+++ b/router/internal/app/direct.go
@@ -301,8 +301,8 @@
 // draining.
 func (d *Direct) applyMemberEvents(source string, events []members.Event) {
 	for _, e := range events {
-		d.log.Info("instance", "upstream", e.ID, "change", e.Kind, "service", e.Instance.Service, "address", e.Instance.Address,
-			"entry_revision", e.Revision, "source", source)
+		d.log.Info("instance", "upstream", e.ID, "change", e.Kind, "service", e.Instance.Service, "version", e.Instance.Version,
+			"address", e.Instance.Address, "entry_revision", e.Revision, "source", source)
 		switch e.Kind {
 		case members.EventRemoved:
 			d.connections.Forget(e.Instance)
--- a/router/internal/client/serve.go
+++ b/router/internal/client/serve.go
@@ -145,13 +145,16 @@
 	s.Scope.Tagged(map[string]string{"kind": string(r.RouteConfig.Kind)}).Timer("request_duration").Record(duration)
 	fields := []any{
 		"request", r.ID, "route", r.Route, "revision", r.Revision, "service", r.Service, "team", r.Team,
-		"upstream", res.Upstream, "outcome", res.Outcome, "code", res.Code, "status", res.Status,
+		"upstream", res.Upstream, "version", res.Version, "outcome", res.Outcome, "code", res.Code, "status", res.Status,
 		"runs", res.Runs, "tries", res.Attempts, "events", res.Events,
 		"load", res.Choice.Load, "mean_load", round(res.Choice.MeanLoad), "load_bound", round(res.Choice.LoadBound),
 		"prompt", r.SharedBlockID().String(), "shared_tokens", int(r.SharedTokens()), "cached_tokens", int(res.Choice.CachedTokens),
 		"waited_ms", res.QueueTime.Milliseconds(), "first_ms", res.FirstByte.Milliseconds(), "duration_ms", duration.Milliseconds(),
 		"left_ms", r.Deadline.Sub(s.Clock.Now()).Milliseconds(),
 	}
+	if r.ContinuesStream() {
+		fields = append(fields, "first_attempt", r.FirstAttempt, "last_event", r.LastEvent)
+	}
 	if owner := res.Choice.CacheOwner; owner != nil {
 		fields = append(fields, "holder", owner.ID, "holder_tokens", int(owner.CachedTokens), "holder_load", owner.Load,
 			"holder_excluded", owner.Excluded)
--- a/router/internal/direct/attempt.go
+++ b/router/internal/direct/attempt.go
@@ -47,7 +47,7 @@
 		}
 		return attempt.NotSent
 	}
-	ex.res.Upstream = inst.ID
+	ex.res.Upstream, ex.res.Version = inst.ID, inst.Version
 	ex.answeredAt, ex.eventsBefore, ex.survived = 0, ex.relay.events, false
 	if ex.RouteConfig.Affinity {
 		dispatcher.Affinity.RecordUse(now, ex.sharedBlocks(), inst.ID)
--- a/router/internal/direct/request.go
+++ b/router/internal/direct/request.go
@@ -8,6 +8,7 @@
 	"rattantrack.dev/core/attempt"
 	"rattantrack.dev/core/call"
 	"rattantrack.dev/core/clock"
+	"rattantrack.dev/core/members"
 	"rattantrack.dev/core/peer"
 	"rattantrack.dev/core/placement"
 	"rattantrack.dev/core/settings"
@@ -82,6 +83,8 @@
 	RetryAfter time.Duration
 	Status     int
 	Upstream   settings.UpstreamID
+	// Version is that of Upstream.
+	Version members.Version
 	// Runs is the number of attempts in which the upstream may have run the request, Attempts the number of all attempts.
 	Runs, Attempts int
 	// Events is the number of stream events written to the client.
--- a/router/internal/routers/service.go
+++ b/router/internal/routers/service.go
@@ -289,7 +289,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	response, err := peer.Request[*peer.RouterState](ctx, link, state, exchangeTimeout)
+	response, err := peer.Request[*peer.RouterState](ctx, link, understood(link, state), exchangeTimeout)
 	if err != nil {
 		// The path may be broken although the link is still open, so the next exchange opens a new link.
 		link.Close(err)
@@ -333,7 +333,8 @@
 	r.dataCentre, r.version = st.Link().Remote().DataCentre, st.Link().Version()
 	s.mu.Unlock()
 	s.merge(state, st.Link().Remote().DataCentre)
-	if err := st.Send(ctx, s.state(r, false, state.WantsCacheEntries && s.HasCacheEntries())); err != nil {
+	reply := understood(st.Link(), s.state(r, false, state.WantsCacheEntries && s.HasCacheEntries()))
+	if err := st.Send(ctx, reply); err != nil {
 		s.Log.Debug("cannot send the state to a router", "router", state.Router, "error", err)
 	}
 	return true
--- a/router/internal/routers/state.go
+++ b/router/internal/routers/state.go
@@ -92,6 +92,14 @@
 	return state
 }
 
+// understood returns a state that the other end of a link can decode.
+func understood(link *peer.Link, state *peer.RouterState) *peer.RouterState {
+	if link.Version() < peer.InstanceVersionVersion {
+		state.Members = members.WithoutVersions(state.Members)
+	}
+	return state
+}
+
 // newAddresses returns the addresses of the reachable routers, or nil if the router has been sent the same ones. In a large fleet
 // they would be the largest part of each state.
 func (s *Service) newAddresses(now clock.Instant, r *router) []string {
