fix(direct,origins): a stream goes on only at the version that began it

Cause: nothing knew of versions. The adapter dropped the version of an instance, placement took the engine with the most of the prompt or the least load, and a client that takes a stream up comes to a router that may not have seen it begin.

A router records the service and the version of each stream before the client gets its first event (core/origin). While a service has had several versions within the last minute, the record goes to three other routers (two in a fleet above 128), chosen by the stream by rendezvous hashing; one that does not know a stream asks five. With one version nothing is sent. Records are sent anew where routers come or start again, and when a second version appears. If nobody remembers a stream, it goes on where only one version can have begun it: by the versions that routers have seen, which a router that starts asks for, or since all instances have run for long. Otherwise the client is refused as not run. Continuations within one answer keep to the version too.

Weighed: telling all routers (n times the messages), the engines' own lists of runs (gone with the engine), a version by hash of the stream (shares change while streams last).

--- /dev/null
+++ b/core/origin/origin_test.go
@@ -0,0 +1,209 @@
+package origin
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"rattantrack.dev/core/clock"
+	"rattantrack.dev/core/members"
+	"rattantrack.dev/core/settings"
+)
+
+func at(s int) clock.Instant { return clock.Instant(time.Hour + time.Duration(s)*time.Second) }
+
+func event(kind members.EventKind, id string, version members.Version) members.Event {
+	return members.Event{ID: settings.UpstreamID(id), Kind: kind, Instance: members.Instance{
+		ID: settings.UpstreamID(id), Service: "letters", Version: version, Incarnation: 1,
+	}}
+}
+
+// TestStreamOfUnknownOriginGoesOnOnlyWhereItIsCertain covers what a router may know when no router remembers a stream.
+func TestStreamOfUnknownOriginGoesOnOnlyWhereItIsCertain(t *testing.T) {
+	one := []Seen{{Service: "letters", Version: "v1"}, {Service: "letters", Version: "v1", Age: time.Second}}
+	two := append(slices.Clone(one), Seen{Service: "letters", Version: "v2", Age: 50 * time.Second})
+	tests := []struct {
+		name    string
+		k       Knowledge
+		version members.Version
+		verdict Verdict
+	}{
+		{"remembered, whatever serves", Knowledge{Found: &Origin{Version: "v0"}, Versions: two}, "v0", Remembered},
+		{"one version", Knowledge{Versions: one, Complete: true, Fresh: true}, "v1", OnlyVersion},
+		{"another one has left", Knowledge{Versions: two, Complete: true, Fresh: true}, "", Unknown},
+		{"another one may have left", Knowledge{Versions: one, Fresh: true}, "", Unknown},
+		{"another one may have come", Knowledge{Versions: one, Complete: true}, "", Unknown},
+		{"no instances", Knowledge{Complete: true, Fresh: true}, "", Unknown},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			version, verdict := Decide(&tt.k)
+			c.Assert(version, qt.Equals, tt.version)
+			c.Assert(verdict, qt.Equals, tt.verdict)
+		})
+	}
+}
+
+// TestVersionThatLeftStaysInTheHistory guards against a stream that goes on at the version that replaced its own.
+func TestVersionThatLeftStaysInTheHistory(t *testing.T) {
+	c := qt.New(t)
+	var h History
+	h.Start(at(0), true)
+	h.Apply(at(0), []members.Event{event(members.EventAdded, "a", "v1"), event(members.EventAdded, "b", "v1")})
+	c.Assert(h.Mixed(at(0), "letters"), qt.IsFalse)
+	h.Apply(at(1), []members.Event{event(members.EventAdded, "c", "v2")})
+	h.Apply(at(2), []members.Event{event(members.EventRemoved, "a", "v1"), event(members.EventDraining, "b", "v1")})
+	h.Apply(at(3), []members.Event{event(members.EventMissing, "b", "v1")})
+	c.Assert(h.Seen(at(3), "letters"), qt.DeepEquals, []Seen{{Service: "letters", Version: "v1"}, {Service: "letters", Version: "v2"}})
+	// The process starts again under its id with another version.
+	h.Apply(at(4), []members.Event{event(members.EventRestarted, "b", "v2")})
+	c.Assert(h.Seen(at(10), "letters"), qt.DeepEquals,
+		[]Seen{{Service: "letters", Version: "v1", Age: 6 * time.Second}, {Service: "letters", Version: "v2"}})
+	c.Assert(h.Mixed(at(60), "letters"), qt.IsTrue)
+	c.Assert(h.Mixed(at(65), "letters"), qt.IsFalse)
+	c.Assert(h.left, qt.HasLen, 0)
+}
+
+// TestStartedRouterInheritsTheHistory guards against a router that takes the versions which it finds for all that there were.
+func TestStartedRouterInheritsTheHistory(t *testing.T) {
+	c := qt.New(t)
+	var old, started History
+	old.Start(at(0), true)
+	old.Apply(at(0), []members.Event{event(members.EventAdded, "a", "v1")})
+	old.Apply(at(20), []members.Event{event(members.EventAdded, "b", "v2"), event(members.EventRemoved, "a", "v1")})
+	started.Start(at(30), false)
+	started.Apply(at(30), []members.Event{event(members.EventAdded, "b", "v2")})
+	c.Assert(started.Complete(at(30)), qt.IsFalse)
+	c.Assert(started.Mixed(at(30), "letters"), qt.IsFalse)
+	started.Merge(at(30), old.Seen(at(30), ""), old.Complete(at(30)))
+	c.Assert(started.Complete(at(30)), qt.IsTrue)
+	c.Assert(started.Mixed(at(30), "letters"), qt.IsTrue)
+	c.Assert(started.Mixed(at(81), "letters"), qt.IsFalse)
+
+	var alone History
+	alone.Start(at(0), false)
+	alone.Merge(at(1), nil, false)
+	c.Assert(alone.Complete(at(59)), qt.IsFalse)
+	c.Assert(alone.Complete(at(60)), qt.IsTrue)
+}
+
+// TestRecentInstancesAreNotSettled covers a fleet that has lost all routers: a young instance may have replaced another version.
+func TestRecentInstancesAreNotSettled(t *testing.T) {
+	c := qt.New(t)
+	wall := time.UnixMilli(1_700_000_100_000)
+	var h History
+	c.Assert(h.Settled(wall, "letters"), qt.IsFalse)
+	instance := func(id string, incarnation members.Incarnation) members.Event {
+		e := event(members.EventAdded, id, "v1")
+		e.Instance.Incarnation = incarnation
+		return e
+	}
+	h.Apply(at(0), []members.Event{instance("a", 1_700_000_000_000), instance("b", 1_700_000_069_000)})
+	c.Assert(h.Settled(wall, "letters"), qt.IsTrue)
+	h.Apply(at(0), []members.Event{instance("c", 1_700_000_071_000)})
+	c.Assert(h.Settled(wall, "letters"), qt.IsFalse)
+	h.Apply(at(0), []members.Event{instance("c", 0)})
+	c.Assert(h.Settled(wall, "letters"), qt.IsFalse)
+}
+
+func TestRecordsAreBoundedAndExpire(t *testing.T) {
+	c := qt.New(t)
+	var r Records
+	_, ok := r.Find(at(0), 1)
+	c.Assert(ok, qt.IsFalse)
+	for id := range StreamID(maxRecords + 10) {
+		r.Add(at(0), id, Origin{Service: "letters", Version: "v1"})
+	}
+	c.Assert(r.Len(), qt.Equals, maxRecords)
+	_, ok = r.Find(at(0), 5)
+	c.Assert(ok, qt.IsFalse)
+	o, ok := r.Find(at(60), maxRecords)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(o, qt.Equals, Origin{Service: "letters", Version: "v1"})
+	// A stream that goes on is remembered anew.
+	r.Add(at(50), maxRecords, o)
+	r.Expire(at(61))
+	c.Assert(r.Len(), qt.Equals, 1)
+	_, ok = r.Find(at(111), maxRecords)
+	c.Assert(ok, qt.IsFalse)
+}
+
+func addresses(n int) []string {
+	var list []string
+	for i := range n {
+		list = append(list, fmt.Sprintf("10.%d.0.%d:8229", i%6, i))
+	}
+	return list
+}
+
+// TestOriginsOutliveLostRouters replays a loss of routers, together with those that began the streams: the others are asked for the origins. Some
+// routers have come since that the routers which began the streams did not know, and some have been replaced at their addresses.
+func TestOriginsOutliveLostRouters(t *testing.T) {
+	tests := []struct {
+		routers  int
+		lost     float64
+		replaced bool
+		share    float64
+	}{
+		{4, 0.25, false, 1}, {4, 0.5, false, 1}, {23, 0.25, false, 0.97}, {103, 0.17, false, 0.98}, {103, 0.5, false, 0.8},
+		{103, 0.5, true, 0.8}, {400, 0.17, false, 0.95}, {400, 0.5, true, 0.7},
+	}
+	for _, tt := range tests {
+		t.Run(fmt.Sprintf("%d routers, %v lost, replaced %v", tt.routers, tt.lost, tt.replaced), func(t *testing.T) {
+			c := qt.New(t)
+			r := rand.New(rand.NewPCG(1, uint64(tt.routers)))
+			fleet := addresses(tt.routers)
+			before := NewHolders(fleet)
+			held := make(map[string]map[StreamID]bool)
+			began := make(map[StreamID]string)
+			for range 5000 {
+				id, self := StreamID(r.Uint64()), fleet[r.IntN(len(fleet))]
+				began[id] = self
+				for _, a := range before.Of(id, self) {
+					c.Assert(a, qt.Not(qt.Equals), self)
+					if held[a] == nil {
+						held[a] = make(map[StreamID]bool)
+					}
+					held[a][id] = true
+				}
+			}
+			for _, streams := range held {
+				// The load is even: no router holds more than twice its part.
+				c.Assert(len(streams) <= 2*5000*holders/(tt.routers-1)+20, qt.IsTrue, qt.Commentf("%d", len(streams)))
+			}
+			alive := slices.Clone(fleet)
+			r.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
+			dead := alive[:int(tt.lost*float64(len(alive)))]
+			alive = alive[len(dead):]
+			for _, a := range dead {
+				delete(held, a)
+			}
+			now := slices.Clone(alive)
+			if tt.replaced {
+				now = append(now, dead...)
+			}
+			after := NewHolders(append(now, "10.9.0.1:8229"))
+			taken, found := 0, 0
+			for id, self := range began {
+				if !slices.Contains(dead, self) {
+					continue
+				}
+				taken++
+				asker := alive[r.IntN(len(alive))]
+				ok := held[asker][id]
+				for _, a := range after.Asked(id, asker) {
+					ok = ok || held[a][id]
+				}
+				if ok {
+					found++
+				}
+			}
+			c.Assert(float64(found) >= tt.share*float64(taken), qt.IsTrue, qt.Commentf("%d of %d", found, taken))
+		})
+	}
+}
--- a/core/peer/control.go
+++ b/core/peer/control.go
@@ -19,7 +19,7 @@
 
 // ProtocolVersion is the latest version of the protocol, and minProtocolVersion the oldest that a process still speaks. Version 2
 // added LoadReport and LoadTotals, version 3 CrashEvidence, version 4 UsageReport and UsageTotals, version 5 digests in
-// CrashEvidence and versions of instances in RouterState.
+// CrashEvidence, versions of instances in RouterState, StreamOrigins, OriginQuery and OriginReply.
 const (
 	ProtocolVersion    = 5
 	minProtocolVersion = 1
@@ -37,6 +37,9 @@
 // InstanceVersionVersion is the first version of the protocol with versions of instances in RouterState.
 const InstanceVersionVersion = 5
 
+// StreamOriginsVersion is the first version with StreamOrigins, OriginQuery and OriginReply.
+const StreamOriginsVersion = 5
+
 // UsageReportVersion is the first version with UsageReport and UsageTotals.
 const UsageReportVersion = 4
 
--- a/core/peer/message.go
+++ b/core/peer/message.go
@@ -37,6 +37,9 @@
 	KindCrashEvidence
 	KindUsageReport
 	KindUsageTotals
+	KindStreamOrigins
+	KindOriginQuery
+	KindOriginReply
 )
 
 // Message is one typed message of the protocol.
@@ -114,6 +117,12 @@
 		return &UsageReport{}
 	case KindUsageTotals:
 		return &UsageTotals{}
+	case KindStreamOrigins:
+		return &StreamOrigins{}
+	case KindOriginQuery:
+		return &OriginQuery{}
+	case KindOriginReply:
+		return &OriginReply{}
 	}
 	return nil
 }
--- a/router/internal/app/direct.go
+++ b/router/internal/app/direct.go
@@ -39,6 +39,7 @@
 	"rattantrack.dev/router/internal/directory"
 	"rattantrack.dev/router/internal/engines"
 	"rattantrack.dev/router/internal/loads"
+	"rattantrack.dev/router/internal/origins"
 	"rattantrack.dev/router/internal/routers"
 	"rattantrack.dev/router/internal/upstream"
 )
@@ -83,6 +84,7 @@
 	endpoint     *peer.Endpoint
 	loads        *loads.Service
 	crashes      *crashes.Service
+	origins      *origins.Service
 	gossip       *gossip.Service
 	routers      *routers.Service
 	client       *client.Server
@@ -178,6 +180,18 @@
 		Log:        d.log,
 		Scope:      scope,
 	}
+	d.origins = &origins.Service{
+		ID:           inflight.RouterID(d.cfg.ID),
+		Address:      d.cfg.Advertise,
+		FirstStart:   d.cfg.Direct.FirstStart,
+		Routers:      d.routers,
+		Dialer:       d.endpoint,
+		DirectoryAge: d.directoryAge,
+		KnownRouters: d.routers.Known,
+		Clock:        clock.Boot{},
+		Log:          d.log,
+		Scope:        scope,
+	}
 	d.gossip = &gossip.Service{Store: d.store, Dialer: d.endpoint, Log: d.log, Candidates: d.routers.Addresses}
 	d.watcher = &directory.Watcher{
 		Self:      polling.Candidate{Address: d.cfg.Advertise, Cores: d.cfg.Direct.Cores},
@@ -216,6 +230,7 @@
 		Backoff:      d.backoff,
 		Quarantine:   d.quarantine,
 		RateLimits:   d.rateLimits,
+		Origins:      d.origins,
 		Queues:       &waiting.Queues{},
 		Refusals:     &waiting.Refusals{},
 		Budget:       &retry.FleetBudget{Limits: retry.Limits{Ratio: budget.Ratio, Slack: budget.Slack, Window: budget.Window}},
@@ -261,6 +276,13 @@
 	return max(r.Service.LastDirectoryRead(), r.loads.LastDirectoryRead())
 }
 
+// directoryAge returns the age of the newest directory read of any router that this one knows of.
+func (d *Direct) directoryAge() time.Duration {
+	age, _ := d.watcher.State()
+	read := directoryRouters{Service: d.routers, loads: d.loads}.LastDirectoryRead()
+	return min(age, clock.Boot{}.Now().Sub(read))
+}
+
 // cachingServices returns the services whose upstreams cache prompts, nil while there are no declarations.
 func (d *Direct) cachingServices() []settings.ServiceName {
 	_, declarations := d.store.Current()
@@ -300,6 +322,7 @@
 // applyMemberEvents logs changes of instances and discards the state of instances that were removed, restarted or are
 // draining.
 func (d *Direct) applyMemberEvents(source string, events []members.Event) {
+	d.origins.Apply(events)
 	for _, e := range events {
 		d.log.Info("instance", "upstream", e.ID, "change", e.Kind, "service", e.Instance.Service, "version", e.Instance.Version,
 			"address", e.Instance.Address, "entry_revision", e.Revision, "source", source)
@@ -348,7 +371,8 @@
 
 // Serve passes a peer's message to the service that handles it.
 func (d *Direct) Serve(ctx context.Context, st *peer.Stream, m peer.Message) {
-	if d.routers.Serve(ctx, st, m) || d.loads.Serve(ctx, st, m) || d.crashes.Serve(ctx, st, m) || d.gossip.Serve(ctx, st, m) {
+	if d.routers.Serve(ctx, st, m) || d.loads.Serve(ctx, st, m) || d.crashes.Serve(ctx, st, m) || d.origins.Serve(ctx, st, m) ||
+		d.gossip.Serve(ctx, st, m) {
 		return
 	}
 	d.log.Warn("unexpected message", "kind", m.Kind(), "peer", st.Link().Remote().ID)
@@ -370,7 +394,7 @@
 			Ready:   d.ready,
 			Dumpers: []operator.Dumper{
 				d.client, d.watcher, d.members, &pauses{tracker: d.backoff}, &suspects{tracker: d.quarantine},
-				&rateLimits{tracker: d.rateLimits}, d.routers, d.gossip, &operator.Links{Endpoint: d.endpoint},
+				&rateLimits{tracker: d.rateLimits}, d.origins, d.routers, d.gossip, &operator.Links{Endpoint: d.endpoint},
 			},
 		},
 		d.readiness,
@@ -379,6 +403,7 @@
 		d.routers,
 		d.loads,
 		d.crashes,
+		d.origins,
 		d.watcher,
 		d.warmup,
 		d.client,
--- a/router/internal/direct/attempt.go
+++ b/router/internal/direct/attempt.go
@@ -240,6 +240,9 @@
 		}
 		ex.dispatcher.Unresponsive.ResponseReceived(ex.dispatcher.Clock.Now(), inst.ID)
 		timer.reset()
+		if ex.relay.events == ex.eventsBefore {
+			ex.recordOrigin(inst)
+		}
 		if err := ex.relay.event(res, e, !events.Buffered()); err != nil {
 			var orderErr *eventOrderError
 			if errors.As(err, &orderErr) {
--- a/router/internal/direct/dispatch.go
+++ b/router/internal/direct/dispatch.go
@@ -18,6 +18,7 @@
 	"rattantrack.dev/core/clock"
 	"rattantrack.dev/core/inflight"
 	"rattantrack.dev/core/members"
+	"rattantrack.dev/core/origin"
 	"rattantrack.dev/core/outlier"
 	"rattantrack.dev/core/peer"
 	"rattantrack.dev/core/placement"
@@ -52,6 +53,14 @@
 	Wait(ctx context.Context, limit time.Duration)
 }
 
+// Origins remembers with which version of a service each stream began.
+type Origins interface {
+	// Begin records the origin of a stream, whose first event an attempt of the client has brought.
+	Begin(attempt call.ID, o origin.Origin)
+	// Find returns where a stream may go on that the client has events of.
+	Find(ctx context.Context, attempt call.ID, name settings.ServiceName) (origin.Origin, origin.Verdict)
+}
+
 // Dispatcher sends requests to upstreams and relays their responses.
 type Dispatcher struct {
 	DataCentre   settings.DataCentre
@@ -63,6 +72,7 @@
 	Backoff      *backoff.Tracker
 	Quarantine   *quarantine.Tracker
 	RateLimits   *ratelimit.Tracker
+	Origins      Origins
 	Queues       *waiting.Queues
 	Refusals     *waiting.Refusals
 	Budget       *retry.FleetBudget
@@ -128,6 +138,9 @@
 }
 
 func (ex *exchange) run(ctx context.Context) {
+	if ex.RouteConfig.Kind == settings.RouteStream && ex.ContinuesStream() && !ex.findOrigin(ctx) {
+		return
+	}
 	if ex.RouteConfig.Affinity && ex.SharedTokens() >= enginePolicy.LongPrefix {
 		ex.dispatcher.Warmup.Wait(ctx, warmupWait)
 	}
--- a/router/internal/direct/dispatch_test.go
+++ b/router/internal/direct/dispatch_test.go
@@ -23,6 +23,7 @@
 	"rattantrack.dev/core/clock"
 	"rattantrack.dev/core/inflight"
 	"rattantrack.dev/core/members"
+	"rattantrack.dev/core/origin"
 	"rattantrack.dev/core/outlier"
 	"rattantrack.dev/core/peer"
 	"rattantrack.dev/core/quarantine"
@@ -177,6 +178,33 @@
 	upstreams []*fakeUpstream
 }
 
+// beginnings remembers the origins of streams, and takes the first version for that of any other.
+type beginnings struct {
+	mu    sync.Mutex
+	begun map[call.ID]origin.Origin
+}
+
+func (b *beginnings) Begin(attempt call.ID, o origin.Origin) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.begun == nil {
+		b.begun = make(map[call.ID]origin.Origin)
+	}
+	b.begun[attempt] = o
+}
+
+func (b *beginnings) Find(_ context.Context, attempt call.ID, name settings.ServiceName) (origin.Origin, origin.Verdict) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if o, ok := b.begun[attempt]; ok {
+		return o, origin.Remembered
+	}
+	if attempt == "unknown" {
+		return origin.Origin{}, origin.Unknown
+	}
+	return origin.Origin{Service: name}, origin.OnlyVersion
+}
+
 // newFixture starts one upstream per list of handlers. The first upstream is in the dispatcher's data centre, so it gets the
 // first attempt.
 func newFixture(t *testing.T, upstreams ...[]func(net.Conn, *http.Request) bool) *fixture {
@@ -194,6 +222,7 @@
 		DataCentre: "kano", Members: &members.Registry{}, InFlight: &inflight.Tracker{}, Affinity: &affinity.Index{},
 		Outliers: &outlier.Detector{}, Unresponsive: &unresponsive.Detector{}, Queues: &waiting.Queues{}, Refusals: &waiting.Refusals{}, Backoff: &backoff.Tracker{}, Quarantine: &quarantine.Tracker{},
 		RateLimits: &ratelimit.Tracker{}, KnownRouters: func() int { return 1 },
+		Origins:     &beginnings{},
 		Budget:      &retry.FleetBudget{Limits: retry.Limits{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}},
 		Connections: pool,
 		Dialect:     testDialect{}, Warmup: noWarmup{}, Clock: clock.Boot{}, Log: log.New(io.Discard), Scope: tally.NoopScope,
--- /dev/null
+++ b/router/internal/direct/origin.go
@@ -0,0 +1,47 @@
+package direct
+
+import (
+	"context"
+	"slices"
+
+	"rattantrack.dev/core/members"
+	"rattantrack.dev/core/origin"
+	"rattantrack.dev/core/settings"
+)
+
+// findOrigin finds out where the stream began that the client takes up again. It returns false if the request has ended, because the
+// stream cannot go on there.
+func (ex *exchange) findOrigin(ctx context.Context) bool {
+	d := ex.dispatcher
+	o, verdict := d.Origins.Find(ctx, ex.FirstAttempt, ex.Service)
+	if verdict == origin.Unknown {
+		ex.giveUp(ctx, CodeOriginUnknown, defaultRetryAfter)
+		return false
+	}
+	d.Log.Info("stream taken up", "request", ex.ID, "first_attempt", ex.FirstAttempt, "service", o.Service, "version", o.Version,
+		"by", verdict)
+	isBackend := slices.ContainsFunc(ex.RouteConfig.Backends, func(b settings.Backend) bool { return b.Service == o.Service })
+	if !isBackend || !slices.ContainsFunc(d.Members.Serving(o.Service), func(i members.Instance) bool { return i.Version == o.Version }) {
+		ex.giveUp(ctx, CodeVersionGone, defaultRetryAfter)
+		return false
+	}
+	ex.Service, ex.Begun = o.Service, &o
+	return true
+}
+
+// recordOrigin records where the stream has begun or goes on, before the client gets its first event from there.
+func (ex *exchange) recordOrigin(inst members.Instance) {
+	if ex.Begun == nil {
+		ex.Begun = &origin.Origin{Service: inst.Service, Version: inst.Version}
+	}
+	if ex.FirstAttempt != "" {
+		ex.dispatcher.Origins.Begin(ex.FirstAttempt, *ex.Begun)
+		return
+	}
+	ex.dispatcher.Origins.Begin(ex.ID, *ex.Begun)
+}
+
+// isOther reports whether a stream that has begun must not go on at an instance.
+func (r *Request) isOther(inst members.Instance) bool {
+	return r.Begun != nil && r.Begun.Version != inst.Version
+}
--- a/router/internal/direct/place.go
+++ b/router/internal/direct/place.go
@@ -121,8 +121,11 @@
 	now clock.Instant, r *Request, serving []members.Instance, ids []settings.UpstreamID,
 ) []placement.Candidate {
 	loads := d.InFlight.Loads(now, ids)
-	paused, _ := d.Backoff.Paused(now, serving)
-	excluded := d.excluded(now, ids, paused)
+	barred, _ := d.Backoff.Paused(now, serving)
+	for i := range serving {
+		barred[i] = barred[i] || r.isOther(serving[i])
+	}
+	excluded := d.excluded(now, ids, barred)
 	limited, wanted := d.RateLimits.Limited(now, ids, d.KnownRouters())
 	var cachedTokens []settings.Tokens
 	order := rendezvous.New(ids).Order(r.orderKey())
@@ -162,13 +165,13 @@
 	return soonest
 }
 
-// excluded reports for each upstream whether it should get no requests now, because it fails more than others, is unresponsive
-// or has asked for a pause. If that excludes all of them, failures do not count.
-func (d *Dispatcher) excluded(now clock.Instant, ids []settings.UpstreamID, paused []bool) []bool {
+// excluded reports for each upstream whether it should not get the request now, because it fails more than others, is unresponsive
+// or barred. If that excludes all of them, failures do not count.
+func (d *Dispatcher) excluded(now clock.Instant, ids []settings.UpstreamID, barred []bool) []bool {
 	unresponsive := d.Unresponsive.Unresponsive(now, ids)
 	excluded := d.Outliers.Ejected(now, ids)
 	for i := range excluded {
-		unresponsive[i] = unresponsive[i] || paused[i]
+		unresponsive[i] = unresponsive[i] || barred[i]
 		excluded[i] = excluded[i] || unresponsive[i]
 	}
 	if !slices.Contains(excluded, false) {
--- a/router/internal/direct/request.go
+++ b/router/internal/direct/request.go
@@ -9,6 +9,7 @@
 	"rattantrack.dev/core/call"
 	"rattantrack.dev/core/clock"
 	"rattantrack.dev/core/members"
+	"rattantrack.dev/core/origin"
 	"rattantrack.dev/core/peer"
 	"rattantrack.dev/core/placement"
 	"rattantrack.dev/core/settings"
@@ -24,6 +25,8 @@
 	Team        settings.TeamID
 	Rank        int
 	Revision    settings.Revision
+	// Begun is where the stream has begun that the request goes on with, nil before its first event. It goes on there only.
+	Begun *origin.Origin
 	// Arrived is when the request was received. Deadline is the earlier of the client's deadline and the route's timeout.
 	Arrived, Deadline clock.Instant
 	// Outbound is the request as sent to an upstream, without the header fields of a single attempt.
@@ -67,13 +70,17 @@
 	CodeQuarantined = "prompt_quarantined"
 	// CodeRequestQuarantined is for a request that crashes the upstreams whatever its prompt.
 	CodeRequestQuarantined = "request_quarantined"
-	CodeDeadline           = "deadline"
-	CodeUnreachable        = "unreachable"
-	CodeRefused            = "refused_by_upstream"
-	CodeLost               = "answer_lost"
-	CodeCut                = "answer_cut"
-	CodeClientGone         = "client_gone"
-	CodeUpstream           = "upstream_failure"
+	// CodeOriginUnknown is for a stream that may have begun at another version of the service than those that serve, CodeVersionGone
+	// for one whose version no longer serves.
+	CodeOriginUnknown = "origin_unknown"
+	CodeVersionGone   = "version_gone"
+	CodeDeadline      = "deadline"
+	CodeUnreachable   = "unreachable"
+	CodeRefused       = "refused_by_upstream"
+	CodeLost          = "answer_lost"
+	CodeCut           = "answer_cut"
+	CodeClientGone    = "client_gone"
+	CodeUpstream      = "upstream_failure"
 )
 
 // Result describes how a request ended.
--- /dev/null
+++ b/router/internal/origins/service_test.go
@@ -0,0 +1,239 @@
+package origins
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	qt "github.com/frankban/quicktest"
+	"github.com/uber-go/tally/v4"
+
+	"rattantrack.dev/core/call"
+	"rattantrack.dev/core/clock"
+	"rattantrack.dev/core/inflight"
+	"rattantrack.dev/core/members"
+	"rattantrack.dev/core/origin"
+	"rattantrack.dev/core/peer"
+	"rattantrack.dev/core/settings"
+)
+
+// fleet is a set of routers on loopback that know each other.
+type fleet struct {
+	t     *testing.T
+	mu    sync.Mutex
+	nodes map[string]*node
+	runs  int
+}
+
+// node is one router of a fleet.
+type node struct {
+	fleet       *fleet
+	address     string
+	incarnation peer.Incarnation
+	service     *Service
+	stop        func()
+}
+
+// OriginRouters returns the other routers that run.
+func (n *node) OriginRouters() (list []Router) {
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
+	for address, other := range n.fleet.nodes {
+		if address != n.address {
+			list = append(list, Router{Address: address, Incarnation: other.incarnation})
+		}
+	}
+	return list
+}
+
+func (n *node) Serve(ctx context.Context, st *peer.Stream, m peer.Message) {
+	n.service.Serve(ctx, st, m)
+}
+
+// start starts a router, at the given address unless that is empty. first reports that the fleet starts for the first time.
+func (f *fleet) start(address string, first bool) *node {
+	c := qt.New(f.t)
+	if address == "" {
+		address = "127.0.0.1:0"
+	}
+	ln, err := net.Listen("tcp", address)
+	c.Assert(err, qt.IsNil)
+	allow, err := peer.ParseNetworks([]string{"127.0.0.0/8"})
+	c.Assert(err, qt.IsNil)
+	f.mu.Lock()
+	f.runs++
+	n := &node{fleet: f, address: ln.Addr().String(), incarnation: peer.Incarnation(fmt.Sprint(f.runs))}
+	f.mu.Unlock()
+	endpoint := &peer.Endpoint{
+		LocalHello: func() peer.Hello {
+			return peer.Hello{Protocol: peer.ProtocolVersion, Role: peer.RoleRouter, ID: n.address, Incarnation: n.incarnation}
+		},
+		Handler: n, Allow: allow,
+	}
+	n.service = &Service{
+		ID: inflight.RouterID(n.address), Address: n.address, FirstStart: first, Routers: n, Dialer: endpoint, Clock: clock.Boot{},
+		DirectoryAge: func() time.Duration { return 0 }, KnownRouters: func() int { return f.size() },
+		Log: log.New(io.Discard), Scope: tally.NoopScope,
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = n.service.Run(ctx, func() {}) })
+	wg.Go(func() { _ = endpoint.Listen(ctx, ln) })
+	f.mu.Lock()
+	if f.nodes == nil {
+		f.nodes = make(map[string]*node)
+	}
+	f.nodes[n.address] = n
+	f.mu.Unlock()
+	n.stop = sync.OnceFunc(func() {
+		f.mu.Lock()
+		if f.nodes[n.address] == n {
+			delete(f.nodes, n.address)
+		}
+		f.mu.Unlock()
+		cancel()
+		endpoint.Close()
+		wg.Wait()
+	})
+	f.t.Cleanup(n.stop)
+	return n
+}
+
+func (f *fleet) size() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.nodes)
+}
+
+// list adds an instance of a version at a router.
+func (n *node) list(id string, version members.Version) {
+	n.service.Apply([]members.Event{{ID: settings.UpstreamID(id), Kind: members.EventAdded, Instance: members.Instance{
+		ID: settings.UpstreamID(id), Service: "letters", Version: version, Incarnation: members.Incarnation(time.Now().UnixMilli()),
+	}}})
+}
+
+// unlist removes an instance.
+func (n *node) unlist(id string) {
+	n.service.Apply([]members.Event{{ID: settings.UpstreamID(id), Kind: members.EventRemoved}})
+}
+
+// holdersOf counts the other routers that remember a stream, once that number no longer changes.
+func (f *fleet) holdersOf(attempt call.ID, began *node) int {
+	count := func() int {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		n := 0
+		for _, other := range f.nodes {
+			if _, ok := other.service.remembered(clock.Boot{}.Now(), origin.NewStreamID(attempt)); ok && other != began {
+				n++
+			}
+		}
+		return n
+	}
+	n := 0
+	for range 100 {
+		time.Sleep(20 * time.Millisecond)
+		if n = count(); n >= 3 {
+			break
+		}
+	}
+	return n
+}
+
+func (n *node) find(attempt call.ID) (members.Version, origin.Verdict) {
+	o, verdict := n.service.Find(context.Background(), attempt, "letters")
+	return o.Version, verdict
+}
+
+// TestStreamIsFoundAfterItsRouterEnded guards against a stream that nobody remembers once its router has ended. Nothing is sent as long as
+// one version serves; the records follow as soon as a second one comes.
+func TestStreamIsFoundAfterItsRouterEnded(t *testing.T) {
+	c := qt.New(t)
+	f := &fleet{t: t}
+	var nodes []*node
+	for range 6 {
+		nodes = append(nodes, f.start("", true))
+	}
+	for _, n := range nodes {
+		n.list("a", "v1")
+	}
+	time.Sleep(3 * reviewInterval)
+	nodes[0].service.Begin("early", origin.Origin{Service: "letters", Version: "v1"})
+	time.Sleep(5 * flushInterval)
+	c.Assert(f.holdersOf("early", nodes[0]), qt.Equals, 0)
+	for _, n := range nodes {
+		n.list("b", "v2")
+	}
+	c.Assert(f.holdersOf("early", nodes[0]), qt.Equals, 3)
+	nodes[0].service.Begin("late", origin.Origin{Service: "letters", Version: "v2"})
+	c.Assert(f.holdersOf("late", nodes[0]), qt.Equals, 3)
+	nodes[0].stop()
+	fresh := f.start("", false)
+	fresh.list("a", "v1")
+	fresh.list("b", "v2")
+	for _, n := range append(nodes[1:], fresh) {
+		version, verdict := n.find("early")
+		c.Assert(verdict, qt.Equals, origin.Remembered)
+		c.Assert(version, qt.Equals, members.Version("v1"))
+		version, verdict = n.find("late")
+		c.Assert(verdict, qt.Equals, origin.Remembered)
+		c.Assert(version, qt.Equals, members.Version("v2"))
+		_, verdict = n.find("never")
+		c.Assert(verdict, qt.Equals, origin.Unknown)
+	}
+}
+
+// TestRestartedHolderGetsItsRecordsAgain guards against records that become fewer with each router that starts again.
+func TestRestartedHolderGetsItsRecordsAgain(t *testing.T) {
+	c := qt.New(t)
+	f := &fleet{t: t}
+	var nodes []*node
+	for range 4 {
+		nodes = append(nodes, f.start("", true))
+	}
+	for _, n := range nodes {
+		n.list("a", "v1")
+		n.list("b", "v2")
+	}
+	time.Sleep(3 * reviewInterval)
+	nodes[0].service.Begin("s", origin.Origin{Service: "letters", Version: "v1"})
+	c.Assert(f.holdersOf("s", nodes[0]), qt.Equals, 3)
+	for _, n := range nodes[1:] {
+		n.stop()
+		f.start(n.address, false)
+		c.Assert(f.holdersOf("s", nodes[0]), qt.Equals, 3)
+	}
+}
+
+// TestStartedRouterKnowsVersionsThatHaveLeft guards against a router that takes the only version which it finds for the one that began a
+// stream, and against one that refuses all streams because it was not there before.
+func TestStartedRouterKnowsVersionsThatHaveLeft(t *testing.T) {
+	c := qt.New(t)
+	f := &fleet{t: t}
+	old := f.start("", true)
+	old.list("a", "v1")
+	started := f.start("", false)
+	started.list("a", "v1")
+	time.Sleep(3 * reviewInterval)
+	version, verdict := started.find("s")
+	c.Assert(verdict, qt.Equals, origin.OnlyVersion)
+	c.Assert(version, qt.Equals, members.Version("v1"))
+
+	old.list("b", "v2")
+	old.unlist("a")
+	late := f.start("", false)
+	late.list("b", "v2")
+	time.Sleep(3 * reviewInterval)
+	_, verdict = late.find("s")
+	c.Assert(verdict, qt.Equals, origin.Unknown)
+	// It knows by itself once the others are gone.
+	old.stop()
+	started.stop()
+	_, verdict = late.find("s")
+	c.Assert(verdict, qt.Equals, origin.Unknown)
+}
--- a/router/internal/routers/view.go
+++ b/router/internal/routers/view.go
@@ -9,6 +9,7 @@
 	"rattantrack.dev/core/relay"
 	"rattantrack.dev/core/settings"
 	"rattantrack.dev/router/internal/crashes"
+	"rattantrack.dev/router/internal/origins"
 )
 
 // Addresses returns the addresses of the other routers.
@@ -83,6 +84,19 @@
 	return list
 }
 
+// OriginRouters returns the reachable routers that hold the origins of streams.
+func (s *Service) OriginRouters() []origins.Router {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []origins.Router
+	for address, r := range s.routers {
+		if address != s.Address && r.reachable() && r.version >= peer.StreamOriginsVersion {
+			list = append(list, origins.Router{Address: address, Incarnation: r.incarnation})
+		}
+	}
+	return list
+}
+
 // Known returns the number of routers that may be running, with this one: the reachable ones and, for forgetTime, those that were lost
 // or of which this router has only heard.
 func (s *Service) Known() int {
