--- a/router/internal/origins/service.go
+++ b/router/internal/origins/service.go
@@ -239,8 +239,12 @@
 		s.history.Merge(s.Clock.Now(), r.Seen, r.Complete)
 		if r.Complete {
 			s.mu.Lock()
+			isFirst := !s.inherited
 			s.inherited = true
 			s.mu.Unlock()
+			if isFirst {
+				s.Log.Info("versions learnt from a router", "router", r.Router, "versions", len(r.Seen))
+			}
 		}
 	}
 }
