--- a/core/peer/origin.go
+++ b/core/peer/origin.go
@@ -8,7 +8,6 @@
 
 // StreamOrigins gives a router the origins of streams to hold; it has no reply.
 type StreamOrigins struct {
-	Router  inflight.RouterID
 	Batches []OriginBatch
 }
 
@@ -24,7 +23,6 @@
 // OriginQuery asks for the origin of a stream, unless Stream is 0, and for the versions of a service that have served lately, or those
 // of all services if Service is empty.
 type OriginQuery struct {
-	Router  inflight.RouterID
 	Stream  origin.StreamID
 	Service settings.ServiceName
 }
--- a/router/internal/origins/find.go
+++ b/router/internal/origins/find.go
@@ -83,7 +83,7 @@
 		addresses = s.holders.Asked(key, s.Address)
 	}
 	s.mu.Unlock()
-	for r := range s.ask(ctx, addresses, &peer.OriginQuery{Router: s.ID, Stream: id, Service: name}) {
+	for r := range s.ask(ctx, addresses, &peer.OriginQuery{Stream: id, Service: name}) {
 		replies++
 		k.Versions = append(k.Versions, r.Seen...)
 		k.Complete = k.Complete || r.Complete
--- a/router/internal/origins/service.go
+++ b/router/internal/origins/service.go
@@ -235,7 +235,7 @@
 
 // inherit asks other routers for their history.
 func (s *Service) inherit(ctx context.Context, addresses []string) {
-	for r := range s.ask(ctx, addresses[:min(len(addresses), maxSources)], &peer.OriginQuery{Router: s.ID}) {
+	for r := range s.ask(ctx, addresses[:min(len(addresses), maxSources)], &peer.OriginQuery{}) {
 		s.history.Merge(s.Clock.Now(), r.Seen, r.Complete)
 		if r.Complete {
 			s.mu.Lock()
@@ -274,7 +274,7 @@
 	defer cancel()
 	link, err := s.Dialer.Dial(ctx, address)
 	if err == nil {
-		err = peer.Notify(ctx, link, &peer.StreamOrigins{Router: s.ID, Batches: batches(entries)})
+		err = peer.Notify(ctx, link, &peer.StreamOrigins{Batches: batches(entries)})
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -321,7 +321,7 @@
 			reply.Origin, reply.Found = s.remembered(now, v.Stream)
 		}
 		if err := st.Send(ctx, reply); err != nil {
-			s.Log.Debug("cannot reply to a router's query", "router", v.Router, "error", err)
+			s.Log.Debug("cannot reply to a router's query", "router", st.Link().Remote().ID, "error", err)
 		}
 	default:
 		return false
