fix(origins): a router that has just started waits some moments for the others before it refuses a stream

A client may come before the router has met another one (asked 0 in the log). A router without history asks others five times a second instead of twenty.

--- a/router/internal/origins/find.go
+++ b/router/internal/origins/find.go
@@ -19,6 +19,8 @@
 	askTimeout = 300 * time.Millisecond
 	// askPause is the pause before the routers are asked once more. A client may return before the record has arrived.
 	askPause = 2 * flushInterval
+	// maxEarlyAsks bounds the pauses of a router that has just started and knows no other one yet.
+	maxEarlyAsks = 6
 	// graceTime is how long the last routers may take once more than half of those asked have replied.
 	graceTime = 60 * time.Millisecond
 	// maxSources is how many routers one that has started asks for their history at a time.
@@ -44,7 +46,7 @@
 		asked, replies = s.askFor(ctx, id, name, &k)
 	}
 	version, verdict := origin.Decide(&k)
-	if verdict == origin.Unknown && attempt != "" && clock.Sleep(ctx, askPause) {
+	for n := 1; verdict == origin.Unknown && (n == 1 || (asked == 0 && n <= maxEarlyAsks)) && clock.Sleep(ctx, askPause); n++ {
 		asked, replies = s.askFor(ctx, id, name, &k)
 		version, verdict = origin.Decide(&k)
 	}
--- a/router/internal/origins/service.go
+++ b/router/internal/origins/service.go
@@ -27,6 +27,8 @@
 	reviewInterval = 50 * time.Millisecond
 	sendTimeout    = 500 * time.Millisecond
 	retryPause     = 500 * time.Millisecond
+	// inheritPause is the pause before a router that has started asks again for the versions that served before.
+	inheritPause = 200 * time.Millisecond
 	// maxPending bounds the records that wait for one router; the oldest make room.
 	maxPending = 4096
 )
@@ -91,8 +93,9 @@
 	holders  *origin.Holders
 	partners map[string]*partner
 	mixed    map[settings.ServiceName]bool
-	// inherited reports that another router with a complete history has replied.
+	// inherited reports that another router with a complete history has replied. inheritAt is when the next ones are asked.
 	inherited bool
+	inheritAt clock.Instant
 	wake      chan struct{}
 	wg        sync.WaitGroup
 }
@@ -202,7 +205,10 @@
 		s.holders = origin.NewHolders(append(slices.Collect(maps.Keys(partners)), s.Address))
 	}
 	after := s.holders
-	inherits := !s.inherited && !s.history.Complete(now) && len(partners) > 0
+	inherits := !s.inherited && !s.history.Complete(now) && len(partners) > 0 && now >= s.inheritAt
+	if inherits {
+		s.inheritAt = now.Add(inheritPause)
+	}
 	s.mu.Unlock()
 
 	var moved []entry
--- a/router/internal/origins/service_test.go
+++ b/router/internal/origins/service_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -37,10 +38,15 @@
 	incarnation peer.Incarnation
 	service     *Service
 	stop        func()
+	// blind means that the router has met no other one yet.
+	blind atomic.Bool
 }
 
 // OriginRouters returns the other routers that run.
 func (n *node) OriginRouters() (list []Router) {
+	if n.blind.Load() {
+		return nil
+	}
 	n.fleet.mu.Lock()
 	defer n.fleet.mu.Unlock()
 	for address, other := range n.fleet.nodes {
@@ -188,6 +194,25 @@
 	}
 }
 
+// TestStartedRouterWaitsForTheOthers guards against a router that refuses a client because it has not met the other routers yet.
+func TestStartedRouterWaitsForTheOthers(t *testing.T) {
+	c := qt.New(t)
+	f := &fleet{t: t}
+	old := f.start("", true)
+	old.list("a", "v1")
+	old.list("b", "v2")
+	old.service.Begin("s", origin.Origin{Service: "letters", Version: "v2"})
+	fresh := f.start("", false)
+	fresh.blind.Store(true)
+	fresh.list("a", "v1")
+	fresh.list("b", "v2")
+	time.Sleep(3 * reviewInterval)
+	time.AfterFunc(2*askPause, func() { fresh.blind.Store(false) })
+	version, verdict := fresh.find("s")
+	c.Assert(verdict, qt.Equals, origin.Remembered)
+	c.Assert(version, qt.Equals, members.Version("v2"))
+}
+
 // TestRestartedHolderGetsItsRecordsAgain guards against records that become fewer with each router that starts again.
 func TestRestartedHolderGetsItsRecordsAgain(t *testing.T) {
 	c := qt.New(t)
