--- a/router/internal/origins/service_test.go
+++ b/router/internal/origins/service_test.go
@@ -198,17 +198,31 @@
 func TestStartedRouterWaitsForTheOthers(t *testing.T) {
 	c := qt.New(t)
 	f := &fleet{t: t}
-	old := f.start("", true)
-	old.list("a", "v1")
-	old.list("b", "v2")
-	old.service.Begin("s", origin.Origin{Service: "letters", Version: "v2"})
+	var nodes []*node
+	for range 8 {
+		n := f.start("", true)
+		n.list("a", "v1")
+		n.list("b", "v2")
+		nodes = append(nodes, n)
+	}
+	time.Sleep(3 * reviewInterval)
 	fresh := f.start("", false)
 	fresh.blind.Store(true)
 	fresh.list("a", "v1")
 	fresh.list("b", "v2")
 	time.Sleep(3 * reviewInterval)
+	// Some of the streams are held by others only.
+	var elsewhere call.ID
+	for i := 0; elsewhere == ""; i++ {
+		attempt := call.ID(fmt.Sprint("s", i))
+		nodes[0].service.Begin(attempt, origin.Origin{Service: "letters", Version: "v2"})
+		c.Assert(f.holdersOf(attempt, nodes[0]) >= 3, qt.IsTrue)
+		if _, ok := fresh.service.remembered(clock.Boot{}.Now(), origin.NewStreamID(attempt)); !ok {
+			elsewhere = attempt
+		}
+	}
 	time.AfterFunc(2*askPause, func() { fresh.blind.Store(false) })
-	version, verdict := fresh.find("s")
+	version, verdict := fresh.find(elsewhere)
 	c.Assert(verdict, qt.Equals, origin.Remembered)
 	c.Assert(version, qt.Equals, members.Version("v2"))
 }
