perf(quarantine): a lost answer that shares nothing costs no decision

Each lost answer of a plain request is evidence now, and each made every router weigh all evidence again. Only traits of two or more suspects are weighed, and a suspect without one changes nothing. BenchmarkLostAnswers (24 upstreams, 64 suspects each): 0.41 ms instead of 1.74 a lost answer, on a busy machine.

--- a/core/quarantine/decide.go
+++ b/core/quarantine/decide.go
@@ -87,16 +87,24 @@
 	return list
 }
 
+// has reports whether the suspect has a trait.
+func (s *Suspect) has(t trait) bool {
+	if t.repeat {
+		return uint64(s.Digest) == t.id
+	}
+	return slices.Contains(s.Blocks, call.PromptBlockID(t.id))
+}
+
 // has reports whether a suspect of the crash has a trait.
 func (c *crash) has(t trait) bool {
-	return slices.ContainsFunc(c.suspects, func(s Suspect) bool { return slices.Contains(s.traits(), t) })
+	return slices.ContainsFunc(c.suspects, func(s Suspect) bool { return s.has(t) })
 }
 
 // commonBlocks returns the blocks that the suspects with a trait have in common with blocks, or with each other if blocks is nil.
 func (c *crash) commonBlocks(t trait, blocks []call.PromptBlockID) []call.PromptBlockID {
 	for _, s := range c.suspects {
 		switch {
-		case !slices.Contains(s.traits(), t):
+		case !s.has(t):
 		case blocks == nil:
 			blocks = slices.Clone(s.Blocks)
 		default:
@@ -146,15 +154,16 @@
 
 // decide returns the traits that explain the crashes, which must be sorted by time, and marks the crashes that they explain. The
 // trait that explains them best is found first. Its crashes then count against no other one, since a block that all prompts of
-// a service share is in the prompts of many victims. It also returns the traits whose survivals could change the decision.
-func decide(crashes []*crash, survivals func(trait) int) (findings []Finding, open []trait) {
+// a service share is in the prompts of many victims. It also returns the traits whose survivals could change the decision. Traits that
+// are not common cannot be found.
+func decide(crashes []*crash, isCommon func(trait) bool, survivals func(trait) int) (findings []Finding, open []trait) {
 	for _, c := range crashes {
 		c.explained = false
 	}
 	for len(findings) < maxFindings {
 		var found []*candidate
 		open = open[:0]
-		for _, c := range candidates(crashes, survivals) {
+		for _, c := range candidates(crashes, isCommon, survivals) {
 			if c.margin() >= minStrength {
 				found = append(found, c)
 			}
@@ -182,8 +191,8 @@
 	return findings, open
 }
 
-// candidates returns the evidence against each trait, by the crashes that are not explained yet.
-func candidates(crashes []*crash, survivals func(trait) int) []*candidate {
+// candidates returns the evidence against each common trait, by the crashes that are not explained yet.
+func candidates(crashes []*crash, isCommon func(trait) bool, survivals func(trait) int) []*candidate {
 	byTrait := make(map[trait]*candidate)
 	for _, c := range crashes {
 		if c.explained {
@@ -192,6 +201,9 @@
 		strengths := make(map[trait]Strength)
 		for i := range c.suspects {
 			for position, t := range c.suspects[i].traits() {
+				if !isCommon(t) {
+					continue
+				}
 				strength := c.suspects[i].Strength
 				if t.repeat {
 					// Nothing else that was open comes again, so a repeat needs no sign of the time of the crash.
--- a/core/quarantine/exchange.go
+++ b/core/quarantine/exchange.go
@@ -83,7 +83,7 @@
 
 // mergeSurvivals adds the number of survivals of a trait that another router has seen. t.mu is held.
 func (t *Tracker) mergeSurvivals(from inflight.RouterID, survived trait, n uint16) {
-	if !t.suspected[survived] {
+	if t.suspected[survived] == 0 {
 		return
 	}
 	if t.others == nil {
--- a/core/quarantine/tracker.go
+++ b/core/quarantine/tracker.go
@@ -25,6 +25,8 @@
 	maxBlocks   = 32
 	// maxSeen bounds the blocks and digests whose survivals this router counts.
 	maxSeen = 8192
+	// minSuspects is the number of suspects with a trait from which on it can matter. Most digests are in one suspect only.
+	minSuspects = 2
 	// crashSpread bounds the time between the reports of one crash. A process that ends connections over a longer time has crashed
 	// with the last of them, if at all.
 	crashSpread = time.Second
@@ -71,8 +73,8 @@
 	// own counts the survivals that this router has seen, by trait; others those of the other routers.
 	own    *simplelru.LRU[trait, *seen]
 	others map[trait]map[inflight.RouterID]uint16
-	// suspected holds the traits in crashes. open holds those whose survivals could change the decision.
-	suspected map[trait]bool
+	// suspected counts the suspects with a trait. open holds the traits whose survivals could change the decision.
+	suspected map[trait]int
 	open      []trait
 	findings  []Finding
 	undecided bool
@@ -143,7 +145,7 @@
 		t.own.Add(survived, s)
 	}
 	limit := uint16(maxSurvivals)
-	if !t.suspected[survived] {
+	if t.suspected[survived] == 0 {
 		limit = maxPriorSurvivals
 		s.count = min(s.count, limit)
 		if now.Sub(s.last) > priorTime {
@@ -155,7 +157,7 @@
 		return
 	}
 	s.count++
-	if t.suspected[survived] {
+	if t.suspected[survived] > 0 {
 		t.change++
 		s.changed = t.change
 		t.undecided = true
@@ -196,24 +198,30 @@
 	if at.Sub(r.at) > crashSpread {
 		r.at = at
 	}
+	if expiry := r.at.Add(unexplainedTime); t.expiry == 0 || expiry < t.expiry {
+		t.expiry = expiry
+	}
 	return r
 }
 
-// suspect notes the traits of a suspected request. t.mu is held.
+// suspect counts the traits of a suspected request. t.mu is held.
 func (t *Tracker) suspect(now clock.Instant, suspect Suspect) {
-	t.undecided = true
 	if t.suspected == nil {
-		t.suspected = make(map[trait]bool)
+		t.suspected = make(map[trait]int)
 	}
 	for _, tr := range suspect.traits() {
-		if t.suspected[tr] {
+		t.suspected[tr]++
+		if t.suspected[tr] >= minSuspects {
+			t.undecided = true
 			continue
 		}
-		t.suspected[tr] = true
 		if s, ok := t.ownSurvivals(tr); ok && now.Sub(s.last) > priorTime {
 			s.count = 0
 		}
 	}
+	if len(t.crashes) > maxCrashes {
+		t.undecided = true
+	}
 }
 
 func (t *Tracker) ownSurvivals(tr trait) (*seen, bool) {
@@ -251,7 +259,7 @@
 	}
 	slices.SortFunc(list, func(a, b *crash) int { return cmp.Compare(a.at, b.at) })
 	findings, open := t.findings, t.open
-	t.findings, t.open = decide(list, t.survivals)
+	t.findings, t.open = decide(list, func(tr trait) bool { return t.suspected[tr] >= minSuspects }, t.survivals)
 	t.expire(now)
 	t.reportSurvivals(open)
 	t.notify(findings)
@@ -304,12 +312,12 @@
 	for _, r := range t.crashes {
 		for i := range r.suspects {
 			for _, tr := range r.suspects[i].traits() {
-				t.suspected[tr] = true
+				t.suspected[tr]++
 			}
 		}
 	}
 	for tr := range t.others {
-		if !t.suspected[tr] {
+		if t.suspected[tr] == 0 {
 			delete(t.others, tr)
 		}
 	}
