--- a/router/internal/app/direct.go
+++ b/router/internal/app/direct.go
@@ -16,26 +16,19 @@
 	"rattantrack.dev/core/backoff"
 	"rattantrack.dev/core/clock"
 	"rattantrack.dev/core/gossip"
-	"rattantrack.dev/core/inflight"
 	"rattantrack.dev/core/kernel"
 	"rattantrack.dev/core/members"
 	"rattantrack.dev/core/operator"
 	"rattantrack.dev/core/outlier"
 	"rattantrack.dev/core/peer"
-	"rattantrack.dev/core/polling"
 	"rattantrack.dev/core/quarantine"
 	"rattantrack.dev/core/ratelimit"
-	"rattantrack.dev/core/relay"
-	"rattantrack.dev/core/retry"
 	"rattantrack.dev/core/revision"
 	"rattantrack.dev/core/routing"
 	"rattantrack.dev/core/settings"
 	"rattantrack.dev/core/unresponsive"
-	"rattantrack.dev/core/waiting"
-	"rattantrack.dev/platform"
 	"rattantrack.dev/router/internal/client"
 	"rattantrack.dev/router/internal/crashes"
-	"rattantrack.dev/router/internal/direct"
 	"rattantrack.dev/router/internal/directory"
 	"rattantrack.dev/router/internal/engines"
 	"rattantrack.dev/router/internal/loads"
@@ -130,141 +123,6 @@
 	debug.SetMemoryLimit(int64(memoryFraction * float64(mb<<20)))
 }
 
-// createServices creates the services with references to each other.
-func (d *Direct) createServices(incarnation peer.Incarnation) {
-	scope := d.metrics.Scope
-	inFlight := &inflight.Tracker{}
-	d.connections = &upstream.Pool{Dialect: platform.Dialect{}, OnDial: func(_ members.Instance, err error) {
-		scope.Tagged(map[string]string{"ok": yesNo(err == nil)}).Counter("upstream_connections").Inc(1)
-	}}
-	d.routers = &routers.Service{
-		ID:              inflight.RouterID(d.cfg.ID),
-		Address:         d.cfg.Advertise,
-		Incarnation:     incarnation,
-		Cores:           d.cfg.Direct.Cores,
-		Seeds:           d.cfg.Peers,
-		Dialer:          d.endpoint,
-		InFlight:        inFlight,
-		Unresponsive:    d.unresponsive,
-		Affinity:        d.affinity,
-		Members:         d.members,
-		Clock:           clock.Boot{},
-		Log:             d.log,
-		Scope:           scope,
-		HasCacheEntries: func() bool { return d.warmup.Complete() },
-		DirectoryState:  func() (time.Duration, bool) { return d.watcher.State() },
-		CacheQueried:    func() []settings.UpstreamID { return d.warmup.Queried() },
-		OnEvents:        d.applyMemberEvents,
-	}
-	d.loads = &loads.Service{
-		ID: inflight.RouterID(d.cfg.ID),
-		Self: relay.Router{
-			Address: d.cfg.Advertise, DataCentre: d.cfg.DataCentre, Cores: d.cfg.Direct.Cores,
-		},
-		Routers:        d.routers,
-		Dialer:         d.endpoint,
-		InFlight:       inFlight,
-		Members:        d.members,
-		RateLimits:     d.rateLimits,
-		DirectoryState: func() (time.Duration, bool) { return d.watcher.State() },
-		Clock:          clock.Boot{},
-		Log:            d.log,
-		Scope:          scope,
-	}
-	d.crashes = &crashes.Service{
-		ID:         inflight.RouterID(d.cfg.ID),
-		Routers:    d.routers,
-		Dialer:     d.endpoint,
-		Quarantine: d.quarantine,
-		Clock:      clock.Boot{},
-		Log:        d.log,
-		Scope:      scope,
-	}
-	d.origins = &origins.Service{
-		ID:           inflight.RouterID(d.cfg.ID),
-		Address:      d.cfg.Advertise,
-		FirstStart:   d.cfg.Direct.FirstStart,
-		Routers:      d.routers,
-		Dialer:       d.endpoint,
-		DirectoryAge: d.directoryAge,
-		KnownRouters: d.routers.Known,
-		Clock:        clock.Boot{},
-		Log:          d.log,
-		Scope:        scope,
-	}
-	d.gossip = &gossip.Service{Store: d.store, Dialer: d.endpoint, Log: d.log, Candidates: d.routers.Addresses}
-	d.watcher = &directory.Watcher{
-		Self:      polling.Candidate{Address: d.cfg.Advertise, Cores: d.cfg.Direct.Cores},
-		Routers:   directoryRouters{Service: d.routers, loads: d.loads},
-		Source:    &platform.Store{URL: d.cfg.Direct.Directory, HTTP: directoryClient()},
-		Store:     d.store,
-		Offer:     d.gossip,
-		Members:   d.members,
-		Clock:     clock.Boot{},
-		Log:       d.log,
-		Scope:     scope,
-		OnEvents:  d.applyMemberEvents,
-		Broadcast: d.routers.Broadcast,
-	}
-	d.warmup = &engines.Warmup{
-		Address:    d.cfg.Advertise,
-		Seeds:      d.cfg.Peers,
-		FirstStart: d.cfg.Direct.FirstStart,
-		Cache:      platform.Engines{HTTP: &http.Client{}},
-		Routers:    d.routers,
-		Members:    d.members,
-		Services:   d.cachingServices,
-		Affinity:   d.affinity,
-		Clock:      clock.Boot{},
-		Log:        d.log,
-		Scope:      scope,
-	}
-	budget := d.cfg.Direct.RetryBudget
-	dispatcher := &direct.Dispatcher{
-		DataCentre:   d.cfg.DataCentre,
-		Members:      d.members,
-		InFlight:     inFlight,
-		Affinity:     d.affinity,
-		Outliers:     d.outliers,
-		Unresponsive: d.unresponsive,
-		Backoff:      d.backoff,
-		Quarantine:   d.quarantine,
-		RateLimits:   d.rateLimits,
-		Origins:      d.origins,
-		Queues:       &waiting.Queues{},
-		Refusals:     &waiting.Refusals{},
-		Budget:       &retry.FleetBudget{Limits: retry.Limits{Ratio: budget.Ratio, Slack: budget.Slack, Window: budget.Window}},
-		Connections:  d.connections,
-		Dialect:      platform.Dialect{},
-		Warmup:       d.warmup,
-		Clock:        clock.Boot{},
-		KnownRouters: d.routers.Known,
-		Log:          d.log,
-		Scope:        scope,
-	}
-	dispatcher.OnLeaving = d.recordLeaving
-	d.quarantine.OnChange = d.logFinding
-	d.unresponsive.OnChange = func(id settings.UpstreamID, noResponse bool) {
-		if !noResponse {
-			d.log.Info("upstream heard again", "upstream", id)
-			return
-		}
-		d.log.Warn("upstream silent", "upstream", id, "quiet_ms", unresponsive.ResponseTimeout.Milliseconds())
-	}
-	d.client = &client.Server{
-		Address:    d.cfg.Caller,
-		NoticeTime: d.cfg.NoticeTime,
-		DrainTime:  d.cfg.DrainTime,
-		Dispatcher: dispatcher,
-		Dialect:    platform.Dialect{},
-		Clock:      clock.Boot{},
-		Log:        d.log,
-		Scope:      scope,
-	}
-	d.readiness = &readiness{address: d.cfg.Direct.Readiness, path: platform.ReadyPath, ready: d.ready}
-	d.announcer = &operator.Announcer{Log: d.log, Message: "router ready"}
-}
-
 // directoryRouters reports the directory reads of the other routers, by whatever way they became known first.
 type directoryRouters struct {
 	*routers.Service
@@ -319,43 +177,6 @@
 	}}
 }
 
-// applyMemberEvents logs changes of instances and discards the state of instances that were removed, restarted or are
-// draining.
-func (d *Direct) applyMemberEvents(source string, events []members.Event) {
-	d.origins.Apply(events)
-	for _, e := range events {
-		d.log.Info("instance", "upstream", e.ID, "change", e.Kind, "service", e.Instance.Service, "version", e.Instance.Version,
-			"address", e.Instance.Address, "entry_revision", e.Revision, "source", source)
-		switch e.Kind {
-		case members.EventRemoved:
-			d.connections.Forget(e.Instance)
-			d.affinity.Forget(e.ID)
-			d.outliers.Forget(e.ID)
-			d.unresponsive.Forget(e.ID)
-			d.rateLimits.Forget(e.ID)
-		case members.EventRestarted:
-			d.affinity.Forget(e.ID)
-			d.outliers.Forget(e.ID)
-			d.unresponsive.Forget(e.ID)
-			d.rateLimits.Forget(e.ID)
-		case members.EventDraining:
-			d.connections.Forget(e.Instance)
-		}
-	}
-}
-
-// recordLeaving stops the use of an upstream that has stated in an answer that it is leaving, and passes it on to the other
-// routers.
-func (d *Direct) recordLeaving(inst members.Instance) {
-	events := d.members.MarkLeaving(inst)
-	if len(events) == 0 {
-		return
-	}
-	d.metrics.Scope.Counter("upstreams_leaving").Inc(1)
-	d.applyMemberEvents("answer", events)
-	d.routers.Broadcast(members.ChangesOf(events))
-}
-
 // applyDeclarations gives the client server the routing table of an accepted version of the declarations.
 func (d *Direct) applyDeclarations(c revision.Change) {
 	table := routing.New(c.Declarations, c.Version.Revision)
