fix(origin): an instance that serves as missing counts among the versions

An entry that another router had before an outage of the directory is used as missing without ever having been listed here, so its version was not among those that may have begun a stream. The new test failed before.

--- a/core/origin/history.go
+++ b/core/origin/history.go
@@ -63,10 +63,11 @@
 		h.left = make(map[Origin]clock.Instant)
 	}
 	for _, e := range events {
-		if e.Kind == members.EventMissing {
+		was, ok := h.instances[e.ID]
+		if ok && e.Kind == members.EventMissing {
 			continue
 		}
-		if was, ok := h.instances[e.ID]; ok {
+		if ok {
 			delete(h.instances, e.ID)
 			if h.count[was.origin]--; h.count[was.origin] == 0 {
 				delete(h.count, was.origin)
--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -69,6 +69,18 @@
 	c.Assert(h.left, qt.HasLen, 0)
 }
 
+// TestMissingInstanceCounts guards against an instance that serves although its entry was never listed here: another router had it
+// before an outage of the directory.
+func TestMissingInstanceCounts(t *testing.T) {
+	c := qt.New(t)
+	var h History
+	h.Apply(at(0), []members.Event{event(members.EventAdded, "a", "v2"), event(members.EventMissing, "b", "v1")})
+	c.Assert(h.Mixed(at(0), "letters"), qt.IsTrue)
+	h.Apply(at(2), []members.Event{event(members.EventRemoved, "b", "v1")})
+	c.Assert(h.Mixed(at(61), "letters"), qt.IsTrue)
+	c.Assert(h.Mixed(at(63), "letters"), qt.IsFalse)
+}
+
 // TestStartedRouterInheritsTheHistory guards against a router that takes the versions which it finds for all that there were.
 func TestStartedRouterInheritsTheHistory(t *testing.T) {
 	c := qt.New(t)
