fix(placement): an overloaded fleet keeps prompts where they are cached

As soon as the mean load nears the number of slots, the engine that caches a prompt is full (Overcommit 1), and the request takes whichever engine has a slot. That engine prefills the prompt again and evicts others, so that all engines slow down. Loads in units of one request outweigh the prompt once they are tens of requests. Change: above a mean of 20 loads count relative to the mean. The cheapest upstream is chosen among the full ones too; if it is full, the request goes elsewhere only where there is room to spare: a free slot for a short prompt, a quarter of them for a long one.

--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -35,6 +35,8 @@
 	SharedTokens settings.Tokens
 	// Affinity means that the upstreams cache prompts.
 	Affinity bool
+	// Overcommit is the number of requests that an upstream may have open for each of its slots, with this one; 0 for that of the policy.
+	Overcommit float64
 }
 
 // Policy weighs the load of upstreams against the work of prefilling a prompt again. Costs are in units of one open request.
@@ -62,6 +64,13 @@
 	FailureCost float64
 	// Overcommit is the number of open requests that an upstream may have for each of its slots.
 	Overcommit float64
+	// LoadScale is the mean load above which loads count relative to the mean, 0 for never. In a busy fleet all loads are high, and the
+	// differences between them are no reason to prefill a prompt again.
+	LoadScale float64
+	// Spill is the number of open requests for each slot up to which an upstream takes requests whose cheapest upstream is full. LongSpill
+	// applies instead if it would have to prefill LongPrefix tokens or more. Where no upstream has so few, the request waits: moved to
+	// whichever upstream has a slot, its prompt would displace those of others.
+	Spill, LongSpill float64
 }
 
 // Reason is the result code of a choice.
@@ -73,34 +82,35 @@
 	Chosen Reason = "chosen"
 	// NoUpstream means that there is no candidate or that all are excluded.
 	NoUpstream Reason = "no_upstream"
-	// Full means that every candidate that is not excluded has as many open requests as Policy.Overcommit allows, or is refused.
+	// Full means that the cheapest candidate has as many open requests as it may, or is refused, and no other one has room to spare.
 	Full Reason = "full"
 )
 
 // Choice is the result of Choose.
 type Choice struct {
 	Reason Reason
-	// Index is the chosen candidate's index in the list.
+	// Index is the index in the list of the chosen candidate or, with Full, of the cheapest one.
 	Index int
-	// MeanLoad is the mean load of all candidates; LoadBound is the load bound of the chosen one.
+	// MeanLoad is the mean load of all candidates; LoadBound is the load bound of that one.
 	MeanLoad, LoadBound float64
-	// Load and CachedTokens are those of the chosen candidate.
+	// Load and CachedTokens are those of that candidate.
 	Load         int
 	CachedTokens settings.Tokens
 	// CacheOwner is the candidate with the most cached tokens of the prompt if it has more than the chosen one, else nil.
 	CacheOwner *Candidate
 }
 
-// Choose returns the candidate with the lowest cost within its load bound. The costs serve three load patterns: sessions that
+// Choose returns the candidate with the lowest cost within its load bound. The costs serve four load patterns: sessions that
 // return to a long prompt stay at the upstream that caches it until its load is near the bound, bursts of short requests are
-// distributed over the least loaded upstreams, and many routers that place requests at the same moment do not all choose the
-// upstream that is the least loaded for all of them.
+// distributed over the least loaded upstreams, many routers that place requests at the same moment do not all choose the
+// upstream that is the least loaded for all of them, and in an overloaded fleet prompts keep their upstreams, so that these do not
+// prefill them again in place of serving requests.
 func Choose(p *Policy, r *Request, candidates []Candidate) Choice {
 	if len(candidates) == 0 {
 		return Choice{Reason: NoUpstream}
 	}
 	choice := Choice{Reason: NoUpstream, MeanLoad: meanLoad(candidates)}
-	lowestCost := 0.0
+	cheapest, spill := lowest{index: -1}, lowest{index: -1}
 	var owner *Candidate
 	for i := range candidates {
 		c := &candidates[i]
@@ -110,25 +120,59 @@
 		if c.Excluded {
 			continue
 		}
-		if c.Refused || float64(c.Load+1) > p.Overcommit*float64(c.Slots) {
-			if choice.Reason == NoUpstream {
-				choice.Reason = Full
-			}
-			continue
-		}
 		cost := p.cost(r, c, choice.MeanLoad)
-		if choice.Reason != Chosen || cost < lowestCost {
-			choice.Reason, choice.Index, lowestCost = Chosen, i, cost
-			choice.LoadBound = p.loadBound(r, c, choice.MeanLoad)
-			choice.Load, choice.CachedTokens = c.Load, c.CachedTokens
+		cheapest.offer(i, cost)
+		if !c.Refused && float64(c.Load+1) <= min(p.spill(r, c), p.overcommit(r))*float64(c.Slots) {
+			spill.offer(i, cost)
 		}
 	}
+	if cheapest.index < 0 {
+		return choice
+	}
+	choice.Reason, choice.Index = Chosen, cheapest.index
+	if c := &candidates[cheapest.index]; c.Refused || float64(c.Load+1) > p.overcommit(r)*float64(c.Slots) {
+		choice.Reason = Full
+		if spill.index >= 0 {
+			choice.Reason, choice.Index = Chosen, spill.index
+		}
+	}
+	c := &candidates[choice.Index]
+	choice.LoadBound = p.loadBound(r, c, choice.MeanLoad)
+	choice.Load, choice.CachedTokens = c.Load, c.CachedTokens
 	if owner != nil && owner.CachedTokens > choice.CachedTokens {
 		choice.CacheOwner = owner
 	}
 	return choice
 }
 
+// lowest is the candidate with the lowest cost so far; index is -1 for none.
+type lowest struct {
+	index int
+	cost  float64
+}
+
+func (l *lowest) offer(i int, cost float64) {
+	if l.index < 0 || cost < l.cost {
+		l.index, l.cost = i, cost
+	}
+}
+
+// overcommit returns the number of requests that an upstream may have open for each of its slots.
+func (p *Policy) overcommit(r *Request) float64 {
+	if r.Overcommit > 0 {
+		return r.Overcommit
+	}
+	return p.Overcommit
+}
+
+// spill returns the number of open requests for each slot up to which the candidate takes the request from a full one.
+func (p *Policy) spill(r *Request, c *Candidate) float64 {
+	if r.Affinity && r.SharedTokens-c.CachedTokens >= p.LongPrefix {
+		return p.LongSpill
+	}
+	return p.Spill
+}
+
 // meanLoad returns the mean load of the candidates. Those with rate limits hold little, whatever the others do; they count only if all
 // have limits.
 func meanLoad(candidates []Candidate) float64 {
@@ -168,6 +212,9 @@
 		// others are loaded that much, more is wanted all the time, and the limit is used to the full.
 		cost = max(cost, min(mean, limitedLoadShare*float64(c.Slots)))
 	}
+	if p.LoadScale > 0 && mean > p.LoadScale {
+		cost *= p.LoadScale / mean
+	}
 	cached := r.SharedTokens > 0 && c.CachedTokens >= r.SharedTokens
 	if !cached {
 		cost += p.OrderCost * c.Order
--- a/core/placement/choose_test.go
+++ b/core/placement/choose_test.go
@@ -15,7 +15,7 @@
 var policy = Policy{
 	Multiple: 1.4, Slack: 2, LongMultiple: 1.75, LongSlack: 2.5, LongPrefix: 2000,
 	TokensPerRequest: 300, NonPrimaryCost: 4, OrderCost: 3, DistanceCost: 0.25, ColdCost: 3, FailureCost: 12, Overcommit: 1,
-	ExcessCost: 10,
+	ExcessCost: 10, LoadScale: 20, Spill: 1, LongSpill: 0.75,
 }
 
 // TestRateLimitIsLeftToPromptsThatGainMost replays upstreams of which more is wanted than their rate limits allow: short prompts leave the
@@ -211,3 +211,39 @@
 	}
 	c.Assert(drawn < n/5, qt.IsTrue, qt.Commentf("%d of %d requests chose the limited one of ten upstreams", drawn, n))
 }
+
+// TestOverloadedFleetKeepsPromptsWhereTheyAreCached guards against a collapse: once all engines are nearly full, a long prompt that took
+// whichever engine has a slot would be prefilled there again, in place of the requests that the engine could have served.
+func TestOverloadedFleetKeepsPromptsWhereTheyAreCached(t *testing.T) {
+	long := Request{DataCentre: "kano", SharedTokens: 10_500, Affinity: true}
+	short := Request{DataCentre: "kano", SharedTokens: 450, Affinity: true}
+	engines := func(home, cached, others int) []Candidate {
+		list := []Candidate{candidate("home", home, settings.Tokens(cached))}
+		list[0].Primary = true
+		for _, id := range []string{"a", "b", "c"} {
+			list = append(list, candidate(id, others, 0))
+		}
+		return list
+	}
+	tests := []struct {
+		name       string
+		request    Request
+		candidates []Candidate
+		want       Reason
+		chosen     int
+	}{
+		{"a slot elsewhere does not draw a long prompt", long, engines(64, 10_500, 60), Full, 0},
+		{"differences of some requests do not draw a short one", short, engines(63, 450, 50), Chosen, 0},
+		{"a short prompt takes a free slot while its engine is full", short, engines(64, 450, 63), Chosen, 1},
+		{"a short prompt waits if there is none", short, engines(64, 450, 64), Full, 0},
+		{"room to spare draws a long prompt from a full engine", long, engines(64, 10_500, 47), Chosen, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			got := Choose(&policy, &tt.request, tt.candidates)
+			c.Assert(got.Reason, qt.Equals, tt.want)
+			c.Assert(got.Index, qt.Equals, tt.chosen)
+		})
+	}
+}
