fix(inflight): old counts of short requests approach their mean

Cause: a plain service ends requests in 30 ms, the counts of other routers are 120 ms old. Change: Expected lets the counts of others approach their mean with age over the time that a request stays open.

--- a/core/inflight/tracker.go
+++ b/core/inflight/tracker.go
@@ -1,6 +1,7 @@
 package inflight
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -38,7 +39,9 @@
 	sums        map[settings.DataCentre]report
 	totals      report
 	remoteTotal Counts
-	expires     clock.Instant
+	// remoteAt is the mean time at which the counts in remoteTotal were received.
+	remoteAt clock.Instant
+	expires  clock.Instant
 }
 
 // Begin counts a request that is about to be sent.
@@ -128,15 +131,25 @@
 func (t *Tracker) TotalsFor(now clock.Instant, to RouterID, name settings.DataCentre) Counts {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	sum, _ := t.addUp(now, to, name)
+	sum, _, _ := t.addUp(now, to, name)
 	sum.add(t.local)
 	return sum
 }
 
 // addUp adds up the counts of the other routers without those of one. own is the data centre whose sums are not used, since
-// they would include that router. It also returns when the first of the used counts expires.
-func (t *Tracker) addUp(now clock.Instant, without RouterID, own settings.DataCentre) (Counts, clock.Instant) {
-	sum, expires := make(Counts), now.Add(reportLifetime)
+// they would include that router. It also returns the mean time at which the used counts were received, and when the first of them
+// expires.
+func (t *Tracker) addUp(
+	now clock.Instant, without RouterID, own settings.DataCentre,
+) (sum Counts, received, expires clock.Instant) {
+	sum, expires = make(Counts), now.Add(reportLifetime)
+	var age time.Duration
+	used := 0
+	use := func(r *report) {
+		sum.add(r.counts)
+		age += now.Sub(r.at)
+		used++
+	}
 	fresh := make(map[settings.DataCentre]bool, len(t.sums))
 	for name, r := range t.sums {
 		end := r.at.Add(sumLifetime)
@@ -145,7 +158,7 @@
 		}
 		fresh[name] = true
 		expires = min(expires, end)
-		sum.add(r.counts)
+		use(&r)
 	}
 	for from, r := range t.reports {
 		end := r.at.Add(reportLifetime)
@@ -157,9 +170,9 @@
 			continue
 		}
 		expires = min(expires, end)
-		sum.add(r.counts)
+		use(&r)
 	}
-	return sum, expires
+	return sum, now.Add(-age / time.Duration(max(1, used))), expires
 }
 
 func (c Counts) add(other Counts) {
@@ -173,9 +186,9 @@
 	if t.remoteTotal != nil && now.Before(t.expires) {
 		return
 	}
-	t.remoteTotal, t.expires = t.addUp(now, "", "")
+	t.remoteTotal, t.remoteAt, t.expires = t.addUp(now, "", "")
 	if end := t.totals.at.Add(sumLifetime); t.totals.at != 0 && now.Before(end) {
-		t.remoteTotal, t.expires = t.totals.counts, end
+		t.remoteTotal, t.remoteAt, t.expires = t.totals.counts, t.totals.at, end
 	}
 }
 
@@ -191,6 +204,28 @@
 	return loads
 }
 
+// Expected returns the number of requests that all routers are expected to have open at each upstream, in the given order. residence is
+// how long a request stays open. A count says little of an upstream whose requests have since been replaced by others, so the counts
+// of the other routers approach their mean with age. Routers that took such counts for current ones would all choose the upstream
+// that was the least loaded some time ago.
+func (t *Tracker) Expected(now clock.Instant, ids []settings.UpstreamID, residence time.Duration) []int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.refresh(now)
+	loads := make([]int, len(ids))
+	sum := 0
+	for _, id := range ids {
+		sum += t.remoteTotal[id]
+	}
+	mean := float64(sum) / float64(max(1, len(ids)))
+	kept := math.Exp(-now.Sub(t.remoteAt).Seconds() / max(residence, time.Millisecond).Seconds())
+	for i, id := range ids {
+		others := mean + (float64(t.remoteTotal[id])-mean)*kept
+		loads[i] = t.local[id] + int(math.Round(others))
+	}
+	return loads
+}
+
 // Others returns the number of requests that the other routers have open at each upstream, in the given order.
 func (t *Tracker) Others(now clock.Instant, ids []settings.UpstreamID) []int {
 	t.mu.Lock()
--- a/core/inflight/tracker_test.go
+++ b/core/inflight/tracker_test.go
@@ -1,6 +1,7 @@
 package inflight
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -61,3 +62,22 @@
 	c.Assert(tracker.Loads(now.Add(sumLifetime/2), ids), qt.DeepEquals, []int{21})
 	c.Assert(tracker.Loads(now.Add(sumLifetime), ids), qt.DeepEquals, []int{4})
 }
+
+// TestOldCountsOfShortRequestsDrawNoHerd replays routers that place requests of 30 ms by counts that are 120 ms old: the upstream that
+// was the least loaded then is so no longer, and all routers would choose it. Requests of seconds are still there.
+func TestOldCountsOfShortRequestsDrawNoHerd(t *testing.T) {
+	c := qt.New(t)
+	var tracker Tracker
+	at := clock.Instant(time.Minute)
+	tracker.ReportTotals(at, Counts{"a": 0, "b": 24, "c": 24, "d": 24})
+	now := at.Add(120 * time.Millisecond)
+	ids := []settings.UpstreamID{"a", "b", "c", "d"}
+	short := tracker.Expected(now, ids, 30*time.Millisecond)
+	c.Assert(slices.Max(short)-slices.Min(short) <= 1, qt.IsTrue, qt.Commentf("%v", short))
+	long := tracker.Expected(now, ids, 5*time.Second)
+	c.Assert(long[0] <= 1 && long[1] >= 23, qt.IsTrue, qt.Commentf("%v", long))
+	// Requests of this router are known exactly.
+	tracker.Begin("c")
+	tracker.Begin("c")
+	c.Assert(tracker.Expected(now, ids, 30*time.Millisecond)[2]-short[2], qt.Equals, 2)
+}
