fix(waiting,direct): requests wait at their upstream, bounded by time, and a stalled attempt goes on without a retry

Cause: a router knows a free slot some 100 ms late, and its own queue holds requests whose upstreams have no room beside those whose have. Change: an upstream's queue is bounded by the time that a request may wait there, half of the shortest objective of its rank and the more urgent ones (Demand), by the mean run time (Durations). The stall timer adds the expected wait, and gives an attempt up only if the budget has a retry for it. Requests wait in the router only while an answer within the objective is possible, keep their place while they are placed again, and clients that are sent away come back one after the other as requests end.

--- a/core/waiting/queue.go
+++ b/core/waiting/queue.go
@@ -14,6 +14,8 @@
 const (
 	// maxWaiters limits the waiting requests of one service at one router.
 	maxWaiters = 256
+	// maxReturns limits the remembered returns of clients of one service.
+	maxReturns = 1024
 	// maxNoUpstreamWait limits the wait of a request whose service has no upstream. A directory entry or a connection that
 	// is about to return takes less time.
 	maxNoUpstreamWait = 300 * time.Millisecond
@@ -49,6 +51,8 @@
 	// endInterval is the moving average of the time between the ends of requests.
 	endInterval time.Duration
 	lastEnd     clock.Instant
+	// returns holds when the clients that were sent away are told to come back, in ascending order.
+	returns []clock.Instant
 }
 
 // Queues holds the queues of all services; the zero value is empty and ready to use. When a burst exceeds the capacity of
@@ -85,10 +89,12 @@
 	}
 	wait := time.Duration(ahead+1) * queue.endInterval
 	if len(queue.waiters) >= maxWaiters || now.Add(wait) > w.Deadline {
-		return &Refusal{Reason: "queue_too_long", RetryAfter: clampRetryAfter(wait)}
+		return &Refusal{Reason: "queue_too_long", RetryAfter: queue.retryAfter(now, ahead+1)}
+	}
+	if w.arrived == 0 {
+		q.arrival++
+		w.arrived = q.arrival
 	}
-	q.arrival++
-	w.arrived = q.arrival
 	w.ready = make(chan struct{})
 	queue.waiters = append(queue.waiters, w)
 	slices.SortStableFunc(queue.waiters, func(x, y *Waiter) int {
@@ -142,14 +148,27 @@
 }
 
 // RetryAfter returns the time after which a client should retry whose request has waited without success.
-func (q *Queues) RetryAfter(name settings.ServiceName) time.Duration {
+func (q *Queues) RetryAfter(now clock.Instant, name settings.ServiceName) time.Duration {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	queue := q.ofService(name)
-	return clampRetryAfter(time.Duration(len(queue.waiters)+1) * queue.endInterval)
+	return queue.retryAfter(now, len(queue.waiters)+1)
 }
 
-func clampRetryAfter(d time.Duration) time.Duration { return min(max(d, minRetryAfter), maxRetryAfter) }
+// retryAfter returns when there should be room for a request with ahead others to serve before it, and notes its return. Those that were
+// sent away before have their turn first, so that clients come back one after the other, as requests end.
+func (q *serviceQueue) retryAfter(now clock.Instant, ahead int) time.Duration {
+	due, _ := slices.BinarySearch(q.returns, now)
+	q.returns = slices.Delete(q.returns, 0, due)
+	wait := time.Duration(ahead+len(q.returns)) * q.endInterval
+	wait = min(max(wait, minRetryAfter), maxRetryAfter)
+	if len(q.returns) < maxReturns {
+		at := now.Add(wait)
+		i, _ := slices.BinarySearch(q.returns, at)
+		q.returns = slices.Insert(q.returns, i, at)
+	}
+	return wait
+}
 
 // NoUpstreamWait returns how long a request waits while its service has no upstream, at most a quarter of the time that remains.
 func NoUpstreamWait(remaining time.Duration) time.Duration {
--- a/core/waiting/queue_test.go
+++ b/core/waiting/queue_test.go
@@ -82,3 +82,45 @@
 	c.Assert(woken(a), qt.IsFalse)
 	c.Assert(woken(b), qt.IsTrue)
 }
+
+// TestClientsSentAwayComeBackOneAfterTheOther guards against a crowd that is told the same time to come back: 100 requests that no
+// queue can hold arrive at once, at a service that ends one request each 10 ms.
+func TestClientsSentAwayComeBackOneAfterTheOther(t *testing.T) {
+	c := qt.New(t)
+	var queues Queues
+	now := clock.Instant(time.Second)
+	for range 200 {
+		now = now.Add(10 * time.Millisecond)
+		queues.RequestEnded(now, "letters")
+	}
+	windows := make(map[time.Duration]int)
+	for range 100 {
+		refusal := queues.Enter(now, "letters", &Waiter{Deadline: now})
+		c.Assert(refusal, qt.IsNotNil)
+		windows[refusal.RetryAfter/(100*time.Millisecond)]++
+	}
+	// Before the shortest time to come back ends, 20 requests end; afterwards one each 10 ms.
+	for window, n := range windows {
+		c.Assert(n <= 30, qt.IsTrue, qt.Commentf("%d come back in the tenth of a second from %v", n, window*100*time.Millisecond))
+	}
+	// Those that were due have had their turn.
+	now = now.Add(maxRetryAfter)
+	refusal := queues.Enter(now, "letters", &Waiter{Deadline: now})
+	c.Assert(refusal.RetryAfter, qt.Equals, minRetryAfter)
+}
+
+// TestRequestKeepsItsPlaceWhilePlacedAgain guards against waiters that go to the end of the queue because their upstream had no
+// room when they were woken.
+func TestRequestKeepsItsPlaceWhilePlacedAgain(t *testing.T) {
+	c := qt.New(t)
+	var queues Queues
+	first, second := &Waiter{Deadline: clock.Instant(time.Second)}, &Waiter{Deadline: clock.Instant(time.Second)}
+	c.Assert(queues.Enter(ms, "letters", first), qt.IsNil)
+	c.Assert(queues.Enter(ms, "letters", second), qt.IsNil)
+	queues.RequestEnded(2*ms, "letters")
+	c.Assert(woken(first), qt.IsTrue)
+	c.Assert(queues.Enter(2*ms, "letters", first), qt.IsNil)
+	queues.RequestEnded(3*ms, "letters")
+	c.Assert(woken(first), qt.IsTrue)
+	c.Assert(woken(second), qt.IsFalse)
+}
--- a/router/internal/app/services.go
+++ b/router/internal/app/services.go
@@ -131,6 +131,8 @@
 		Origins:      d.origins,
 		Queues:       &waiting.Queues{},
 		Refusals:     &waiting.Refusals{},
+		RunTimes:     &waiting.Durations{}, Residence: &waiting.Durations{},
+		Demand:       &waiting.Demand{},
 		Budget:       &retry.FleetBudget{Limits: retry.Limits{Ratio: budget.Ratio, Slack: budget.Slack, Window: budget.Window}},
 		Connections:  d.connections,
 		Dialect:      platform.Dialect{},
--- a/router/internal/direct/attempt.go
+++ b/router/internal/direct/attempt.go
@@ -5,32 +5,20 @@
 	"io"
 	"maps"
 	"net/http"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"rattantrack.dev/core/attempt"
 	"rattantrack.dev/core/call"
+	"rattantrack.dev/core/clock"
 	"rattantrack.dev/core/members"
 	"rattantrack.dev/core/settings"
 	"rattantrack.dev/router/internal/upstream"
 )
 
-// Limits of one attempt.
-const (
-	// maxBufferedBytes bounds the responses that are read completely before the client gets any of them, so that the
-	// request can still be retried.
-	maxBufferedBytes = 256 << 10
-	// responseTimeoutFactor gives the response timeout of a repeatable request as a multiple of its objective. After the
-	// timeout the attempt is given up for a retry elsewhere.
-	responseTimeoutFactor = 2
-	// minResponseTimeout and minStallTimeout are the lower bounds on the wait for a response and for a stream event.
-	minResponseTimeout = 250 * time.Millisecond
-	minStallTimeout    = 1200 * time.Millisecond
-	// stallTimeoutFactor gives the longest pause between two events of a resumable stream as a multiple of its pause
-	// objective. After it the attempt is given up and the stream resumed elsewhere.
-	stallTimeoutFactor = 4
-)
+// maxBufferedBytes bounds the responses that are read completely before the client gets any of them, so that the request can
+// still be retried.
+const maxBufferedBytes = 256 << 10
 
 // attempt sends the request to one upstream and relays its response. The request already counts as open there.
 func (ex *exchange) attempt(ctx context.Context, inst members.Instance) attempt.Ending {
@@ -38,6 +26,7 @@
 	now := dispatcher.Clock.Now()
 	defer func() {
 		dispatcher.InFlight.End(inst.ID)
+		dispatcher.Residence.Record(ex.Service, dispatcher.Clock.Now().Sub(now))
 		dispatcher.Queues.RequestEnded(dispatcher.Clock.Now(), ex.Service)
 	}()
 	conn, err := dispatcher.Connections.Get(ctx, inst, !ex.RouteConfig.Repeatable())
@@ -55,7 +44,7 @@
 	dispatcher.Unresponsive.Begin(dispatcher.Clock.Now(), inst.ID)
 	defer dispatcher.Unresponsive.End(inst.ID)
 	stop := context.AfterFunc(ctx, conn.Close)
-	timer := ex.startStallTimer(conn)
+	timer := ex.startStallTimer(conn, inst)
 	res, err := conn.Do(ex.outbound(inst))
 	if err != nil {
 		ex.stalled = timer.stop()
@@ -70,6 +59,9 @@
 		ex.res.FirstByte = ex.answeredAt.Sub(ex.Arrived)
 	}
 	ending, complete := ex.relayResponse(ctx, inst, res, timer)
+	if ending == attempt.Complete {
+		ex.recordRunTime(inst, now)
+	}
 	ex.stalled = timer.stop()
 	// A connection that ctx or the stall timer closes cannot carry another request.
 	if !stop() || ex.stalled || !complete {
@@ -80,6 +72,18 @@
 	return ending
 }
 
+// recordRunTime records how long the upstream has worked on an attempt that was sent at the given time. Engines answer once they run a
+// request; the time that a request waits for a plain service is unknown, unless a slot was free.
+func (ex *exchange) recordRunTime(inst members.Instance, sent clock.Instant) {
+	now := ex.dispatcher.Clock.Now()
+	switch {
+	case ex.RouteConfig.Affinity:
+		ex.dispatcher.RunTimes.Record(ex.Service, now.Sub(ex.answeredAt))
+	case ex.res.Choice.Load < inst.Slots:
+		ex.dispatcher.RunTimes.Record(ex.Service, now.Sub(sent))
+	}
+}
+
 // recordStatements records what an upstream states about itself, before the client gets its answer. A misdirected response
 // comes from another process than inst.
 func (ex *exchange) recordStatements(inst members.Instance, status int, a call.Answer) {
@@ -259,34 +263,3 @@
 func (ex *exchange) endsUnbegun(res *upstream.Response) bool {
 	return res.ContentLength < 0 && len(res.TransferEncoding) == 0 && ex.relay.events == 0 && ex.relay.lastEvent == ""
 }
-
-// stallTimer closes the connection of a repeatable request that makes no progress for too long. The zero value never
-// fires.
-type stallTimer struct {
-	timer *time.Timer
-	pause time.Duration
-}
-
-// startStallTimer starts the timer of an attempt, unless the request may not run again after it.
-func (ex *exchange) startStallTimer(conn *upstream.Conn) *stallTimer {
-	if !ex.RouteConfig.Repeatable() || ex.res.Runs+1 >= ex.RouteConfig.Attempts {
-		return &stallTimer{}
-	}
-	timeout := max(minResponseTimeout, responseTimeoutFactor*ex.RouteConfig.Objective)
-	if ex.RouteConfig.Kind == settings.RouteStream {
-		timeout = max(minStallTimeout, timeout)
-	}
-	t := &stallTimer{pause: max(minStallTimeout, stallTimeoutFactor*ex.RouteConfig.PauseObjective)}
-	t.timer = time.AfterFunc(timeout, conn.Close)
-	return t
-}
-
-// reset restarts the timer with the limit for the pause between events.
-func (t *stallTimer) reset() {
-	if t.timer != nil {
-		t.timer.Reset(t.pause)
-	}
-}
-
-// stop stops the timer and reports whether it has fired, so that the connection is closed or about to be.
-func (t *stallTimer) stop() bool { return t.timer != nil && !t.timer.Stop() }
--- a/router/internal/direct/dispatch.go
+++ b/router/internal/direct/dispatch.go
@@ -75,6 +75,9 @@
 	Origins      Origins
 	Queues       *waiting.Queues
 	Refusals     *waiting.Refusals
+	RunTimes     *waiting.Durations
+	Residence    *waiting.Durations
+	Demand       *waiting.Demand
 	Budget       *retry.FleetBudget
 	Connections  Connections
 	Dialect      Dialect
@@ -109,8 +112,10 @@
 	dispatcher *Dispatcher
 	sink       Sink
 	tried      triedUpstreams
-	// stalled reports that the stall timer ended the last attempt.
+	// stalled reports that the stall timer ended the last attempt, after the retry budget had allowed another one.
 	stalled bool
+	// waiter keeps the request's place in the queue while it is placed again, nil before it has waited.
+	waiter *waiting.Waiter
 	// answeredAt is when the upstream began to answer the last attempt, 0 if it did not.
 	answeredAt clock.Instant
 	// eventsBefore is the number of events of earlier attempts. survived reports that the last attempt got past the beginning
@@ -129,6 +134,7 @@
 	ctx, cancel := context.WithTimeout(ctx, r.Remaining(now))
 	defer cancel()
 	d.Budget.RecordRequest(now, r.Service)
+	d.Demand.Record(now, r.Service, r.Rank, r.RouteConfig.Objective)
 	ex := &exchange{Request: r, dispatcher: d, sink: sink, relay: relay{sink: sink, lastEvent: r.LastEvent}}
 	ex.run(ctx)
 	ex.res.HeadSent = ex.relay.headSent
@@ -173,11 +179,15 @@
 
 // allowRetry reports whether the fleet's retry budget allows a retry, and counts an allowed one.
 func (ex *exchange) allowRetry(inst members.Instance, ending attempt.Ending) bool {
+	return ex.stalled || ex.takeRetry(inst, string(ending))
+}
+
+// takeRetry takes a retry from the fleet's budget, and reports whether that had one.
+func (ex *exchange) takeRetry(inst members.Instance, reason string) bool {
 	now := ex.dispatcher.Clock.Now()
 	routers := ex.dispatcher.InFlight.RouterCount(now)
 	ok := ex.dispatcher.Budget.Allow(now, ex.Service, routers)
-	ex.dispatcher.Log.Info("repeat", "request", ex.ID, "upstream", inst.ID, "ending", ending, "runs", ex.res.Runs,
-		"routers", routers, "allowed", ok)
+	ex.dispatcher.Log.Info("repeat", "request", ex.ID, "upstream", inst.ID, "ending", reason, "routers", routers, "allowed", ok)
 	return ok
 }
 
@@ -196,10 +206,10 @@
 			return members.Instance{}, false
 		}
 		instance, choice := ex.dispatcher.reserve(now, ex.Request, &ex.tried)
+		ex.res.Choice = choice
 		switch {
 		case choice.Reason == placement.Chosen:
 			ex.res.QueueTime += now.Sub(start)
-			ex.res.Choice = choice
 			return instance, true
 		case choice.Reason == placement.NoUpstream && ex.res.Attempts > 0:
 			// A request that has made an attempt does not wait for further upstreams.
@@ -227,7 +237,11 @@
 		return ex.pause(ctx, noUpstreamPoll)
 	}
 	limit := ex.waitLimit(start)
-	waiter := &waiting.Waiter{Rank: ex.Rank, Deadline: limit}
+	if ex.waiter == nil {
+		ex.waiter = &waiting.Waiter{Rank: ex.Rank}
+	}
+	waiter := ex.waiter
+	waiter.Deadline = limit
 	if refusal := ex.dispatcher.Queues.Enter(now, ex.Service, waiter); refusal != nil {
 		ex.giveUp(ctx, CodeOverloaded, refusal.RetryAfter)
 		return false
@@ -247,23 +261,28 @@
 			}
 			continue
 		case <-timer.C:
-			ex.giveUp(ctx, CodeOverloaded, ex.dispatcher.Queues.RetryAfter(ex.Service))
+			ex.giveUp(ctx, CodeOverloaded, ex.dispatcher.Queues.RetryAfter(ex.dispatcher.Clock.Now(), ex.Service))
 		case <-ctx.Done():
-			ex.giveUp(ctx, CodeDeadline, ex.dispatcher.Queues.RetryAfter(ex.Service))
+			ex.giveUp(ctx, CodeDeadline, ex.dispatcher.Queues.RetryAfter(ex.dispatcher.Clock.Now(), ex.Service))
 		}
 		return false
 	}
 }
 
-// waitLimit returns when a queued request is given up: after its objective or, if the route has none, after a quarter of
-// the remaining time. A response that starts after its objective is late anyway, and the client can make better use of the
-// remaining time.
+// waitLimit returns when a queued request is given up: when the upstream could no longer answer within the objective or, if the
+// route has none, after a quarter of the remaining time. A response that starts after its objective is late anyway, and the client
+// can make better use of the remaining time.
 func (ex *exchange) waitLimit(start clock.Instant) clock.Instant {
 	limit := ex.RouteConfig.Objective
 	if limit == 0 {
-		limit = ex.Remaining(start) / 4
+		return min(start.Add(ex.Remaining(start)/4), ex.Deadline)
+	}
+	limit -= ex.dispatcher.Demand.QueueTime(start, ex.Service, ex.Rank)
+	if !ex.RouteConfig.Affinity {
+		// A plain service answers when it is done.
+		limit -= ex.dispatcher.runTime(ex.Request)
 	}
-	return min(start.Add(limit), ex.Deadline)
+	return min(start.Add(max(0, limit)), ex.Deadline)
 }
 
 // pause waits for d. It returns false if the request has ended.
@@ -317,7 +336,7 @@
 		ex.relay.headSent = true
 	case res.Runs == 0:
 		res.Outcome, res.Code = peer.OutcomeNotRun, CodeUnreachable
-		res.RetryAfter = ex.dispatcher.Queues.RetryAfter(ex.Service)
+		res.RetryAfter = ex.dispatcher.Queues.RetryAfter(ex.dispatcher.Clock.Now(), ex.Service)
 		if ending == attempt.Refused {
 			res.Code = CodeRefused
 			res.RetryAfter = max(res.RetryAfter, ex.dispatcher.Refusals.RetryAfter(ex.dispatcher.Clock.Now(), ex.Service, rand.Float64()))
--- a/router/internal/direct/dispatch_test.go
+++ b/router/internal/direct/dispatch_test.go
@@ -220,7 +220,8 @@
 	t.Cleanup(func() { cancel(); <-stopped })
 	b := &fixture{Dispatcher: &Dispatcher{
 		DataCentre: "kano", Members: &members.Registry{}, InFlight: &inflight.Tracker{}, Affinity: &affinity.Index{},
-		Outliers: &outlier.Detector{}, Unresponsive: &unresponsive.Detector{}, Queues: &waiting.Queues{}, Refusals: &waiting.Refusals{}, Backoff: &backoff.Tracker{}, Quarantine: &quarantine.Tracker{},
+		Outliers: &outlier.Detector{}, Unresponsive: &unresponsive.Detector{}, Queues: &waiting.Queues{}, Refusals: &waiting.Refusals{},
+		RunTimes: &waiting.Durations{}, Residence: &waiting.Durations{}, Demand: &waiting.Demand{}, Backoff: &backoff.Tracker{}, Quarantine: &quarantine.Tracker{},
 		RateLimits: &ratelimit.Tracker{}, KnownRouters: func() int { return 1 },
 		Origins:     &beginnings{},
 		Budget:      &retry.FleetBudget{Limits: retry.Limits{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}},
@@ -668,14 +669,30 @@
 func TestFiredStallTimerIsReported(t *testing.T) {
 	c := qt.New(t)
 	fired := make(chan struct{})
-	timer := &stallTimer{timer: time.AfterFunc(0, func() { close(fired) })}
+	timer := &stallTimer{giveUp: func() bool { close(fired); return true }}
+	timer.start(0)
 	<-fired
 	c.Assert(timer.stop(), qt.IsTrue)
-	timer = &stallTimer{timer: time.AfterFunc(time.Hour, func() {})}
+	timer = &stallTimer{giveUp: func() bool { return true }}
+	timer.start(time.Hour)
 	c.Assert(timer.stop(), qt.IsFalse)
+	timer.expire()
+	c.Assert(timer.stop(), qt.IsFalse, qt.Commentf("a stopped timer fires"))
 	c.Assert((&stallTimer{}).stop(), qt.IsFalse)
 }
 
+// TestStalledAttemptGoesOnWithoutARetry guards against giving up the only attempt that can still bring an answer: in overload many
+// attempts wait longer than usual, and the retry budget is spent.
+func TestStalledAttemptGoesOnWithoutARetry(t *testing.T) {
+	c := qt.New(t)
+	asked := make(chan struct{}, 8)
+	timer := &stallTimer{pause: time.Millisecond, giveUp: func() bool { asked <- struct{}{}; return false }}
+	timer.start(0)
+	<-asked
+	<-asked
+	c.Assert(timer.stop(), qt.IsFalse)
+}
+
 // TestUnresponsiveUpstreamGetsNoFurtherRequests covers an upstream that stops responding while its connections stay open:
 // while one request waits there, later requests go elsewhere.
 func TestUnresponsiveUpstreamGetsNoFurtherRequests(t *testing.T) {
--- a/router/internal/direct/place.go
+++ b/router/internal/direct/place.go
@@ -13,6 +13,7 @@
 	"rattantrack.dev/core/placement"
 	"rattantrack.dev/core/rendezvous"
 	"rattantrack.dev/core/settings"
+	"rattantrack.dev/core/waiting"
 )
 
 // triedUpstreams holds the upstreams at which earlier attempts of a request did not succeed.
@@ -52,7 +53,10 @@
 	ColdCost:         3,
 	ExcessCost:       10,
 	FailureCost:      12,
-	Overcommit:       1,
+	// The queue of an engine is bounded by time (waiting.Overcommit). This bound keeps it from refusing requests if the estimate is wrong.
+	Overcommit: 3,
+	LoadScale:  20,
+	Spill:      0.75,
 }
 
 // plainPolicy places requests of services without a cache, which respond in tens of milliseconds.
@@ -65,6 +69,22 @@
 	FailureCost:  1000,
 	// With one request waiting per slot at the upstream, responses are still on time.
 	Overcommit: 2,
+	// Without a cache, any upstream with room will do.
+	Spill: 1e3,
+}
+
+// Run times that are assumed before any has been measured.
+const (
+	unmeasuredEngineRun = time.Second
+	unmeasuredPlainRun  = 50 * time.Millisecond
+)
+
+// runTime returns how long an upstream works on a request of the service.
+func (d *Dispatcher) runTime(r *Request) time.Duration {
+	if r.RouteConfig.Affinity {
+		return d.RunTimes.Mean(r.Service, unmeasuredEngineRun)
+	}
+	return d.RunTimes.Mean(r.Service, unmeasuredPlainRun)
 }
 
 // reserve chooses the upstream of an attempt and counts the request as open there. Both are one step, so that requests that
@@ -109,7 +129,10 @@
 	if r.RouteConfig.Affinity {
 		policy = &enginePolicy
 	}
-	request := &placement.Request{DataCentre: d.DataCentre, SharedTokens: r.SharedTokens(), Affinity: r.RouteConfig.Affinity}
+	request := &placement.Request{
+		DataCentre: d.DataCentre, SharedTokens: r.SharedTokens(), Affinity: r.RouteConfig.Affinity,
+		Overcommit: min(policy.Overcommit, waiting.Overcommit(d.runTime(r), d.Demand.QueueTime(now, r.Service, r.Rank))),
+	}
 	choice := placement.Choose(policy, request, candidates)
 	if choice.Reason != placement.Chosen {
 		return members.Instance{}, choice
@@ -120,7 +143,7 @@
 func (d *Dispatcher) candidates(
 	now clock.Instant, r *Request, serving []members.Instance, ids []settings.UpstreamID,
 ) []placement.Candidate {
-	loads := d.InFlight.Loads(now, ids)
+	loads := d.InFlight.Expected(now, ids, d.Residence.Mean(r.Service, d.runTime(r)))
 	barred, _ := d.Backoff.Paused(now, serving)
 	for i := range serving {
 		barred[i] = barred[i] || r.isOther(serving[i])
