--- a/core/waiting/demand.go
+++ b/core/waiting/demand.go
@@ -17,21 +17,11 @@
 // maxDemandRanks bounds the ranks of a service.
 const maxDemandRanks = 16
 
-// Room that is kept for more urgent requests.
-const (
-	// reserveGain is how much of the slots is kept for each share of the more urgent requests that is refused.
-	reserveGain = 3
-	// maxReserve is the largest share of the slots that is kept, so that no rank is starved.
-	maxReserve = 0.4
-)
-
 // rankDemand is the latest demand of one rank.
 type rankDemand struct {
 	rank      int
 	objective time.Duration
 	at        clock.Instant
-	// requests counts the requests, and among them the refused ones.
-	requests attempts
 }
 
 // Demand holds the ranks of the recent requests of each service; the zero value is empty. In overload a request may only wait as long
@@ -53,8 +43,6 @@
 				list[i].objective = objective
 			}
 			list[i].at = now
-			list[i].requests.decay(now)
-			list[i].requests.total++
 			return
 		}
 	}
@@ -64,37 +52,7 @@
 	if d.services == nil {
 		d.services = make(map[settings.ServiceName][]rankDemand)
 	}
-	d.services[name] = append(list, rankDemand{rank: rank, objective: objective, at: now, requests: attempts{at: now, total: 1}})
-}
-
-// Refused records that a request has been refused for want of room.
-func (d *Demand) Refused(now clock.Instant, name settings.ServiceName, rank int) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	list := d.services[name]
-	for i := range list {
-		if list[i].rank == rank {
-			list[i].requests.decay(now)
-			list[i].requests.refused++
-		}
-	}
-}
-
-// Reserve returns the share of the slots that requests of the given rank leave to more urgent ones. It grows with the share of these
-// that is refused: the less urgent requests may be those whose clients can wait longer, and would take each free slot first.
-func (d *Demand) Reserve(now clock.Instant, name settings.ServiceName, rank int) float64 {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	refused := 0.0
-	list := d.services[name]
-	for i := range list {
-		if r := &list[i]; r.rank < rank {
-			r.requests.decay(now)
-			// One more request is assumed, so that few of them do not count for much.
-			refused = max(refused, r.requests.refused/(r.requests.total+1))
-		}
-	}
-	return min(maxReserve, reserveGain*refused)
+	d.services[name] = append(list, rankDemand{rank: rank, objective: objective, at: now})
 }
 
 // QueueTime returns how long a request of the given rank may wait at an upstream: a share of the shortest objective of its rank and of
--- a/router/internal/direct/dispatch.go
+++ b/router/internal/direct/dispatch.go
@@ -300,9 +300,6 @@
 		ex.finish(ctx, ex.res.LastEnding)
 		return
 	}
-	if code == CodeOverloaded {
-		ex.dispatcher.Demand.Refused(ex.dispatcher.Clock.Now(), ex.Service, ex.Rank)
-	}
 	ex.res.Outcome, ex.res.Code, ex.res.RetryAfter = peer.OutcomeNotRun, code, retryAfter
 	if clientGone(ctx) {
 		ex.res.Code = CodeClientGone
--- a/router/internal/direct/place.go
+++ b/router/internal/direct/place.go
@@ -131,8 +131,7 @@
 	}
 	request := &placement.Request{
 		DataCentre: d.DataCentre, SharedTokens: r.SharedTokens(), Affinity: r.RouteConfig.Affinity,
-		Overcommit: min(policy.Overcommit, waiting.Overcommit(d.runTime(r), d.Demand.QueueTime(now, r.Service, r.Rank))) *
-			(1 - d.Demand.Reserve(now, r.Service, r.Rank)),
+		Overcommit: min(policy.Overcommit, waiting.Overcommit(d.runTime(r), d.Demand.QueueTime(now, r.Service, r.Rank))),
 	}
 	choice := placement.Choose(policy, request, candidates)
 	if choice.Reason != placement.Chosen {
