feat(fairshare): teams share the room of an overloaded service

Load: one team sends 8 times its usual while all send 2.5 times as much. Change: core/fairshare divides the room of each rank by weighted max-min fairness; weights are the teams' usual demands.

--- a/router/internal/app/services.go
+++ b/router/internal/app/services.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"rattantrack.dev/core/clock"
+	"rattantrack.dev/core/fairshare"
 	"rattantrack.dev/core/gossip"
 	"rattantrack.dev/core/inflight"
 	"rattantrack.dev/core/members"
@@ -133,6 +134,7 @@
 		Refusals:     &waiting.Refusals{},
 		RunTimes:     &waiting.Durations{}, Residence: &waiting.Durations{},
 		Demand:       &waiting.Demand{},
+		FairShare:    &fairshare.Tracker{},
 		Budget:       &retry.FleetBudget{Limits: retry.Limits{Ratio: budget.Ratio, Slack: budget.Slack, Window: budget.Window}},
 		Connections:  d.connections,
 		Dialect:      platform.Dialect{},
--- a/router/internal/direct/dispatch.go
+++ b/router/internal/direct/dispatch.go
@@ -16,6 +16,7 @@
 	"rattantrack.dev/core/backoff"
 	"rattantrack.dev/core/call"
 	"rattantrack.dev/core/clock"
+	"rattantrack.dev/core/fairshare"
 	"rattantrack.dev/core/inflight"
 	"rattantrack.dev/core/members"
 	"rattantrack.dev/core/origin"
@@ -78,6 +79,7 @@
 	RunTimes     *waiting.Durations
 	Residence    *waiting.Durations
 	Demand       *waiting.Demand
+	FairShare    *fairshare.Tracker
 	Budget       *retry.FleetBudget
 	Connections  Connections
 	Dialect      Dialect
@@ -150,6 +152,9 @@
 	if ex.RouteConfig.Affinity && ex.SharedTokens() >= enginePolicy.LongPrefix {
 		ex.dispatcher.Warmup.Wait(ctx, warmupWait)
 	}
+	if !ex.withinShare(ctx) {
+		return
+	}
 	for {
 		instance, ok := ex.nextUpstream(ctx)
 		if !ok {
@@ -209,6 +214,7 @@
 		ex.res.Choice = choice
 		switch {
 		case choice.Reason == placement.Chosen:
+			ex.recordRoom(now)
 			ex.res.QueueTime += now.Sub(start)
 			return instance, true
 		case choice.Reason == placement.NoUpstream && ex.res.Attempts > 0:
@@ -300,6 +306,9 @@
 		ex.finish(ctx, ex.res.LastEnding)
 		return
 	}
+	if code == CodeOverloaded {
+		ex.recordNoRoom()
+	}
 	ex.res.Outcome, ex.res.Code, ex.res.RetryAfter = peer.OutcomeNotRun, code, retryAfter
 	if clientGone(ctx) {
 		ex.res.Code = CodeClientGone
--- a/router/internal/direct/request.go
+++ b/router/internal/direct/request.go
@@ -64,8 +64,10 @@
 
 // Codes that give the reason for an outcome.
 const (
-	CodeNoUpstream  = "no_upstream"
-	CodeOverloaded  = "overloaded"
+	CodeNoUpstream = "no_upstream"
+	CodeOverloaded = "overloaded"
+	// CodeTeamShare is for a request beyond its team's share of an overloaded service.
+	CodeTeamShare   = "team_share"
 	CodePaused      = "upstreams_paused"
 	CodeQuarantined = "prompt_quarantined"
 	// CodeRequestQuarantined is for a request that crashes the upstreams whatever its prompt.
