--- a/core/fairshare/tracker.go
+++ b/core/fairshare/tracker.go
@@ -1,8 +1,10 @@
 package fairshare
 
 import (
+	"cmp"
 	"encoding/binary"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -110,37 +112,61 @@
 	t.group(service, rank).served.add(now, work, demandTime)
 }
 
-// NoRoom records that work of a rank has found no room.
-func (t *Tracker) NoRoom(now clock.Instant, service settings.ServiceName, rank int, work float64) {
+// NoRoom records that work of a rank has found no room. It reports whether the teams are limited from now on.
+func (t *Tracker) NoRoom(now clock.Instant, service settings.ServiceName, rank int, work float64) (began bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	g := t.group(service, rank)
 	g.noRoom, g.changed = now, now
 	g.lacking.add(now, work, lackingTime)
 	if g.adjusted != 0 && now.Sub(g.adjusted) < adjustInterval {
-		return
+		return false
 	}
 	served, lacking := g.served.perSecond(now, demandTime, minSpan), g.lacking.perSecond(now, lackingTime, lackingTime)
-	if math.IsInf(g.level, 1) && lacking < minLacking*(served+lacking) {
-		return
+	wasLimited := !math.IsInf(g.level, 1)
+	if !wasLimited && lacking < minLacking*(served+lacking) {
+		return false
 	}
 	g.adjusted = now
 	g.level = level(g.demands(now), targetShare*served)
+	return !wasLimited && !math.IsInf(g.level, 1)
 }
 
-// Limited returns the number of teams that are held to a share of their requests.
-func (t *Tracker) Limited(now clock.Instant, service settings.ServiceName, rank int) int {
+// Share is the part of a team's requests of one rank of a service that is admitted.
+type Share struct {
+	Service settings.ServiceName `json:"service"`
+	Rank    int                  `json:"rank"`
+	Team    settings.TeamID      `json:"team"`
+	// Wanted and Usual are the present and the usual demand in work per second.
+	Wanted float64 `json:"wanted"`
+	Usual  float64 `json:"usual"`
+	Share  float64 `json:"share"`
+}
+
+// maxListed bounds the listed shares.
+const maxListed = 64
+
+// Limited returns the teams that are held to a share of their requests, those with the smallest share first.
+func (t *Tracker) Limited(now clock.Instant) []Share {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	g := t.group(service, rank)
-	g.rise(now)
-	n := 0
-	for _, member := range g.teams {
-		if g.share(now, member) < 1 {
-			n++
+	var list []Share
+	for id, g := range t.groups {
+		g.rise(now)
+		if math.IsInf(g.level, 1) {
+			continue
+		}
+		for name, member := range g.teams {
+			if share := g.share(now, member); share < 1 {
+				list = append(list, Share{
+					Service: id.service, Rank: id.rank, Team: name, Share: share,
+					Wanted: member.present.perSecond(now, demandTime, minSpan), Usual: member.usual.perSecond(now, usualTime, minSpan),
+				})
+			}
 		}
 	}
-	return n
+	slices.SortFunc(list, func(a, b Share) int { return cmp.Compare(a.Share, b.Share) })
+	return list[:min(len(list), maxListed)]
 }
 
 // usualPart returns the part of a team's present demand that counts as usual.
--- a/core/fairshare/tracker_test.go
+++ b/core/fairshare/tracker_test.go
@@ -91,7 +91,7 @@
 			}
 		}
 	}
-	c.Assert(tracker.Limited(clock.Instant(time.Hour+seconds*time.Second), "letters", 0), qt.Equals, 0)
+	c.Assert(tracker.Limited(clock.Instant(time.Hour+seconds*time.Second)), qt.HasLen, 0)
 }
 
 // others returns the share of the requests of all teams but the loud one that was served.
@@ -161,6 +161,8 @@
 		}
 	}
 	at, admitted := now.Add(time.Second), 0
+	c.Assert(a.Limited(at), qt.HasLen, 1)
+	c.Assert(a.Limited(at)[0].Team, qt.Equals, settings.TeamID("kano"))
 	for key := range uint64(100) {
 		first := a.Admit(at, "letters", 0, "kano", key, 0)
 		c.Assert(b.Admit(at, "letters", 0, "kano", key, 0), qt.Equals, first)
--- a/router/internal/app/services.go
+++ b/router/internal/app/services.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"rattantrack.dev/core/clock"
-	"rattantrack.dev/core/fairshare"
 	"rattantrack.dev/core/gossip"
 	"rattantrack.dev/core/inflight"
 	"rattantrack.dev/core/members"
@@ -134,7 +133,7 @@
 		Refusals:     &waiting.Refusals{},
 		RunTimes:     &waiting.Durations{}, Residence: &waiting.Durations{},
 		Demand:       &waiting.Demand{},
-		FairShare:    &fairshare.Tracker{},
+		FairShare:    d.shares,
 		Budget:       &retry.FleetBudget{Limits: retry.Limits{Ratio: budget.Ratio, Slack: budget.Slack, Window: budget.Window}},
 		Connections:  d.connections,
 		Dialect:      platform.Dialect{},
--- a/router/internal/direct/share.go
+++ b/router/internal/direct/share.go
@@ -31,7 +31,9 @@
 
 // recordNoRoom records that the request has found no room.
 func (ex *exchange) recordNoRoom() {
-	if ex.Team != "" {
-		ex.dispatcher.FairShare.NoRoom(ex.dispatcher.Clock.Now(), ex.Service, ex.Rank, ex.work())
+	d := ex.dispatcher
+	if ex.Team != "" && d.FairShare.NoRoom(d.Clock.Now(), ex.Service, ex.Rank, ex.work()) {
+		d.Scope.Counter("team_share_limits").Inc(1)
+		d.Log.Warn("teams limited to their shares", "request", ex.ID, "service", ex.Service, "rank", ex.Rank)
 	}
 }
