feat(evacuation): upstreams of evacuated data centres get no new requests

Cause: the operators' items op/evacuate/ZONE were not read.

Routers tell each other in their states, before the instances, so that a started router knows both. If all upstreams of a service are evacuated, its requests are refused at once with code evacuated.

--- a/core/directory/update.go
+++ b/core/directory/update.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"rattantrack.dev/core/evacuation"
 	"rattantrack.dev/core/members"
 	"rattantrack.dev/core/settings"
 )
@@ -24,9 +25,10 @@
 	// Declarations is the newest version, nil if it has not changed. Revision is its revision.
 	Declarations *settings.Declarations
 	Revision     settings.Revision
-	// Complete is set if Instances holds all instances and not only the changed ones.
-	Complete  bool
-	Instances []members.Change
+	// Complete is set if Instances and Evacuations hold all entries and not only the changed ones.
+	Complete    bool
+	Instances   []members.Change
+	Evacuations []evacuation.Change
 	// Invalid holds the entries that could not be decoded.
 	Invalid []InvalidEntryError
 }
--- a/core/peer/router.go
+++ b/core/peer/router.go
@@ -3,11 +3,15 @@
 import (
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"rattantrack.dev/core/affinity"
+	"rattantrack.dev/core/evacuation"
 	"rattantrack.dev/core/inflight"
 	"rattantrack.dev/core/members"
 	"rattantrack.dev/core/settings"
 	"rattantrack.dev/core/unresponsive"
+	"rattantrack.dev/core/wire"
 )
 
 // RouterState is the state that one router sends to another, and the reply to it.
@@ -41,6 +45,32 @@
 	DirectoryFailing bool
 	// Routers are the addresses of the routers that this one exchanges states with.
 	Routers []string
+	// Evacuations are the latest orders to evacuate data centres that the router knows. There are few, so each state has them all. A
+	// router that starts gets them with the instances. Programs before EvacuationsVersion do not know the field.
+	Evacuations []evacuation.Change
+}
+
+// routerStateFields is the number of fields of a RouterState that all programs exchange.
+const routerStateFields = 15
+
+// EncodeMsgpack encodes the state without the evacuations if there are none.
+func (s *RouterState) EncodeMsgpack(enc *msgpack.Encoder) error {
+	fields := []any{
+		s.Router, s.Address, s.Incarnation, s.Cores, s.Open, s.Observations, s.HasCacheEntries, s.WantsCacheEntries, s.CacheQueried,
+		s.CacheEntries, s.Members, s.MembersComplete, s.DirectoryAge, s.DirectoryFailing, s.Routers, s.Evacuations,
+	}
+	if len(s.Evacuations) == 0 {
+		fields = fields[:routerStateFields]
+	}
+	return wire.Encode(enc, fields...)
+}
+
+// DecodeMsgpack decodes a state with or without evacuations.
+func (s *RouterState) DecodeMsgpack(dec *msgpack.Decoder) error {
+	*s = RouterState{}
+	return wire.Decode(dec, routerStateFields,
+		&s.Router, &s.Address, &s.Incarnation, &s.Cores, &s.Open, &s.Observations, &s.HasCacheEntries, &s.WantsCacheEntries,
+		&s.CacheQueried, &s.CacheEntries, &s.Members, &s.MembersComplete, &s.DirectoryAge, &s.DirectoryFailing, &s.Routers, &s.Evacuations)
 }
 
 // Kind returns KindRouterState.
--- a/router/internal/app/direct.go
+++ b/router/internal/app/direct.go
@@ -15,6 +15,7 @@
 	"rattantrack.dev/core/affinity"
 	"rattantrack.dev/core/backoff"
 	"rattantrack.dev/core/clock"
+	"rattantrack.dev/core/evacuation"
 	"rattantrack.dev/core/gossip"
 	"rattantrack.dev/core/kernel"
 	"rattantrack.dev/core/members"
@@ -73,6 +74,7 @@
 	backoff      *backoff.Tracker
 	quarantine   *quarantine.Tracker
 	rateLimits   *ratelimit.Tracker
+	evacuations  *evacuation.Tracker
 	connections  *upstream.Pool
 	endpoint     *peer.Endpoint
 	loads        *loads.Service
@@ -103,6 +105,7 @@
 		backoff:      &backoff.Tracker{},
 		quarantine:   &quarantine.Tracker{},
 		rateLimits:   &ratelimit.Tracker{},
+		evacuations:  &evacuation.Tracker{},
 	}
 	var incarnation peer.Incarnation
 	var err error
@@ -215,7 +218,7 @@
 			Ready:   d.ready,
 			Dumpers: []operator.Dumper{
 				d.client, d.watcher, d.members, &pauses{tracker: d.backoff}, &suspects{tracker: d.quarantine},
-				&rateLimits{tracker: d.rateLimits}, d.origins, d.routers, d.gossip, &operator.Links{Endpoint: d.endpoint},
+				&rateLimits{tracker: d.rateLimits}, &evacuations{tracker: d.evacuations}, d.origins, d.routers, d.gossip, &operator.Links{Endpoint: d.endpoint},
 			},
 		},
 		d.readiness,
--- a/router/internal/app/services.go
+++ b/router/internal/app/services.go
@@ -46,6 +46,7 @@
 		Unresponsive:    d.unresponsive,
 		Affinity:        d.affinity,
 		Members:         d.members,
+		Evacuations:     d.evacuations,
 		Clock:           clock.Boot{},
 		Log:             d.log,
 		Scope:           scope,
@@ -53,6 +54,7 @@
 		DirectoryState:  func() (time.Duration, bool) { return d.watcher.State() },
 		CacheQueried:    func() []settings.UpstreamID { return d.warmup.Queried() },
 		OnEvents:        d.applyMemberEvents,
+		OnEvacuations:   d.recordEvacuations,
 	}
 	d.loads = &loads.Service{
 		ID: inflight.RouterID(d.cfg.ID),
@@ -92,17 +94,19 @@
 	}
 	d.gossip = &gossip.Service{Store: d.store, Dialer: d.endpoint, Log: d.log, Candidates: d.routers.Addresses}
 	d.watcher = &directory.Watcher{
-		Self:      polling.Candidate{Address: d.cfg.Advertise, Cores: d.cfg.Direct.Cores},
-		Routers:   directoryRouters{Service: d.routers, loads: d.loads},
-		Source:    &platform.Store{URL: d.cfg.Direct.Directory, HTTP: directoryClient()},
-		Store:     d.store,
-		Offer:     d.gossip,
-		Members:   d.members,
-		Clock:     clock.Boot{},
-		Log:       d.log,
-		Scope:     scope,
-		OnEvents:  d.applyMemberEvents,
-		Broadcast: d.routers.Broadcast,
+		Self:          polling.Candidate{Address: d.cfg.Advertise, Cores: d.cfg.Direct.Cores},
+		Routers:       directoryRouters{Service: d.routers, loads: d.loads},
+		Source:        &platform.Store{URL: d.cfg.Direct.Directory, HTTP: directoryClient()},
+		Store:         d.store,
+		Offer:         d.gossip,
+		Members:       d.members,
+		Evacuations:   d.evacuations,
+		Clock:         clock.Boot{},
+		Log:           d.log,
+		Scope:         scope,
+		OnEvents:      d.applyMemberEvents,
+		Broadcast:     d.routers.Broadcast,
+		OnEvacuations: d.recordEvacuations,
 	}
 	d.warmup = &engines.Warmup{
 		Address:    d.cfg.Advertise,
@@ -121,6 +125,7 @@
 	dispatcher := &direct.Dispatcher{
 		DataCentre:   d.cfg.DataCentre,
 		Members:      d.members,
+		Evacuations:  d.evacuations,
 		InFlight:     inFlight,
 		Affinity:     d.affinity,
 		Outliers:     d.outliers,
--- a/router/internal/direct/dispatch.go
+++ b/router/internal/direct/dispatch.go
@@ -16,6 +16,7 @@
 	"rattantrack.dev/core/backoff"
 	"rattantrack.dev/core/call"
 	"rattantrack.dev/core/clock"
+	"rattantrack.dev/core/evacuation"
 	"rattantrack.dev/core/inflight"
 	"rattantrack.dev/core/members"
 	"rattantrack.dev/core/origin"
@@ -65,6 +66,7 @@
 type Dispatcher struct {
 	DataCentre   settings.DataCentre
 	Members      *members.Registry
+	Evacuations  *evacuation.Tracker
 	InFlight     *inflight.Tracker
 	Affinity     *affinity.Index
 	Outliers     *outlier.Detector
@@ -98,6 +100,8 @@
 	noUpstreamPoll = 20 * time.Millisecond
 	// defaultRetryAfter is when the client may retry a request that found no upstream.
 	defaultRetryAfter = 500 * time.Millisecond
+	// evacuatedRetryAfter is when the client may retry a request all upstreams of which are evacuated.
+	evacuatedRetryAfter = 2 * time.Second
 	// warmupWait is how long a request with a long shared prompt waits for the cache warm-up after a restart of the router.
 	// An engine needs about as long to process such a prompt again.
 	warmupWait = 250 * time.Millisecond
@@ -216,6 +220,10 @@
 func (ex *exchange) waitForRoom(ctx context.Context, reason placement.Reason, start clock.Instant) bool {
 	now := ex.dispatcher.Clock.Now()
 	if reason == placement.NoUpstream {
+		if ex.dispatcher.allEvacuated(ex.Service) {
+			ex.giveUp(ctx, CodeEvacuated, evacuatedRetryAfter)
+			return false
+		}
 		if ex.dispatcher.pauseLeft(now, ex.Service) > 0 {
 			ex.giveUp(ctx, CodePaused, ex.retryAfter(defaultRetryAfter))
 			return false
--- a/router/internal/direct/place.go
+++ b/router/internal/direct/place.go
@@ -91,7 +91,7 @@
 func (d *Dispatcher) place(
 	now clock.Instant, r *Request, tried *triedUpstreams, refused []settings.UpstreamID,
 ) (members.Instance, placement.Choice) {
-	serving := d.Members.Serving(r.Service)
+	serving := d.serving(r.Service)
 	if len(serving) == 0 {
 		return members.Instance{}, placement.Choice{Reason: placement.NoUpstream}
 	}
@@ -161,10 +161,32 @@
 
 // pauseLeft returns the time until the first upstream of a service wants requests again, 0 if one wants requests now.
 func (d *Dispatcher) pauseLeft(now clock.Instant, name settings.ServiceName) time.Duration {
-	_, soonest := d.Backoff.Paused(now, d.Members.Serving(name))
+	_, soonest := d.Backoff.Paused(now, d.serving(name))
 	return soonest
 }
 
+// serving returns the upstreams of a service that may get new requests, without those in evacuated data centres. Since these are no
+// candidates at all, each prompt that is cached there gets the next upstream in its own order at once, which spreads the prompts, and the
+// mean load is that of the others.
+func (d *Dispatcher) serving(name settings.ServiceName) []members.Instance {
+	all := d.Members.Serving(name)
+	if !d.Evacuations.Active() {
+		return all
+	}
+	outside := make([]members.Instance, 0, len(all))
+	for _, inst := range all {
+		if !d.Evacuations.Evacuated(inst.DataCentre) {
+			outside = append(outside, inst)
+		}
+	}
+	return outside
+}
+
+// allEvacuated reports whether a service has upstreams, all of them in data centres that are evacuated.
+func (d *Dispatcher) allEvacuated(name settings.ServiceName) bool {
+	return len(d.serving(name)) == 0 && len(d.Members.Serving(name)) > 0
+}
+
 // excluded reports for each upstream whether it should not get the request now, because it fails more than others, is unresponsive
 // or barred. If that excludes all of them, failures do not count.
 func (d *Dispatcher) excluded(now clock.Instant, ids []settings.UpstreamID, barred []bool) []bool {
--- a/router/internal/direct/request.go
+++ b/router/internal/direct/request.go
@@ -70,6 +70,8 @@
 	CodeQuarantined = "prompt_quarantined"
 	// CodeRequestQuarantined is for a request that crashes the upstreams whatever its prompt.
 	CodeRequestQuarantined = "request_quarantined"
+	// CodeEvacuated is for a request all upstreams of which are in data centres that the operators have evacuated.
+	CodeEvacuated = "evacuated"
 	// CodeOriginUnknown is for a stream that may have begun at another version of the service than those that serve, CodeVersionGone
 	// for one whose version no longer serves.
 	CodeOriginUnknown = "origin_unknown"
--- a/router/internal/directory/watcher.go
+++ b/router/internal/directory/watcher.go
@@ -12,6 +12,7 @@
 
 	"rattantrack.dev/core/clock"
 	"rattantrack.dev/core/directory"
+	"rattantrack.dev/core/evacuation"
 	"rattantrack.dev/core/members"
 	"rattantrack.dev/core/polling"
 	"rattantrack.dev/core/revision"
@@ -65,7 +66,7 @@
 	LastDirectoryRead() clock.Instant
 }
 
-// Watcher keeps the instances and the declarations up to date with the directory. It polls the directory itself if this
+// Watcher keeps the instances, the evacuations and the declarations up to date with the directory. It polls the directory itself if this
 // router is a poller, and relies on the updates of other routers otherwise.
 type Watcher struct {
 	// Self is this router.
@@ -75,12 +76,16 @@
 	Store   *revision.Store
 	Offer   Offerer
 	Members *members.Registry
-	Clock   Clock
-	Log     *log.Logger
-	Scope   tally.Scope
+	// Evacuations need no broadcast: each state that goes to another router has them all.
+	Evacuations *evacuation.Tracker
+	Clock       Clock
+	Log         *log.Logger
+	Scope       tally.Scope
 	// OnEvents is called with instance events, Broadcast with the changes to send to the other routers.
 	OnEvents  func(source string, events []members.Event)
 	Broadcast func(changes []members.Change)
+	// OnEvacuations is called with evacuations and their ends.
+	OnEvacuations func(source string, changes []evacuation.Change)
 
 	// complete reports that changes after position are enough, without a read of the complete directory.
 	complete   bool
@@ -290,6 +295,7 @@
 		w.Scope.Counter("directory_invalid_entries").Inc(1)
 	}
 	now := w.Clock.Now()
+	w.applyEvacuations(now, u)
 	var events []members.Event
 	if u.Complete {
 		events = w.Members.Replace(now, u.Position.Revision(), u.Instances)
@@ -309,6 +315,19 @@
 	}
 }
 
+// applyEvacuations applies the evacuations of an update.
+func (w *Watcher) applyEvacuations(now clock.Instant, u *directory.Update) {
+	var changes []evacuation.Change
+	if u.Complete {
+		changes = w.Evacuations.Replace(now, u.Position.Revision(), u.Evacuations)
+	} else {
+		changes = w.Evacuations.Apply(now, u.Evacuations)
+	}
+	if len(changes) > 0 {
+		w.OnEvacuations("directory", changes)
+	}
+}
+
 // offer offers a version of the declarations as a delta from the version in force.
 func (w *Watcher) offer(next *settings.Declarations, r settings.Revision) {
 	for range 2 {
--- a/router/internal/routers/service.go
+++ b/router/internal/routers/service.go
@@ -11,6 +11,7 @@
 
 	"rattantrack.dev/core/affinity"
 	"rattantrack.dev/core/clock"
+	"rattantrack.dev/core/evacuation"
 	"rattantrack.dev/core/inflight"
 	"rattantrack.dev/core/members"
 	"rattantrack.dev/core/peer"
@@ -106,6 +107,7 @@
 	Unresponsive *unresponsive.Detector
 	Affinity     *affinity.Index
 	Members      *members.Registry
+	Evacuations  *evacuation.Tracker
 	Clock        Clock
 	Log          *log.Logger
 	Scope        tally.Scope
@@ -117,6 +119,8 @@
 	CacheQueried func() []settings.UpstreamID
 	// OnEvents is called with the instance events that another router's state caused here.
 	OnEvents func(source string, events []members.Event)
+	// OnEvacuations is called with the evacuations and their ends that another router's state brought here.
+	OnEvacuations func(source string, changes []evacuation.Change)
 
 	started clock.Instant
 	mu      sync.Mutex
--- a/router/internal/routers/service_test.go
+++ b/router/internal/routers/service_test.go
@@ -16,6 +16,7 @@
 	"rattantrack.dev/core/affinity"
 	"rattantrack.dev/core/call"
 	"rattantrack.dev/core/clock"
+	"rattantrack.dev/core/evacuation"
 	"rattantrack.dev/core/inflight"
 	"rattantrack.dev/core/members"
 	"rattantrack.dev/core/peer"
@@ -25,12 +26,13 @@
 
 // node is one router with its listener.
 type node struct {
-	service  *Service
-	endpoint *peer.Endpoint
-	inFlight *inflight.Tracker
-	affinity *affinity.Index
-	members  *members.Registry
-	stop     func()
+	service     *Service
+	endpoint    *peer.Endpoint
+	inFlight    *inflight.Tracker
+	affinity    *affinity.Index
+	members     *members.Registry
+	evacuations *evacuation.Tracker
+	stop        func()
 }
 
 // Serve passes messages to the service.
@@ -51,7 +53,8 @@
 		if seed == "" {
 			seed = address
 		}
-		one := &node{inFlight: &inflight.Tracker{}, affinity: &affinity.Index{}, members: &members.Registry{}}
+		one := &node{inFlight: &inflight.Tracker{}, affinity: &affinity.Index{}, members: &members.Registry{},
+			evacuations: &evacuation.Tracker{}}
 		id := fmt.Sprintf("router-%d", i)
 		allow, err := peer.ParseNetworks([]string{"127.0.0.0/8"})
 		c.Assert(err, qt.IsNil)
@@ -63,11 +66,12 @@
 		one.service = &Service{
 			ID: inflight.RouterID(id), Address: address, Cores: float64(i + 1), Incarnation: peer.Incarnation(id), Seeds: []string{seed},
 			Dialer: one.endpoint, InFlight: one.inFlight, Unresponsive: &unresponsive.Detector{}, Affinity: one.affinity,
-			Members: one.members, Clock: clock.Boot{},
+			Members: one.members, Evacuations: one.evacuations, Clock: clock.Boot{},
 			Log: log.New(io.Discard), Scope: tally.NoopScope, HasCacheEntries: func() bool { return true },
 			DirectoryState: func() (time.Duration, bool) { return 0, false },
 			CacheQueried:   func() []settings.UpstreamID { return nil },
 			OnEvents:       func(string, []members.Event) {},
+			OnEvacuations:  func(string, []evacuation.Change) {},
 		}
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
@@ -146,6 +150,21 @@
 }
 
 // cacheEntries returns the cache entries in a state.
+// TestEvacuationReachesAllRouters guards against a router that sends to an evacuated data centre because the directory does not answer it.
+func TestEvacuationReachesAllRouters(t *testing.T) {
+	nodes := startNodes(t, 3)
+	order := evacuation.Change{DataCentre: "kano", Revision: 7, Evacuated: true}
+	nodes[1].evacuations.Apply(clock.Boot{}.Now(), []evacuation.Change{order})
+	eventually(t, func() bool {
+		return !slices.ContainsFunc(nodes, func(n *node) bool { return !n.evacuations.Evacuated("kano") })
+	})
+	order.Revision, order.Evacuated = 8, false
+	nodes[2].evacuations.Apply(clock.Boot{}.Now(), []evacuation.Change{order})
+	eventually(t, func() bool {
+		return !slices.ContainsFunc(nodes, func(n *node) bool { return n.evacuations.Evacuated("kano") })
+	})
+}
+
 func cacheEntries(c *qt.C, state *peer.RouterState) []affinity.CacheEntry {
 	list, err := affinity.Unpack(state.CacheEntries)
 	c.Assert(err, qt.IsNil)
@@ -158,7 +177,7 @@
 	c := qt.New(t)
 	s := &Service{
 		ID: "a", Address: "127.0.0.1:1", InFlight: &inflight.Tracker{}, Unresponsive: &unresponsive.Detector{},
-		Affinity: &affinity.Index{}, Members: &members.Registry{}, Clock: clock.Boot{},
+		Affinity: &affinity.Index{}, Members: &members.Registry{}, Evacuations: &evacuation.Tracker{}, Clock: clock.Boot{},
 		HasCacheEntries: func() bool { return true },
 		DirectoryState:  func() (time.Duration, bool) { return 0, false },
 		CacheQueried:    func() []settings.UpstreamID { return nil },
@@ -182,7 +201,7 @@
 	c := qt.New(t)
 	s := &Service{
 		ID: "a", Address: "127.0.0.1:1", InFlight: &inflight.Tracker{}, Unresponsive: &unresponsive.Detector{},
-		Affinity: &affinity.Index{}, Members: &members.Registry{}, Clock: clock.Boot{},
+		Affinity: &affinity.Index{}, Members: &members.Registry{}, Evacuations: &evacuation.Tracker{}, Clock: clock.Boot{},
 		HasCacheEntries: func() bool { return true },
 		DirectoryState:  func() (time.Duration, bool) { return 0, false },
 		CacheQueried:    func() []settings.UpstreamID { return nil },
--- a/router/internal/routers/state.go
+++ b/router/internal/routers/state.go
@@ -70,6 +70,7 @@
 	state.CacheQueried = s.CacheQueried()
 	// The age is read before the changes, so that it never covers changes that are not in this state.
 	state.DirectoryAge, state.DirectoryFailing = s.DirectoryState()
+	state.Evacuations = s.Evacuations.Changes(now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	state.Routers = s.newAddresses(now, r)
@@ -97,6 +98,9 @@
 	if link.Version() < peer.InstanceVersionVersion {
 		state.Members = members.WithoutVersions(state.Members)
 	}
+	if link.Version() < peer.EvacuationsVersion {
+		state.Evacuations = nil
+	}
 	return state
 }
 
@@ -128,6 +132,10 @@
 		s.Log.Warn("cannot decode the cache entries of a router", "router", state.Router, "error", err)
 	}
 	s.Affinity.Merge(now, entries)
+	// Evacuations come first, so that instances of an evacuated data centre are never used in between.
+	if changes := s.Evacuations.Apply(now, state.Evacuations); len(changes) > 0 {
+		s.OnEvacuations(string(state.Router), changes)
+	}
 	events := s.Members.ApplyRelayed(now, state.Members)
 	if state.MembersComplete && !s.Members.Complete() {
 		s.Members.MarkComplete()
