feat(cold): routers keep to equal parts of what a cold upstream bears

All of them knew that it was cold.

Ruled out: the exchange of sent requests of core/ratelimit (80 to 400 ms old, and the rush is over within 170 ms); a window that opens for all at once.

Change: core/cold gives each router a fixed part of the bound by rendezvous hashing of the routers for each upstream. No message is needed, and the sum holds as long as each router knows at least those that send, so routers count for ten minutes after they were last known, and one that has just started or has met nobody sends nothing to cold upstreams for 2 s. What is sent to a warm upstream counts when it turns cold. Upstreams of a data centre that was taken back are cold for the service's cold time, whatever their entries say.

--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -20,7 +20,8 @@
 	Cold bool
 	// Failed means that the request failed at this upstream before.
 	Failed bool
-	// RateLimited means that the upstream has named a rate limit, Refused that this allows it no further request now. Wanted is the rate
+	// RateLimited means that the upstream has named a rate limit, Refused that this, or the rate that it bears while it is cold, allows it
+	// no further request now. Wanted is the rate
 	// of the requests that are meant for the upstream as a multiple of the limit.
 	RateLimited, Refused bool
 	Wanted               float64
--- a/core/settings/declarations.go
+++ b/core/settings/declarations.go
@@ -59,6 +59,10 @@
 	KVTransfer bool `json:"kv_transfer" yaml:"kv_transfer"`
 	// MaxConnections limits the connections of all routers together to one upstream, 0 for no limit.
 	MaxConnections int `json:"max_connections,omitempty" yaml:"max_connections,omitempty"`
+	// ColdTime is how long an upstream is cold after its start or its return, and ColdRate the number of requests a second that it bears
+	// meanwhile, 0 for no limit.
+	ColdTime time.Duration `json:"cold_time,omitempty" yaml:"cold_time,omitempty"`
+	ColdRate float64       `json:"cold_rate,omitempty" yaml:"cold_rate,omitempty"`
 }
 
 // Upstream declares one upstream. Side is the peer address of its side process.
--- a/core/settings/process.go
+++ b/core/settings/process.go
@@ -51,6 +51,15 @@
 	Cores float64 `yaml:"cores"`
 	// RetryBudget limits the retries of all routers together.
 	RetryBudget RetryBudget `yaml:"repeats"`
+	// Cold limits the requests of all routers together to an upstream that is cold.
+	Cold ColdLimits `yaml:"cold"`
+}
+
+// ColdLimits limits the requests that an upstream gets in a second while it is cold: Overage times the rate that its service names, plus
+// Slack.
+type ColdLimits struct {
+	Overage float64 `yaml:"overage"`
+	Slack   float64 `yaml:"slack"`
 }
 
 // RetryBudget limits how many requests all routers together send again, per service.
@@ -108,6 +117,8 @@
 	DefaultRetryRatio  = 0.1
 	DefaultRetrySlack  = 10.0
 	DefaultRetryWindow = 10 * time.Second
+
+	DefaultColdOverage = 1.0
 )
 
 // Parts of the time between the stop signal and the kill.
@@ -139,6 +150,7 @@
 		setDefault(&r.Direct.RetryBudget.Ratio, DefaultRetryRatio)
 		setDefault(&r.Direct.RetryBudget.Slack, DefaultRetrySlack)
 		setDefault(&r.Direct.RetryBudget.Window, DefaultRetryWindow)
+		setDefault(&r.Direct.Cold.Overage, DefaultColdOverage)
 	}
 	if len(r.Allow) == 0 {
 		r.Allow = DefaultAllow
@@ -246,6 +258,10 @@
 	c.positive("direct.repeats.ratio", d.RetryBudget.Ratio > 0, d.RetryBudget.Ratio)
 	c.positive("direct.repeats.slack", d.RetryBudget.Slack > 0, d.RetryBudget.Slack)
 	c.positive("direct.repeats.window", d.RetryBudget.Window > 0, d.RetryBudget.Window)
+	c.positive("direct.cold.overage", d.Cold.Overage > 0, d.Cold.Overage)
+	if d.Cold.Slack < 0 {
+		c.add("direct.cold.slack", fmt.Sprint(d.Cold.Slack), "0 or more")
+	}
 }
 
 // tls rejects settings that name only some of the files.
--- a/router/internal/app/direct.go
+++ b/router/internal/app/direct.go
@@ -15,6 +15,7 @@
 	"rattantrack.dev/core/affinity"
 	"rattantrack.dev/core/backoff"
 	"rattantrack.dev/core/clock"
+	"rattantrack.dev/core/cold"
 	"rattantrack.dev/core/evacuation"
 	"rattantrack.dev/core/gossip"
 	"rattantrack.dev/core/kernel"
@@ -75,6 +76,7 @@
 	quarantine   *quarantine.Tracker
 	rateLimits   *ratelimit.Tracker
 	evacuations  *evacuation.Tracker
+	cold         *cold.Tracker
 	connections  *upstream.Pool
 	endpoint     *peer.Endpoint
 	loads        *loads.Service
@@ -218,7 +220,8 @@
 			Ready:   d.ready,
 			Dumpers: []operator.Dumper{
 				d.client, d.watcher, d.members, &pauses{tracker: d.backoff}, &suspects{tracker: d.quarantine},
-				&rateLimits{tracker: d.rateLimits}, &evacuations{tracker: d.evacuations}, d.origins, d.routers, d.gossip, &operator.Links{Endpoint: d.endpoint},
+				&rateLimits{tracker: d.rateLimits}, &evacuations{tracker: d.evacuations}, &coldUpstreams{tracker: d.cold},
+				d.origins, d.routers, d.gossip, &operator.Links{Endpoint: d.endpoint},
 			},
 		},
 		d.readiness,
--- a/router/internal/app/instances.go
+++ b/router/internal/app/instances.go
@@ -18,6 +18,7 @@
 			d.outliers.Forget(e.ID)
 			d.unresponsive.Forget(e.ID)
 			d.rateLimits.Forget(e.ID)
+			d.cold.Forget(e.ID)
 		case members.EventRestarted:
 			d.affinity.Forget(e.ID)
 			d.outliers.Forget(e.ID)
--- a/router/internal/app/services.go
+++ b/router/internal/app/services.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"rattantrack.dev/core/clock"
+	"rattantrack.dev/core/cold"
 	"rattantrack.dev/core/gossip"
 	"rattantrack.dev/core/inflight"
 	"rattantrack.dev/core/members"
@@ -121,6 +122,10 @@
 		Log:        d.log,
 		Scope:      scope,
 	}
+	limits := d.cfg.Direct.Cold
+	d.cold = &cold.Tracker{
+		Limits: cold.Limits{Overage: limits.Overage, Slack: limits.Slack}, Self: d.cfg.Advertise, Routers: d.routers.KnownAddresses, OnCold: d.logCold,
+	}
 	budget := d.cfg.Direct.RetryBudget
 	dispatcher := &direct.Dispatcher{
 		DataCentre:   d.cfg.DataCentre,
@@ -133,6 +138,8 @@
 		Backoff:      d.backoff,
 		Quarantine:   d.quarantine,
 		RateLimits:   d.rateLimits,
+		Cold:         d.cold,
+		ColdLimit:    d.coldLimit,
 		Origins:      d.origins,
 		Queues:       &waiting.Queues{},
 		Refusals:     &waiting.Refusals{},
--- a/router/internal/direct/attempt.go
+++ b/router/internal/direct/attempt.go
@@ -47,6 +47,9 @@
 		}
 		return attempt.NotSent
 	}
+	if _, rate := dispatcher.ColdLimit(inst.Service); rate > 0 {
+		dispatcher.Cold.Sent(dispatcher.Clock.Now(), inst.ID, ex.reservedAt)
+	}
 	ex.res.Upstream, ex.res.Version = inst.ID, inst.Version
 	ex.answeredAt, ex.eventsBefore, ex.survived = 0, ex.relay.events, false
 	if ex.RouteConfig.Affinity {
--- a/router/internal/direct/dispatch.go
+++ b/router/internal/direct/dispatch.go
@@ -16,6 +16,7 @@
 	"rattantrack.dev/core/backoff"
 	"rattantrack.dev/core/call"
 	"rattantrack.dev/core/clock"
+	"rattantrack.dev/core/cold"
 	"rattantrack.dev/core/evacuation"
 	"rattantrack.dev/core/inflight"
 	"rattantrack.dev/core/members"
@@ -74,6 +75,7 @@
 	Backoff      *backoff.Tracker
 	Quarantine   *quarantine.Tracker
 	RateLimits   *ratelimit.Tracker
+	Cold         *cold.Tracker
 	Origins      Origins
 	Queues       *waiting.Queues
 	Refusals     *waiting.Refusals
@@ -84,6 +86,8 @@
 	Clock        Clock
 	// KnownRouters returns the number of routers that may send requests to the upstreams, with this one.
 	KnownRouters func() int
+	// ColdLimit returns how long the upstreams of a service are cold, and the requests a second that one bears meanwhile, 0 for any.
+	ColdLimit func(name settings.ServiceName) (time.Duration, float64)
 	// OnLeaving is called when an upstream states in an answer that it is leaving.
 	OnLeaving func(inst members.Instance)
 	Log       *log.Logger
@@ -115,6 +119,8 @@
 	tried      triedUpstreams
 	// stalled reports that the stall timer ended the last attempt.
 	stalled bool
+	// reservedAt is when the upstream of the last attempt was chosen.
+	reservedAt clock.Instant
 	// answeredAt is when the upstream began to answer the last attempt, 0 if it did not.
 	answeredAt clock.Instant
 	// eventsBefore is the number of events of earlier attempts. survived reports that the last attempt got past the beginning
@@ -202,6 +208,7 @@
 		instance, choice := ex.dispatcher.reserve(now, ex.Request, &ex.tried)
 		switch {
 		case choice.Reason == placement.Chosen:
+			ex.reservedAt = now
 			ex.res.QueueTime += now.Sub(start)
 			ex.res.Choice = choice
 			return instance, true
@@ -250,7 +257,7 @@
 		case <-waiter.Ready():
 			return true
 		case <-poll.C:
-			if ex.dispatcher.RateLimits.Active(ex.dispatcher.Clock.Now()) {
+			if now := ex.dispatcher.Clock.Now(); ex.dispatcher.RateLimits.Active(now) || ex.dispatcher.Cold.Limiting(now) {
 				ex.dispatcher.Queues.WakeFirst(ex.Service)
 			}
 			continue
--- a/router/internal/direct/dispatch_test.go
+++ b/router/internal/direct/dispatch_test.go
@@ -21,6 +21,7 @@
 	"rattantrack.dev/core/backoff"
 	"rattantrack.dev/core/call"
 	"rattantrack.dev/core/clock"
+	"rattantrack.dev/core/cold"
 	"rattantrack.dev/core/evacuation"
 	"rattantrack.dev/core/inflight"
 	"rattantrack.dev/core/members"
@@ -223,6 +224,10 @@
 		DataCentre: "kano", Members: &members.Registry{}, InFlight: &inflight.Tracker{}, Affinity: &affinity.Index{},
 		Outliers: &outlier.Detector{}, Unresponsive: &unresponsive.Detector{}, Queues: &waiting.Queues{}, Refusals: &waiting.Refusals{}, Backoff: &backoff.Tracker{}, Quarantine: &quarantine.Tracker{},
 		RateLimits: &ratelimit.Tracker{}, KnownRouters: func() int { return 1 }, Evacuations: &evacuation.Tracker{},
+		Cold: &cold.Tracker{
+			Limits: cold.Limits{Overage: 1}, Self: "a", Routers: func() ([]string, bool) { return nil, false },
+		},
+		ColdLimit:   func(settings.ServiceName) (time.Duration, float64) { return 0, 0 },
 		Origins:     &beginnings{},
 		Budget:      &retry.FleetBudget{Limits: retry.Limits{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}},
 		Connections: pool,
--- a/router/internal/direct/place.go
+++ b/router/internal/direct/place.go
@@ -80,6 +80,9 @@
 			return inst, choice
 		}
 		if d.RateLimits.Admit(now, inst.ID, known) {
+			if _, rate := d.ColdLimit(inst.Service); rate > 0 {
+				d.Cold.Begin(now, inst.ID)
+			}
 			d.InFlight.Begin(inst.ID)
 			return inst, choice
 		}
@@ -103,7 +106,7 @@
 	for i := range candidates {
 		candidates[i].Excluded = candidates[i].Excluded || slices.Contains(tried.unusable, ids[i])
 		candidates[i].Failed = slices.Contains(tried.failed, ids[i])
-		candidates[i].Refused = slices.Contains(refused, ids[i])
+		candidates[i].Refused = candidates[i].Refused || slices.Contains(refused, ids[i])
 	}
 	policy := &plainPolicy
 	if r.RouteConfig.Affinity {
@@ -139,7 +142,10 @@
 		cachedTokens = d.Affinity.CachedTokens(now, r.sharedBlocks(), ids)
 	}
 	candidates := make([]placement.Candidate, len(serving))
+	coldTime, coldRate := d.ColdLimit(r.Service)
 	for i := range serving {
+		isCold := serving[i].ColdRemaining > 0 && d.Members.ColdRemaining(now, ids[i]) > 0 ||
+			coldRate > 0 && d.Evacuations.TakenBackWithin(now, serving[i].DataCentre, coldTime)
 		candidates[i] = placement.Candidate{
 			ID:          ids[i],
 			DataCentre:  serving[i].DataCentre,
@@ -147,7 +153,8 @@
 			Slots:       serving[i].Slots,
 			Primary:     i == primary,
 			Order:       order[i],
-			Cold:        serving[i].ColdRemaining > 0 && d.Members.ColdRemaining(now, ids[i]) > 0,
+			Cold:        isCold,
+			Refused:     isCold && coldRate > 0 && !d.hasColdRoom(now, ids[i], coldRate),
 			RateLimited: limited[i],
 			Wanted:      wanted[i],
 			Excluded:    excluded[i],
@@ -159,6 +166,15 @@
 	return candidates
 }
 
+// hasColdRoom reports whether a cold upstream may get a request of this router now.
+func (d *Dispatcher) hasColdRoom(now clock.Instant, id settings.UpstreamID, perSecond float64) bool {
+	ok := d.Cold.Room(now, id, perSecond)
+	if !ok {
+		d.Scope.Counter("cold_upstreams_full").Inc(1)
+	}
+	return ok
+}
+
 // pauseLeft returns the time until the first upstream of a service wants requests again, 0 if one wants requests now.
 func (d *Dispatcher) pauseLeft(now clock.Instant, name settings.ServiceName) time.Duration {
 	_, soonest := d.Backoff.Paused(now, d.serving(name))
--- a/router/internal/routers/view.go
+++ b/router/internal/routers/view.go
@@ -1,6 +1,7 @@
 package routers
 
 import (
+	"slices"
 	"time"
 
 	"rattantrack.dev/core/clock"
@@ -105,17 +106,41 @@
 	now := s.Clock.Now()
 	n := 1
 	for address, r := range s.routers {
-		silentSince := r.since
-		if r.lost {
-			silentSince = r.lostAt
-		}
-		if address != s.Address && (r.reachable() || now.Sub(silentSince) < forgetTime) {
+		if address != s.Address && r.known(now) {
 			n++
 		}
 	}
 	return n
 }
 
+// KnownAddresses returns the addresses of the other routers that Known counts. alone reports that the settings name others, none of which
+// this router has met since its start.
+func (s *Service) KnownAddresses() (others []string, alone bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Clock.Now()
+	alone = slices.ContainsFunc(s.Seeds, func(address string) bool { return address != s.Address })
+	for address, r := range s.routers {
+		if address == s.Address {
+			continue
+		}
+		alone = alone && r.lastExchange == 0
+		if r.known(now) {
+			others = append(others, address)
+		}
+	}
+	return others, alone
+}
+
+// known reports whether the router may be running: it is reachable or, for forgetTime, it was lost or only heard of.
+func (r *router) known(now clock.Instant) bool {
+	silentSince := r.since
+	if r.lost {
+		silentSince = r.lostAt
+	}
+	return r.reachable() || now.Sub(silentSince) < forgetTime
+}
+
 // LastDirectoryRead returns the time of the latest directory read that another router has reported.
 func (s *Service) LastDirectoryRead() clock.Instant {
 	s.mu.Lock()
