feat(cold): an upstream that states in an answer that it is cold is cold at once

Cause: an upstream may turn cold again at any moment, and its entry says so only with its next write. Change: Cold-Ms of any answer marks the process as cold.

--- a/core/call/call.go
+++ b/core/call/call.go
@@ -104,6 +104,8 @@
 	RetryAfter time.Duration
 	// RateLimit is the rate of requests that an overloaded upstream takes from all routers together, nil if not stated.
 	RateLimit *Rate
+	// Cold is how much longer the upstream is cold, 0 if it is not or does not state it.
+	Cold time.Duration
 	// IdleTime is how long the upstream keeps an idle connection open, 0 if not stated.
 	IdleTime time.Duration
 }
--- a/core/members/registry.go
+++ b/core/members/registry.go
@@ -311,17 +311,6 @@
 	}
 }
 
-// ColdRemaining returns how much longer an instance is slow after its start.
-func (r *Registry) ColdRemaining(now clock.Instant, id settings.UpstreamID) time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	e := r.entries[id]
-	if e == nil {
-		return 0
-	}
-	return max(0, e.coldUntil.Sub(now))
-}
-
 // Snapshot returns the listed entries and the remembered removals, for a router that has just started.
 func (r *Registry) Snapshot() []Change {
 	r.mu.Lock()
--- a/router/internal/direct/attempt.go
+++ b/router/internal/direct/attempt.go
@@ -96,6 +96,10 @@
 		d.Scope.Counter("upstream_pauses").Inc(1)
 		d.Log.Info("upstream asks for a pause", "request", ex.ID, "upstream", inst.ID, "pause_ms", until.Sub(now).Milliseconds())
 	}
+	if a.Cold > 0 && d.Members.MarkCold(d.Clock.Now(), inst, a.Cold) {
+		d.Scope.Counter("upstreams_turned_cold").Inc(1)
+		d.Log.Info("upstream turned cold", "request", ex.ID, "upstream", inst.ID, "cold_ms", a.Cold.Milliseconds())
+	}
 	// A failure may come from a part of the upstream that knows no limit, so it ends none.
 	if a.RateLimit != nil || status < http.StatusBadRequest {
 		ex.recordRateLimit(inst, a.RateLimit)
--- a/router/internal/direct/dispatch_test.go
+++ b/router/internal/direct/dispatch_test.go
@@ -54,9 +54,10 @@
 	if v, err := strconv.ParseFloat(h.Get("Limit"), 64); err == nil {
 		limit = (*call.Rate)(&v)
 	}
+	coldTime, _ := time.ParseDuration(h.Get("Cold"))
 	return call.Answer{
-		RateLimit: limit,
-		ID:        call.ID(h.Get("Id")), NotRun: h.Get("Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest,
+		RateLimit: limit, Cold: coldTime,
+		ID: call.ID(h.Get("Id")), NotRun: h.Get("Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest,
 		Leaving: h.Get("Leaving") != "", RetryAfter: pause,
 	}
 }
