--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -20,7 +20,8 @@
 	Cold bool
 	// Failed means that the request failed at this upstream before.
 	Failed bool
-	// RateLimited means that the upstream has named a rate limit, Refused that this allows it no further request now. Wanted is the rate
+	// RateLimited means that the upstream has named a rate limit, Refused that this, or the rate that it bears while it is cold, allows it
+	// no further request now. Wanted is the rate
 	// of the requests that are meant for the upstream as a multiple of the limit.
 	RateLimited, Refused bool
 	Wanted               float64
@@ -82,7 +83,7 @@
 	Chosen Reason = "chosen"
 	// NoUpstream means that there is no candidate or that all are excluded.
 	NoUpstream Reason = "no_upstream"
-	// Full means that the cheapest candidate has as many open requests as it may, or is refused, and no other one has room to spare.
+	// Full means that the cheapest candidate has as many open requests as it may and no other one has room to spare, or that all are refused.
 	Full Reason = "full"
 )
 
@@ -120,9 +121,13 @@
 		if c.Excluded {
 			continue
 		}
+		if c.Refused {
+			choice.Reason = Full
+			continue
+		}
 		cost := p.cost(r, c, choice.MeanLoad)
 		cheapest.offer(i, cost)
-		if !c.Refused && float64(c.Load+1) <= min(p.spill(r, c), p.overcommit(r))*float64(c.Slots) {
+		if float64(c.Load+1) <= min(p.spill(r, c), p.overcommit(r))*float64(c.Slots) {
 			spill.offer(i, cost)
 		}
 	}
@@ -130,7 +135,7 @@
 		return choice
 	}
 	choice.Reason, choice.Index = Chosen, cheapest.index
-	if c := &candidates[cheapest.index]; c.Refused || float64(c.Load+1) > p.overcommit(r)*float64(c.Slots) {
+	if c := &candidates[cheapest.index]; float64(c.Load+1) > p.overcommit(r)*float64(c.Slots) {
 		choice.Reason = Full
 		if spill.index >= 0 {
 			choice.Reason, choice.Index = Chosen, spill.index
--- a/core/placement/choose_test.go
+++ b/core/placement/choose_test.go
@@ -236,6 +236,7 @@
 		{"differences of some requests do not draw a short one", short, engines(63, 450, 50), Chosen, 0},
 		{"a short prompt takes a free slot while its engine is full", short, engines(64, 450, 63), Chosen, 1},
 		{"a short prompt waits if there is none", short, engines(64, 450, 64), Full, 0},
+		{"a refused engine does not hold requests back", long, append(engines(62, 10_500, 62), Candidate{ID: "cold", Slots: 64, Refused: true}), Chosen, 0},
 		{"room to spare draws a long prompt from a full engine", long, engines(64, 10_500, 47), Chosen, 1},
 	}
 	for _, tt := range tests {
--- a/router/internal/app/direct.go
+++ b/router/internal/app/direct.go
@@ -15,6 +15,8 @@
 	"rattantrack.dev/core/affinity"
 	"rattantrack.dev/core/backoff"
 	"rattantrack.dev/core/clock"
+	"rattantrack.dev/core/cold"
+	"rattantrack.dev/core/evacuation"
 	"rattantrack.dev/core/fairshare"
 	"rattantrack.dev/core/gossip"
 	"rattantrack.dev/core/kernel"
@@ -75,6 +77,8 @@
 	quarantine   *quarantine.Tracker
 	rateLimits   *ratelimit.Tracker
 	shares       *fairshare.Tracker
+	evacuations  *evacuation.Tracker
+	cold         *cold.Tracker
 	connections  *upstream.Pool
 	endpoint     *peer.Endpoint
 	loads        *loads.Service
@@ -106,6 +110,7 @@
 		quarantine:   &quarantine.Tracker{},
 		rateLimits:   &ratelimit.Tracker{},
 		shares:       &fairshare.Tracker{},
+		evacuations:  &evacuation.Tracker{},
 	}
 	var incarnation peer.Incarnation
 	var err error
@@ -218,7 +223,7 @@
 			Ready:   d.ready,
 			Dumpers: []operator.Dumper{
 				d.client, d.watcher, d.members, &pauses{tracker: d.backoff}, &suspects{tracker: d.quarantine},
-				&rateLimits{tracker: d.rateLimits},
+				&rateLimits{tracker: d.rateLimits}, &evacuations{tracker: d.evacuations}, &coldUpstreams{tracker: d.cold},
 				&teamShares{tracker: d.shares}, d.origins, d.routers, d.gossip, &operator.Links{Endpoint: d.endpoint},
 			},
 		},
--- a/router/internal/app/services.go
+++ b/router/internal/app/services.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"rattantrack.dev/core/clock"
+	"rattantrack.dev/core/cold"
 	"rattantrack.dev/core/gossip"
 	"rattantrack.dev/core/inflight"
 	"rattantrack.dev/core/members"
@@ -46,6 +47,7 @@
 		Unresponsive:    d.unresponsive,
 		Affinity:        d.affinity,
 		Members:         d.members,
+		Evacuations:     d.evacuations,
 		Clock:           clock.Boot{},
 		Log:             d.log,
 		Scope:           scope,
@@ -53,6 +55,7 @@
 		DirectoryState:  func() (time.Duration, bool) { return d.watcher.State() },
 		CacheQueried:    func() []settings.UpstreamID { return d.warmup.Queried() },
 		OnEvents:        d.applyMemberEvents,
+		OnEvacuations:   d.recordEvacuations,
 	}
 	d.loads = &loads.Service{
 		ID: inflight.RouterID(d.cfg.ID),
@@ -92,17 +95,19 @@
 	}
 	d.gossip = &gossip.Service{Store: d.store, Dialer: d.endpoint, Log: d.log, Candidates: d.routers.Addresses}
 	d.watcher = &directory.Watcher{
-		Self:      polling.Candidate{Address: d.cfg.Advertise, Cores: d.cfg.Direct.Cores},
-		Routers:   directoryRouters{Service: d.routers, loads: d.loads},
-		Source:    &platform.Store{URL: d.cfg.Direct.Directory, HTTP: directoryClient()},
-		Store:     d.store,
-		Offer:     d.gossip,
-		Members:   d.members,
-		Clock:     clock.Boot{},
-		Log:       d.log,
-		Scope:     scope,
-		OnEvents:  d.applyMemberEvents,
-		Broadcast: d.routers.Broadcast,
+		Self:          polling.Candidate{Address: d.cfg.Advertise, Cores: d.cfg.Direct.Cores},
+		Routers:       directoryRouters{Service: d.routers, loads: d.loads},
+		Source:        &platform.Store{URL: d.cfg.Direct.Directory, HTTP: directoryClient()},
+		Store:         d.store,
+		Offer:         d.gossip,
+		Members:       d.members,
+		Evacuations:   d.evacuations,
+		Clock:         clock.Boot{},
+		Log:           d.log,
+		Scope:         scope,
+		OnEvents:      d.applyMemberEvents,
+		Broadcast:     d.routers.Broadcast,
+		OnEvacuations: d.recordEvacuations,
 	}
 	d.warmup = &engines.Warmup{
 		Address:    d.cfg.Advertise,
@@ -117,10 +122,15 @@
 		Log:        d.log,
 		Scope:      scope,
 	}
+	limits := d.cfg.Direct.Cold
+	d.cold = &cold.Tracker{
+		Limits: cold.Limits{Overage: limits.Overage, Slack: limits.Slack}, Self: d.cfg.Advertise, Routers: d.routers.KnownAddresses, OnCold: d.logCold,
+	}
 	budget := d.cfg.Direct.RetryBudget
 	dispatcher := &direct.Dispatcher{
 		DataCentre:   d.cfg.DataCentre,
 		Members:      d.members,
+		Evacuations:  d.evacuations,
 		InFlight:     inFlight,
 		Affinity:     d.affinity,
 		Outliers:     d.outliers,
@@ -128,6 +138,8 @@
 		Backoff:      d.backoff,
 		Quarantine:   d.quarantine,
 		RateLimits:   d.rateLimits,
+		Cold:         d.cold,
+		ColdLimit:    d.coldLimit,
 		Origins:      d.origins,
 		Queues:       &waiting.Queues{},
 		Refusals:     &waiting.Refusals{},
--- a/router/internal/direct/dispatch.go
+++ b/router/internal/direct/dispatch.go
@@ -16,6 +16,8 @@
 	"rattantrack.dev/core/backoff"
 	"rattantrack.dev/core/call"
 	"rattantrack.dev/core/clock"
+	"rattantrack.dev/core/cold"
+	"rattantrack.dev/core/evacuation"
 	"rattantrack.dev/core/fairshare"
 	"rattantrack.dev/core/inflight"
 	"rattantrack.dev/core/members"
@@ -66,6 +68,7 @@
 type Dispatcher struct {
 	DataCentre   settings.DataCentre
 	Members      *members.Registry
+	Evacuations  *evacuation.Tracker
 	InFlight     *inflight.Tracker
 	Affinity     *affinity.Index
 	Outliers     *outlier.Detector
@@ -73,6 +76,7 @@
 	Backoff      *backoff.Tracker
 	Quarantine   *quarantine.Tracker
 	RateLimits   *ratelimit.Tracker
+	Cold         *cold.Tracker
 	Origins      Origins
 	Queues       *waiting.Queues
 	Refusals     *waiting.Refusals
@@ -87,6 +91,8 @@
 	Clock        Clock
 	// KnownRouters returns the number of routers that may send requests to the upstreams, with this one.
 	KnownRouters func() int
+	// ColdLimit returns how long the upstreams of a service are cold, and the requests a second that one bears meanwhile, 0 for any.
+	ColdLimit func(name settings.ServiceName) (time.Duration, float64)
 	// OnLeaving is called when an upstream states in an answer that it is leaving.
 	OnLeaving func(inst members.Instance)
 	Log       *log.Logger
@@ -103,6 +109,8 @@
 	noUpstreamPoll = 20 * time.Millisecond
 	// defaultRetryAfter is when the client may retry a request that found no upstream.
 	defaultRetryAfter = 500 * time.Millisecond
+	// evacuatedRetryAfter is when the client may retry a request all upstreams of which are evacuated.
+	evacuatedRetryAfter = 2 * time.Second
 	// warmupWait is how long a request with a long shared prompt waits for the cache warm-up after a restart of the router.
 	// An engine needs about as long to process such a prompt again.
 	warmupWait = 250 * time.Millisecond
@@ -118,6 +126,8 @@
 	stalled bool
 	// waiter keeps the request's place in the queue while it is placed again, nil before it has waited.
 	waiter *waiting.Waiter
+	// reservedAt is when the upstream of the last attempt was chosen.
+	reservedAt clock.Instant
 	// answeredAt is when the upstream began to answer the last attempt, 0 if it did not.
 	answeredAt clock.Instant
 	// eventsBefore is the number of events of earlier attempts. survived reports that the last attempt got past the beginning
@@ -215,6 +225,7 @@
 		switch {
 		case choice.Reason == placement.Chosen:
 			ex.recordRoom(now)
+			ex.reservedAt = now
 			ex.res.QueueTime += now.Sub(start)
 			return instance, true
 		case choice.Reason == placement.NoUpstream && ex.res.Attempts > 0:
@@ -232,6 +243,10 @@
 func (ex *exchange) waitForRoom(ctx context.Context, reason placement.Reason, start clock.Instant) bool {
 	now := ex.dispatcher.Clock.Now()
 	if reason == placement.NoUpstream {
+		if ex.dispatcher.allEvacuated(ex.Service) {
+			ex.giveUp(ctx, CodeEvacuated, evacuatedRetryAfter)
+			return false
+		}
 		if ex.dispatcher.pauseLeft(now, ex.Service) > 0 {
 			ex.giveUp(ctx, CodePaused, ex.retryAfter(defaultRetryAfter))
 			return false
@@ -262,7 +277,7 @@
 		case <-waiter.Ready():
 			return true
 		case <-poll.C:
-			if ex.dispatcher.RateLimits.Active(ex.dispatcher.Clock.Now()) {
+			if now := ex.dispatcher.Clock.Now(); ex.dispatcher.RateLimits.Active(now) || ex.dispatcher.Cold.Limiting(now) {
 				ex.dispatcher.Queues.WakeFirst(ex.Service)
 			}
 			continue
--- a/router/internal/direct/dispatch_test.go
+++ b/router/internal/direct/dispatch_test.go
@@ -21,6 +21,8 @@
 	"rattantrack.dev/core/backoff"
 	"rattantrack.dev/core/call"
 	"rattantrack.dev/core/clock"
+	"rattantrack.dev/core/cold"
+	"rattantrack.dev/core/evacuation"
 	"rattantrack.dev/core/fairshare"
 	"rattantrack.dev/core/inflight"
 	"rattantrack.dev/core/members"
@@ -53,9 +55,10 @@
 	if v, err := strconv.ParseFloat(h.Get("Limit"), 64); err == nil {
 		limit = (*call.Rate)(&v)
 	}
+	coldTime, _ := time.ParseDuration(h.Get("Cold"))
 	return call.Answer{
-		RateLimit: limit,
-		ID:        call.ID(h.Get("Id")), NotRun: h.Get("Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest,
+		RateLimit: limit, Cold: coldTime,
+		ID: call.ID(h.Get("Id")), NotRun: h.Get("Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest,
 		Leaving: h.Get("Leaving") != "", RetryAfter: pause,
 	}
 }
@@ -221,9 +224,15 @@
 	t.Cleanup(func() { cancel(); <-stopped })
 	b := &fixture{Dispatcher: &Dispatcher{
 		DataCentre: "kano", Members: &members.Registry{}, InFlight: &inflight.Tracker{}, Affinity: &affinity.Index{},
-		Outliers: &outlier.Detector{}, Unresponsive: &unresponsive.Detector{}, Queues: &waiting.Queues{}, Refusals: &waiting.Refusals{},
-		RunTimes: &waiting.Durations{}, Residence: &waiting.Durations{}, Demand: &waiting.Demand{}, FairShare: &fairshare.Tracker{}, Backoff: &backoff.Tracker{}, Quarantine: &quarantine.Tracker{},
+		Outliers: &outlier.Detector{}, Unresponsive: &unresponsive.Detector{}, Backoff: &backoff.Tracker{},
+		Quarantine: &quarantine.Tracker{}, Evacuations: &evacuation.Tracker{},
+		Queues: &waiting.Queues{}, Refusals: &waiting.Refusals{}, RunTimes: &waiting.Durations{}, Residence: &waiting.Durations{},
+		Demand: &waiting.Demand{}, FairShare: &fairshare.Tracker{},
 		RateLimits: &ratelimit.Tracker{}, KnownRouters: func() int { return 1 },
+		Cold: &cold.Tracker{
+			Limits: cold.Limits{Overage: 1}, Self: "a", Routers: func() ([]string, bool) { return nil, false },
+		},
+		ColdLimit:   func(settings.ServiceName) (time.Duration, float64) { return 0, 0 },
 		Origins:     &beginnings{},
 		Budget:      &retry.FleetBudget{Limits: retry.Limits{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}},
 		Connections: pool,
