fix(origins): a stream goes on where its prompt is cached once all records of it are lost

Ruled out: upstreams that are not chosen, routers that have not met, a Retry-After beyond the deadline. Change: the cache lists that routers read after such a loss tell which processes have the prompt's last block, which belongs to the stream alone. A new request whose block one version has goes there.

--- a/core/affinity/batch_test.go
+++ b/core/affinity/batch_test.go
@@ -1,11 +1,15 @@
 package affinity
 
 import (
+	"bytes"
 	"errors"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"rattantrack.dev/core/settings"
 )
 
 func TestUnpackRestoresPackedEntries(t *testing.T) {
@@ -44,3 +48,37 @@
 		}
 	})
 }
+
+// TestBatchesAreExchangedWithOlderPrograms guards against batches that programs without listings cannot decode.
+func TestBatchesAreExchangedWithOlderPrograms(t *testing.T) {
+	c := qt.New(t)
+	type batch struct {
+		Upstream settings.UpstreamID
+		Blocks   []byte
+		Ages     []byte
+	}
+	encode := func(v any) []byte {
+		var b bytes.Buffer
+		enc := msgpack.NewEncoder(&b)
+		enc.UseArrayEncodedStructs(true)
+		c.Assert(enc.Encode(v), qt.IsNil)
+		return b.Bytes()
+	}
+	plain := []Batch{{Upstream: "a", Blocks: []byte("12345678"), Ages: []byte{1}}}
+	older := []batch{{Upstream: "a", Blocks: []byte("12345678"), Ages: []byte{1}}}
+	c.Assert(encode(plain), qt.DeepEquals, encode(older))
+	var back []Batch
+	c.Assert(msgpack.Unmarshal(encode(older), &back), qt.IsNil)
+	c.Assert(back, qt.DeepEquals, plain)
+
+	listed := append(plain, Batch{
+		Upstream: "a", Blocks: []byte("12345678"), Ages: []byte{1}, Listed: []byte{0, 0, 1, 0}, Incarnation: 1_700_000_000_000,
+		Service: "letters", Version: "v1.1",
+	})
+	var got []batch
+	c.Assert(msgpack.Unmarshal(encode(WithoutListings(listed)), &got), qt.IsNil)
+	c.Assert(got, qt.DeepEquals, append(older, older...))
+	var same []Batch
+	c.Assert(msgpack.Unmarshal(encode(listed), &same), qt.IsNil)
+	c.Assert(same, qt.DeepEquals, listed)
+}
--- a/core/affinity/index.go
+++ b/core/affinity/index.go
@@ -29,8 +29,10 @@
 type CacheEntry struct {
 	Block    call.PromptBlockID
 	Upstream settings.UpstreamID
-	// Age is the time since the last use of the block.
+	// Age is the time since the last use of the block, or since the upstream has listed it.
 	Age time.Duration
+	// Listing is what the upstream itself has stated, zero if the entry comes from a request.
+	Listing Listing
 }
 
 // cacheOwner is an upstream that caches a block; reported is when its use was last reported, by this router or another.
@@ -49,6 +51,10 @@
 	lastUse     clock.Instant
 	// forgotten holds the upstreams that have ended or restarted since their last use of a block with cachedByAll.
 	forgotten map[settings.UpstreamID]bool
+	// listings holds what upstreams have listed. They stay after an upstream has ended. listedByMany means that there were more than
+	// maxListings.
+	listings     []Listed
+	listedByMany bool
 	// reused means that the block has been recorded more than once and is likely to be used again.
 	reused bool
 }
@@ -59,6 +65,7 @@
 	blocks      *simplelru.LRU[call.PromptBlockID, *blockEntry]
 	updates     []CacheEntry
 	updateTimes []clock.Instant
+	readings    readings
 }
 
 func (ix *Index) table() *simplelru.LRU[call.PromptBlockID, *blockEntry] {
@@ -94,7 +101,9 @@
 		}
 	} else {
 		entry = &blockEntry{}
-		table.Add(block, entry)
+		if table.Add(block, entry) {
+			ix.readings.evicted = true
+		}
 	}
 	entry.lastUse = max(entry.lastUse, lastUse)
 	delete(entry.forgotten, upstream)
@@ -125,9 +134,14 @@
 	ix.mu.Lock()
 	defer ix.mu.Unlock()
 	for _, entry := range entries {
-		owner := ix.record(entry.Block, entry.Upstream, now.Add(-entry.Age))
-		// The sender also reports it to the other routers, so this router need not.
-		owner.reported = max(owner.reported, now.Add(-entry.Age))
+		if entry.Block != readMark {
+			owner := ix.record(entry.Block, entry.Upstream, now.Add(-entry.Age))
+			// The sender also reports it to the other routers, so this router need not.
+			owner.reported = max(owner.reported, now.Add(-entry.Age))
+		}
+		if entry.Listing.Incarnation != 0 {
+			ix.recordListing(entry, now.Add(-entry.Age))
+		}
 	}
 }
 
@@ -135,6 +149,7 @@
 func (ix *Index) TakeUpdates(now clock.Instant) []CacheEntry {
 	ix.mu.Lock()
 	defer ix.mu.Unlock()
+	ix.reviewReadings(now)
 	updates := ix.updates
 	for i := range updates {
 		updates[i].Age = now.Sub(ix.updateTimes[i])
@@ -149,7 +164,11 @@
 func (ix *Index) Recent(now clock.Instant, n int) []CacheEntry {
 	ix.mu.Lock()
 	defer ix.mu.Unlock()
-	return ix.appendRecent(now, n, false, ix.appendRecent(now, n, true, nil))
+	entries := ix.appendRecent(now, n, false, ix.appendRecent(now, n, true, nil))
+	if len(entries) < n {
+		entries = append(entries, ix.readMarks(now)...)
+	}
+	return entries
 }
 
 func (ix *Index) appendRecent(now clock.Instant, n int, reused bool, entries []CacheEntry) []CacheEntry {
@@ -160,10 +179,15 @@
 			continue
 		}
 		for _, owner := range entry.owners {
-			if age := now.Sub(owner.lastUse); age < entryLifetime {
+			if age := now.Sub(owner.lastUse); age < entryLifetime && !entry.isListing(owner) {
 				entries = append(entries, CacheEntry{Block: ids[i], Upstream: owner.upstream, Age: age})
 			}
 		}
+		for _, l := range entry.listings {
+			if age := now.Sub(l.at); age < entryLifetime {
+				entries = append(entries, CacheEntry{Block: ids[i], Upstream: l.Upstream, Age: age, Listing: l.Listing})
+			}
+		}
 	}
 	return entries
 }
--- /dev/null
+++ b/core/affinity/listing_test.go
@@ -0,0 +1,104 @@
+package affinity
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"rattantrack.dev/core/call"
+	"rattantrack.dev/core/clock"
+	"rattantrack.dev/core/members"
+	"rattantrack.dev/core/settings"
+)
+
+// exchanged returns entries as another router gets them.
+func exchanged(c *qt.C, entries []CacheEntry) []CacheEntry {
+	var wire bytes.Buffer
+	enc := msgpack.NewEncoder(&wire)
+	enc.UseArrayEncodedStructs(true)
+	c.Assert(enc.Encode(Pack(entries)), qt.IsNil)
+	var batches []Batch
+	c.Assert(msgpack.NewDecoder(&wire).Decode(&batches), qt.IsNil)
+	got, err := Unpack(batches)
+	c.Assert(err, qt.IsNil)
+	return got
+}
+
+func engine(id settings.UpstreamID, version members.Version) members.Instance {
+	return members.Instance{ID: id, Service: "letters", Version: version, Incarnation: 7}
+}
+
+// TestListingsReachOtherRouters guards against a router that takes the engines which it knows to have a block for all that have it.
+func TestListingsReachOtherRouters(t *testing.T) {
+	c := qt.New(t)
+	now := clock.Instant(time.Hour)
+	var reader, other, late Index
+	reader.RecordListing(now, []call.PromptBlock{{ID: 1, Tokens: 300}, {ID: 2, Tokens: 75}}, engine("a", "v1"))
+	reader.RecordListing(now, nil, engine("b", "v2"))
+	other.Merge(now, exchanged(c, reader.TakeUpdates(now)))
+	late.Merge(now, exchanged(c, other.Recent(now, 100)))
+	for _, ix := range []*Index{&reader, &other, &late} {
+		list, complete := ix.Listed(now, 2)
+		c.Assert(complete, qt.IsTrue)
+		c.Assert(list, qt.HasLen, 1)
+		c.Assert(list[0].Upstream, qt.Equals, settings.UpstreamID("a"))
+		c.Assert(list[0].Listing, qt.Equals, Listing{Incarnation: 7, Service: "letters", Version: "v1", Tokens: 75})
+		c.Assert(ix.WasRead(now, "a", 7), qt.IsTrue)
+		c.Assert(ix.WasRead(now, "b", 7), qt.IsTrue)
+		c.Assert(ix.WasRead(now, "a", 8), qt.IsFalse)
+		c.Assert(ix.WasRead(now, "c", 7), qt.IsFalse)
+		c.Assert(ix.CachedTokens(now, []call.PromptBlock{{ID: 1, Tokens: 300}}, []settings.UpstreamID{"a", "b"}),
+			qt.DeepEquals, []settings.Tokens{300, 0})
+		c.Assert(ix.WasRead(now.Add(entryLifetime), "a", 7), qt.IsFalse)
+		list, _ = ix.Listed(now.Add(entryLifetime), 2)
+		c.Assert(list, qt.HasLen, 0)
+	}
+}
+
+// TestListingOutlivesItsEngine guards against a stream that seems to have begun at the only engine that is left of those that had its
+// prompt.
+func TestListingOutlivesItsEngine(t *testing.T) {
+	c := qt.New(t)
+	now := clock.Instant(time.Hour)
+	var ix Index
+	ix.RecordListing(now, []call.PromptBlock{{ID: 2, Tokens: 75}}, engine("a", "v1"))
+	ix.RecordListing(now, []call.PromptBlock{{ID: 2, Tokens: 75}}, engine("b", "v2"))
+	ix.Forget("a")
+	list, complete := ix.Listed(now, 2)
+	c.Assert(complete, qt.IsTrue)
+	c.Assert(list, qt.HasLen, 2)
+}
+
+// TestCutListingsAreIncomplete guards against listings of which a part was dropped: what is left does not tell that no other engine
+// has a block.
+func TestCutListingsAreIncomplete(t *testing.T) {
+	c := qt.New(t)
+	now := clock.Instant(time.Hour)
+	var ix Index
+	ix.RecordListing(now, []call.PromptBlock{{ID: 2, Tokens: 75}, {ID: 3, Tokens: 75}}, engine("a", "v1"))
+	var cut Index
+	cut.Merge(now, exchanged(c, ix.Recent(now, 2)))
+	c.Assert(cut.WasRead(now, "a", 7), qt.IsFalse)
+
+	for i := range maxListings + 1 {
+		ix.RecordListing(now, []call.PromptBlock{{ID: 9, Tokens: 300}}, engine(settings.UpstreamID('c'+rune(i)), "v1"))
+	}
+	_, complete := ix.Listed(now, 9)
+	c.Assert(complete, qt.IsFalse)
+	_, complete = ix.Listed(now, 2)
+	c.Assert(complete, qt.IsTrue)
+
+	for id := range call.PromptBlockID(maxBlocks) {
+		ix.RecordUse(now, []call.PromptBlock{{ID: 100 + id}}, "z")
+	}
+	_, complete = ix.Listed(now, 2)
+	c.Assert(complete, qt.IsFalse)
+	ix.TakeUpdates(now)
+	_, complete = ix.Listed(now.Add(entryLifetime-1), 2)
+	c.Assert(complete, qt.IsFalse)
+	_, complete = ix.Listed(now.Add(entryLifetime), 2)
+	c.Assert(complete, qt.IsTrue)
+}
--- a/core/call/call.go
+++ b/core/call/call.go
@@ -46,6 +46,14 @@
 // ContinuesStream reports whether the client already has events of the stream.
 func (r *Request) ContinuesStream() bool { return r.LastEvent != "" || r.FirstAttempt != "" }
 
+// OwnBlock returns the last block of the prompt, zero for a prompt without blocks.
+func (r *Request) OwnBlock() PromptBlock {
+	if len(r.PromptBlocks) == 0 {
+		return PromptBlock{}
+	}
+	return r.PromptBlocks[len(r.PromptBlocks)-1]
+}
+
 // EventID identifies an event of a stream.
 type EventID string
 
--- a/core/origin/decide.go
+++ b/core/origin/decide.go
@@ -1,6 +1,35 @@
 package origin
 
-import "rattantrack.dev/core/members"
+import (
+	"slices"
+
+	"rattantrack.dev/core/call"
+	"rattantrack.dev/core/settings"
+)
+
+// Question asks where a stream may go on.
+type Question struct {
+	// FirstAttempt is the client's attempt that brought the first event, empty if the client does not state it.
+	FirstAttempt call.ID
+	// Service is the one that the request would go to.
+	Service settings.ServiceName
+	// Own is the last block of the prompt, which belongs to the request or its session alone; it is zero for a request without blocks.
+	Own call.PromptBlock
+}
+
+// Engine is what a router knows of an instance that may have begun a stream.
+type Engine struct {
+	Origin Origin
+	// Excluded reports that the instance has listed its cache, or has started too late to have begun a stream that nobody remembers.
+	Excluded bool
+}
+
+// Listing is the statement of an instance, which may have ended since, that it has a stream's own block cached.
+type Listing struct {
+	Origin Origin
+	// Tokens is the number of cached tokens.
+	Tokens settings.Tokens
+}
 
 // Knowledge is what a router knows of a stream that is to go on, with the replies of those that it has asked.
 type Knowledge struct {
@@ -12,6 +41,12 @@
 	Complete bool
 	// Fresh reports that this router is not cut off: others have replied, or it has news from the directory, or there are no others.
 	Fresh bool
+	// Own is the size of the prompt's own block. Listings tell who has it cached, Engines are the instances in the directory that may
+	// have begun the stream. ListingsComplete reports that no listing was dropped.
+	Own              settings.Tokens
+	Listings         []Listing
+	Engines          []Engine
+	ListingsComplete bool
 }
 
 // Verdict is where a stream may go on.
@@ -23,24 +58,73 @@
 	Remembered Verdict = "remembered"
 	// OnlyVersion means that no other version can have begun the stream.
 	OnlyVersion Verdict = "only_version"
+	// Cached means that instances of one version alone have the stream's whole prompt cached.
+	Cached Verdict = "cached_prompt"
 	// Unknown means that the stream may have begun at another version than any that it could go on at.
 	Unknown Verdict = "unknown"
 )
 
-// Decide returns the version at which a stream may go on. It answers the load of clients that return to any router while several
-// versions serve, also after their router and those that held its records are lost. A wrong version spoils the stream unnoticed,
-// while a refused client can return or begin anew, so nothing is guessed.
-func Decide(k *Knowledge) (members.Version, Verdict) {
+// Decide returns where a stream may go on that would go to a service. It answers the load of clients that return to any router while
+// several versions serve, also after their router and those that held its records are lost, or all routers. A wrong version spoils the
+// stream unnoticed, while a refused client can return or begin anew, so nothing is guessed.
+func Decide(service settings.ServiceName, k *Knowledge) (Origin, Verdict) {
 	if k.Found != nil {
-		return k.Found.Version, Remembered
+		return *k.Found, Remembered
+	}
+	if !k.Fresh {
+		return Origin{}, Unknown
 	}
-	if !k.Complete || !k.Fresh || len(k.Versions) == 0 {
-		return "", Unknown
+	if o, ok := onlyVersion(service, k); ok {
+		return o, OnlyVersion
+	}
+	if o, ok := cachingVersion(k); ok {
+		return o, Cached
+	}
+	return Origin{}, Unknown
+}
+
+// onlyVersion returns the version that alone can have begun a stream. A listing of another one contradicts it.
+func onlyVersion(service settings.ServiceName, k *Knowledge) (Origin, bool) {
+	if !k.Complete || len(k.Versions) == 0 {
+		return Origin{}, false
 	}
+	o := Origin{Service: service, Version: k.Versions[0].Version}
 	for _, s := range k.Versions {
-		if s.Version != k.Versions[0].Version {
-			return "", Unknown
+		if s.Version != o.Version {
+			return Origin{}, false
+		}
+	}
+	for _, l := range k.Listings {
+		if l.Origin != o {
+			return Origin{}, false
+		}
+	}
+	return o, true
+}
+
+// pageTokens is the unit in which engines keep tokens; what does not fill a unit is not listed.
+const pageTokens = 16
+
+// cachingVersion returns the version whose instances alone have a stream's own prompt block cached, the whole of it. No instance of
+// another version may be left out, since a request that was sent to two versions is listed by both.
+func cachingVersion(k *Knowledge) (Origin, bool) {
+	if !k.ListingsComplete || len(k.Listings) == 0 || k.Listings[0].Origin.Version == "" {
+		return Origin{}, false
+	}
+	o, whole := k.Listings[0].Origin, false
+	for _, l := range k.Listings {
+		if l.Origin != o {
+			return Origin{}, false
+		}
+		whole = whole || l.Tokens > k.Own-pageTokens
+	}
+	if !slices.ContainsFunc(k.Versions, func(s Seen) bool { return s.Version == o.Version }) {
+		return Origin{}, false
+	}
+	for _, e := range k.Engines {
+		if e.Origin != o && !e.Excluded {
+			return Origin{}, false
 		}
 	}
-	return k.Versions[0].Version, OnlyVersion
+	return o, whole
 }
--- a/core/origin/history.go
+++ b/core/origin/history.go
@@ -159,3 +159,23 @@
 	}
 	return found
 }
+
+// Process identifies a process of an instance, and what would begin there.
+type Process struct {
+	ID          settings.UpstreamID
+	Incarnation members.Incarnation
+	Origin      Origin
+}
+
+// Processes returns the listed instances of a service, those that are leaving too.
+func (h *History) Processes(name settings.ServiceName) []Process {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var list []Process
+	for id, l := range h.instances {
+		if l.origin.Service == name {
+			list = append(list, Process{ID: id, Incarnation: l.incarnation, Origin: l.origin})
+		}
+	}
+	return list
+}
--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -25,6 +25,7 @@
 // TestStreamOfUnknownOriginGoesOnOnlyWhereItIsCertain covers what a router may know when no router remembers a stream.
 func TestStreamOfUnknownOriginGoesOnOnlyWhereItIsCertain(t *testing.T) {
 	one := []Seen{{Service: "letters", Version: "v1"}, {Service: "letters", Version: "v1", Age: time.Second}}
+	v2 := Origin{Service: "letters", Version: "v2"}
 	two := append(slices.Clone(one), Seen{Service: "letters", Version: "v2", Age: 50 * time.Second})
 	tests := []struct {
 		name    string
@@ -38,17 +39,62 @@
 		{"another one may have left", Knowledge{Versions: one, Fresh: true}, "", Unknown},
 		{"another one may have come", Knowledge{Versions: one, Complete: true}, "", Unknown},
 		{"no instances", Knowledge{Complete: true, Fresh: true}, "", Unknown},
+		{"only version, and another one has its prompt", Knowledge{
+			Versions: one, Complete: true, Fresh: true, Own: 50, Listings: []Listing{{Origin: v2, Tokens: 80}}, ListingsComplete: true,
+		}, "", Unknown},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			c := qt.New(t)
-			version, verdict := Decide(&tt.k)
-			c.Assert(version, qt.Equals, tt.version)
+			o, verdict := Decide("letters", &tt.k)
+			c.Assert(o.Version, qt.Equals, tt.version)
 			c.Assert(verdict, qt.Equals, tt.verdict)
 		})
 	}
 }
 
+// TestStreamGoesOnWhereItsPromptIsCached covers the loss of all routers while two versions serve: what the engines have cached tells where
+// a stream began, unless an engine of another version may have it too.
+func TestStreamGoesOnWhereItsPromptIsCached(t *testing.T) {
+	v1, v2 := Origin{Service: "letters", Version: "v1"}, Origin{Service: "letters", Version: "v2"}
+	engines := []Engine{{Origin: v1, Excluded: true}, {Origin: v2, Excluded: true}}
+	tests := []struct {
+		name   string
+		change func(k *Knowledge)
+		origin Origin
+	}{
+		{"one version", func(*Knowledge) {}, v2},
+		{"two engines of a version, one of which began nothing", func(k *Knowledge) {
+			k.Listings = append(k.Listings, Listing{Origin: v2, Tokens: 20})
+		}, v2},
+		{"another version too", func(k *Knowledge) { k.Listings = append(k.Listings, Listing{Origin: v1, Tokens: 20}) }, Origin{}},
+		{"another service too", func(k *Knowledge) {
+			k.Listings = append(k.Listings, Listing{Origin: Origin{Service: "drafts", Version: "v2"}, Tokens: 80})
+		}, Origin{}},
+		{"read, and the answer was cut", func(k *Knowledge) { k.Listings[0].Tokens = 50 - pageTokens + 1 }, v2},
+		{"not read to its end", func(k *Knowledge) { k.Listings[0].Tokens = 50 - pageTokens }, Origin{}},
+		{"nobody", func(k *Knowledge) { k.Listings = nil }, Origin{}},
+		{"listings were dropped", func(k *Knowledge) { k.ListingsComplete = false }, Origin{}},
+		{"an engine of another version has not listed its cache", func(k *Knowledge) { k.Engines[0].Excluded = false }, Origin{}},
+		{"an engine of the version has not listed its cache", func(k *Knowledge) { k.Engines[1].Excluded = false }, v2},
+		{"the router is cut off", func(k *Knowledge) { k.Fresh = false }, Origin{}},
+		{"engines that name no version", func(k *Knowledge) { k.Listings[0].Origin.Version = "" }, Origin{}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			k := Knowledge{
+				Versions: []Seen{{Service: "letters", Version: "v1"}, {Service: "letters", Version: "v2"}}, Fresh: true, Own: 50,
+				Listings: []Listing{{Origin: v2, Tokens: 80}}, Engines: slices.Clone(engines), ListingsComplete: true,
+			}
+			tt.change(&k)
+			o, verdict := Decide("letters", &k)
+			c.Assert(o, qt.Equals, tt.origin)
+			c.Assert(verdict == Cached, qt.Equals, tt.origin != Origin{})
+		})
+	}
+}
+
 // TestVersionThatLeftStaysInTheHistory guards against a stream that goes on at the version that replaced its own.
 func TestVersionThatLeftStaysInTheHistory(t *testing.T) {
 	c := qt.New(t)
--- a/core/peer/control.go
+++ b/core/peer/control.go
@@ -19,9 +19,10 @@
 
 // ProtocolVersion is the latest version of the protocol, and minProtocolVersion the oldest that a process still speaks. Version 2
 // added LoadReport and LoadTotals, version 3 CrashEvidence, version 4 UsageReport and UsageTotals, version 5 digests in
-// CrashEvidence, versions of instances in RouterState, StreamOrigins, OriginQuery and OriginReply.
+// CrashEvidence, versions of instances in RouterState, StreamOrigins, OriginQuery and OriginReply, version 6 listings of
+// upstreams in CacheEntries.
 const (
-	ProtocolVersion    = 5
+	ProtocolVersion    = 6
 	minProtocolVersion = 1
 )
 
@@ -40,6 +41,9 @@
 // StreamOriginsVersion is the first version with StreamOrigins, OriginQuery and OriginReply.
 const StreamOriginsVersion = 5
 
+// CacheListingVersion is the first version with listings of upstreams in CacheEntries.
+const CacheListingVersion = 6
+
 // UsageReportVersion is the first version with UsageReport and UsageTotals.
 const UsageReportVersion = 4
 
--- a/router/internal/app/services.go
+++ b/router/internal/app/services.go
@@ -84,6 +84,7 @@
 		FirstStart:   d.cfg.Direct.FirstStart,
 		Routers:      d.routers,
 		Dialer:       d.endpoint,
+		Caches:       d.affinity,
 		DirectoryAge: d.directoryAge,
 		KnownRouters: d.routers.Known,
 		Clock:        clock.Boot{},
--- a/router/internal/direct/dispatch.go
+++ b/router/internal/direct/dispatch.go
@@ -58,7 +58,9 @@
 	// Begin records the origin of a stream, whose first event an attempt of the client has brought.
 	Begin(attempt call.ID, o origin.Origin)
 	// Find returns where a stream may go on that the client has events of.
-	Find(ctx context.Context, attempt call.ID, name settings.ServiceName) (origin.Origin, origin.Verdict)
+	Find(ctx context.Context, q *origin.Question) (origin.Origin, origin.Verdict)
+	// CachedAt returns the only version of a service that has the block of a request in its caches, while several versions serve.
+	CachedAt(name settings.ServiceName, block call.PromptBlock) (members.Version, bool)
 }
 
 // Dispatcher sends requests to upstreams and relays their responses.
@@ -138,7 +140,7 @@
 }
 
 func (ex *exchange) run(ctx context.Context) {
-	if ex.RouteConfig.Kind == settings.RouteStream && ex.ContinuesStream() && !ex.findOrigin(ctx) {
+	if ex.RouteConfig.Kind == settings.RouteStream && !ex.chooseVersion(ctx) {
 		return
 	}
 	if ex.RouteConfig.Affinity && ex.SharedTokens() >= enginePolicy.LongPrefix {
--- a/router/internal/direct/dispatch_test.go
+++ b/router/internal/direct/dispatch_test.go
@@ -182,6 +182,8 @@
 type beginnings struct {
 	mu    sync.Mutex
 	begun map[call.ID]origin.Origin
+	// cached holds the versions that have read a block.
+	cached map[call.PromptBlockID]members.Version
 }
 
 func (b *beginnings) Begin(attempt call.ID, o origin.Origin) {
@@ -193,16 +195,23 @@
 	b.begun[attempt] = o
 }
 
-func (b *beginnings) Find(_ context.Context, attempt call.ID, name settings.ServiceName) (origin.Origin, origin.Verdict) {
+func (b *beginnings) Find(_ context.Context, q *origin.Question) (origin.Origin, origin.Verdict) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if o, ok := b.begun[attempt]; ok {
+	if o, ok := b.begun[q.FirstAttempt]; ok {
 		return o, origin.Remembered
 	}
-	if attempt == "unknown" {
+	if q.FirstAttempt == "unknown" {
 		return origin.Origin{}, origin.Unknown
 	}
-	return origin.Origin{Service: name}, origin.OnlyVersion
+	return origin.Origin{Service: q.Service}, origin.OnlyVersion
+}
+
+func (b *beginnings) CachedAt(_ settings.ServiceName, block call.PromptBlock) (members.Version, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	v, ok := b.cached[block.ID]
+	return v, ok
 }
 
 // newFixture starts one upstream per list of handlers. The first upstream is in the dispatcher's data centre, so it gets the
--- a/router/internal/direct/origin.go
+++ b/router/internal/direct/origin.go
@@ -9,11 +9,35 @@
 	"rattantrack.dev/core/settings"
 )
 
+// chooseVersion finds out which version the stream has to go to, if any. It returns false if the request has ended.
+func (ex *exchange) chooseVersion(ctx context.Context) bool {
+	if ex.ContinuesStream() {
+		return ex.findOrigin(ctx)
+	}
+	own := ex.OwnBlock()
+	if own.ID == 0 {
+		return true
+	}
+	version, ok := ex.dispatcher.Origins.CachedAt(ex.Service, own)
+	o := origin.Origin{Service: ex.Service, Version: version}
+	if ok && ex.serves(o) {
+		ex.dispatcher.Scope.Counter("streams_kept_at_version").Inc(1)
+		ex.dispatcher.Log.Info("stream kept at a version", "request", ex.ID, "service", o.Service, "version", o.Version)
+		ex.Begun = &o
+	}
+	return true
+}
+
+// serves reports whether instances of a version of a service may get requests.
+func (ex *exchange) serves(o origin.Origin) bool {
+	return slices.ContainsFunc(ex.dispatcher.Members.Serving(o.Service), func(i members.Instance) bool { return i.Version == o.Version })
+}
+
 // findOrigin finds out where the stream began that the client takes up again. It returns false if the request has ended, because the
 // stream cannot go on there.
 func (ex *exchange) findOrigin(ctx context.Context) bool {
 	d := ex.dispatcher
-	o, verdict := d.Origins.Find(ctx, ex.FirstAttempt, ex.Service)
+	o, verdict := d.Origins.Find(ctx, &origin.Question{FirstAttempt: ex.FirstAttempt, Service: ex.Service, Own: ex.OwnBlock()})
 	if verdict == origin.Unknown {
 		ex.giveUp(ctx, CodeOriginUnknown, defaultRetryAfter)
 		return false
@@ -21,7 +45,7 @@
 	d.Log.Info("stream taken up", "request", ex.ID, "first_attempt", ex.FirstAttempt, "service", o.Service, "version", o.Version,
 		"by", verdict)
 	isBackend := slices.ContainsFunc(ex.RouteConfig.Backends, func(b settings.Backend) bool { return b.Service == o.Service })
-	if !isBackend || !slices.ContainsFunc(d.Members.Serving(o.Service), func(i members.Instance) bool { return i.Version == o.Version }) {
+	if !isBackend || !ex.serves(o) {
 		ex.giveUp(ctx, CodeVersionGone, defaultRetryAfter)
 		return false
 	}
--- a/router/internal/direct/origin_test.go
+++ b/router/internal/direct/origin_test.go
@@ -72,7 +72,7 @@
 			for i, n := range tt.requests {
 				c.Check(len(b.upstreams[i].requests()), qt.Equals, n, qt.Commentf("upstream %d", i))
 			}
-			o, verdict := b.Origins.Find(context.Background(), "r1", "desk")
+			o, verdict := b.Origins.Find(context.Background(), &origin.Question{FirstAttempt: "r1", Service: "desk"})
 			c.Check(verdict, qt.Equals, origin.Remembered)
 			c.Check(o, qt.Equals, origin.Origin{Service: "desk", Version: "v1"})
 		})
--- a/router/internal/engines/warmup.go
+++ b/router/internal/engines/warmup.go
@@ -242,7 +242,7 @@
 	if err != nil {
 		w.Log.Warn("cannot query the cache of an engine", "upstream", inst.ID, "error", err)
 	} else {
-		w.Affinity.RecordUse(now, blocks, inst.ID)
+		w.Affinity.RecordListing(now, blocks, inst)
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/router/internal/origins/find.go
+++ b/router/internal/origins/find.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
 
+	"rattantrack.dev/core/affinity"
 	"rattantrack.dev/core/call"
 	"rattantrack.dev/core/clock"
 	"rattantrack.dev/core/members"
@@ -29,35 +31,31 @@
 	maxDirectoryAge = 2500 * time.Millisecond
 )
 
-// Find returns where a stream may go on that the client has events of. attempt is the client's attempt that brought the first one, empty
-// if the client does not state it, and name the service that the request would go to.
-func (s *Service) Find(ctx context.Context, attempt call.ID, name settings.ServiceName) (origin.Origin, origin.Verdict) {
+// Find returns where a stream may go on that the client has events of.
+func (s *Service) Find(ctx context.Context, q *origin.Question) (origin.Origin, origin.Verdict) {
 	now := s.Clock.Now()
 	var id origin.StreamID
 	var k origin.Knowledge
-	if attempt != "" {
-		id = origin.NewStreamID(attempt)
+	if q.FirstAttempt != "" {
+		id = origin.NewStreamID(q.FirstAttempt)
 		if o, ok := s.remembered(now, id); ok {
 			k.Found = &o
 		}
 	}
 	asked, replies := 0, 0
 	if k.Found == nil {
-		asked, replies = s.askFor(ctx, id, name, &k)
+		asked, replies = s.askFor(ctx, id, q, &k)
 	}
-	version, verdict := origin.Decide(&k)
+	o, verdict := origin.Decide(q.Service, &k)
 	for n := 1; verdict == origin.Unknown && (n == 1 || (asked == 0 && n <= maxEarlyAsks)) && clock.Sleep(ctx, askPause); n++ {
-		asked, replies = s.askFor(ctx, id, name, &k)
-		version, verdict = origin.Decide(&k)
-	}
-	o := origin.Origin{Service: name, Version: version}
-	if k.Found != nil {
-		o = *k.Found
+		asked, replies = s.askFor(ctx, id, q, &k)
+		o, verdict = origin.Decide(q.Service, &k)
 	}
 	s.Scope.Tagged(map[string]string{"verdict": string(verdict)}).Counter("streams_taken_up").Inc(1)
 	if verdict == origin.Unknown {
-		s.Log.Warn("origin of a stream unknown", "first_attempt", attempt, "service", name, "asked", asked, "replies", replies,
-			"versions", versionsOf(k.Versions), "complete", k.Complete, "fresh", k.Fresh)
+		s.Log.Warn("origin of a stream unknown", "first_attempt", q.FirstAttempt, "service", q.Service, "asked", asked,
+			"replies", replies, "versions", versionsOf(k.Versions), "complete", k.Complete, "fresh", k.Fresh,
+			"cached_at", cachedAt(k.Listings), "caches_unread", unread(k.Engines), "listings_complete", k.ListingsComplete)
 	}
 	return o, verdict
 }
@@ -72,8 +70,70 @@
 	return slices.Compact(list)
 }
 
+// cachedAt formats listings for a log line.
+func cachedAt(listings []origin.Listing) []string {
+	list := make([]string, len(listings))
+	for i, l := range listings {
+		list[i] = fmt.Sprintf("%s:%.0f", l.Origin.Version, l.Tokens)
+	}
+	return list
+}
+
+// unread returns the number of instances that may have begun the stream and have not listed their caches.
+func unread(engines []origin.Engine) int {
+	n := 0
+	for _, e := range engines {
+		if !e.Excluded {
+			n++
+		}
+	}
+	return n
+}
+
+// addCaches adds what the engines have listed when the routers started.
+func (s *Service) addCaches(now clock.Instant, q *origin.Question, k *origin.Knowledge) {
+	k.Own, k.Listings, k.Engines = q.Own.Tokens, nil, nil
+	if q.Own.ID == 0 {
+		return
+	}
+	var listed []affinity.Listed
+	listed, k.ListingsComplete = s.Caches.Listed(now, q.Own.ID)
+	for _, l := range listed {
+		k.Listings = append(k.Listings, origin.Listing{Origin: originOf(l), Tokens: settings.Tokens(l.Tokens)})
+	}
+	if len(listed) == 0 {
+		return
+	}
+	for _, p := range s.history.Processes(q.Service) {
+		isLater := int64(p.Incarnation) > s.startedAt.UnixMilli()
+		k.Engines = append(k.Engines, origin.Engine{
+			Origin: p.Origin, Excluded: isLater || s.Caches.WasRead(now, p.ID, p.Incarnation),
+		})
+	}
+}
+
+func originOf(l affinity.Listed) origin.Origin {
+	return origin.Origin{Service: l.Service, Version: l.Version}
+}
+
+// CachedAt returns the only version with a block in its caches, if several versions serve. A request that was sent to it and began
+// nothing there that the client knows of goes there again, so that its block stays with one version.
+func (s *Service) CachedAt(name settings.ServiceName, block call.PromptBlock) (members.Version, bool) {
+	now := s.Clock.Now()
+	listed, complete := s.Caches.Listed(now, block.ID)
+	if len(listed) == 0 || !complete || !s.history.Mixed(now, name) {
+		return "", false
+	}
+	for _, l := range listed {
+		if l.Service != name || l.Version != listed[0].Version {
+			return "", false
+		}
+	}
+	return listed[0].Version, listed[0].Version != ""
+}
+
 // askFor adds what this router and those that may hold the record know.
-func (s *Service) askFor(ctx context.Context, id origin.StreamID, name settings.ServiceName, k *origin.Knowledge) (asked, replies int) {
+func (s *Service) askFor(ctx context.Context, id origin.StreamID, q *origin.Question, k *origin.Knowledge) (asked, replies int) {
 	s.mu.Lock()
 	var addresses []string
 	if s.holders != nil {
@@ -85,7 +145,7 @@
 		addresses = s.holders.Asked(key, s.Address)
 	}
 	s.mu.Unlock()
-	for r := range s.ask(ctx, addresses, &peer.OriginQuery{Stream: id, Service: name}) {
+	for r := range s.ask(ctx, addresses, &peer.OriginQuery{Stream: id, Service: q.Service}) {
 		replies++
 		k.Versions = append(k.Versions, r.Seen...)
 		k.Complete = k.Complete || r.Complete
@@ -95,8 +155,9 @@
 		}
 	}
 	now := s.Clock.Now()
-	k.Versions = append(k.Versions, s.history.Seen(now, name)...)
-	k.Complete = k.Complete || s.history.Complete(now) || s.history.Settled(time.Now(), name)
+	k.Versions = append(k.Versions, s.history.Seen(now, q.Service)...)
+	k.Complete = k.Complete || s.history.Complete(now) || s.history.Settled(time.Now(), q.Service)
+	s.addCaches(now, q, k)
 	k.Fresh = replies > 0 || s.DirectoryAge() < maxDirectoryAge || s.KnownRouters() <= 1
 	return len(addresses), replies
 }
--- a/router/internal/origins/service.go
+++ b/router/internal/origins/service.go
@@ -10,6 +10,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/uber-go/tally/v4"
 
+	"rattantrack.dev/core/affinity"
 	"rattantrack.dev/core/call"
 	"rattantrack.dev/core/clock"
 	"rattantrack.dev/core/inflight"
@@ -49,6 +50,14 @@
 	Dial(ctx context.Context, address string) (*peer.Link, error)
 }
 
+// Caches holds what engines have listed of their caches.
+type Caches interface {
+	// Listed returns which upstreams have listed a block, false if some may be missing.
+	Listed(now clock.Instant, block call.PromptBlockID) ([]affinity.Listed, bool)
+	// WasRead reports whether the cache of a process has been read.
+	WasRead(now clock.Instant, id settings.UpstreamID, incarnation members.Incarnation) bool
+}
+
 // Clock returns the current instant.
 type Clock interface {
 	Now() clock.Instant
@@ -63,6 +72,7 @@
 	FirstStart bool
 	Routers    Routers
 	Dialer     Dialer
+	Caches     Caches
 	// DirectoryAge returns the age of the newest directory read that this router knows of.
 	DirectoryAge func() time.Duration
 	// KnownRouters returns the number of routers that may be running, with this one.
@@ -71,7 +81,9 @@
 	Log          *log.Logger
 	Scope        tally.Scope
 
-	history origin.History
+	// startedAt is the time of day at which Run was called, by which incarnations are named.
+	startedAt time.Time
+	history   origin.History
 	// began holds the streams that began or went on here, held those of other routers.
 	began, held origin.Records
 
@@ -91,6 +103,7 @@
 
 // Run sends records until ctx ends.
 func (s *Service) Run(ctx context.Context, ready func()) error {
+	s.startedAt = time.Now()
 	s.history.Start(s.Clock.Now(), s.FirstStart)
 	ready()
 	defer s.wg.Wait()
--- a/router/internal/origins/service_test.go
+++ b/router/internal/origins/service_test.go
@@ -14,6 +14,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/uber-go/tally/v4"
 
+	"rattantrack.dev/core/affinity"
 	"rattantrack.dev/core/call"
 	"rattantrack.dev/core/clock"
 	"rattantrack.dev/core/inflight"
@@ -83,6 +84,7 @@
 	}
 	n.service = &Service{
 		ID: inflight.RouterID(n.address), Address: n.address, FirstStart: first, Routers: n, Dialer: endpoint, Clock: clock.Boot{},
+		Caches:       &affinity.Index{},
 		DirectoryAge: func() time.Duration { return 0 }, KnownRouters: func() int { return f.size() },
 		Log: log.New(io.Discard), Scope: tally.NoopScope,
 	}
@@ -152,7 +154,7 @@
 }
 
 func (n *node) find(attempt call.ID) (members.Version, origin.Verdict) {
-	o, verdict := n.service.Find(context.Background(), attempt, "letters")
+	o, verdict := n.service.Find(context.Background(), &origin.Question{FirstAttempt: attempt, Service: "letters"})
 	return o.Version, verdict
 }
 
--- a/router/internal/routers/state.go
+++ b/router/internal/routers/state.go
@@ -97,6 +97,9 @@
 	if link.Version() < peer.InstanceVersionVersion {
 		state.Members = members.WithoutVersions(state.Members)
 	}
+	if link.Version() < peer.CacheListingVersion {
+		state.CacheEntries = affinity.WithoutListings(state.CacheEntries)
+	}
 	return state
 }
 
