--- a/core/peer/control.go
+++ b/core/peer/control.go
@@ -19,7 +19,8 @@
 
 // ProtocolVersion is the latest version of the protocol, and minProtocolVersion the oldest that a process still speaks. Version 2
 // added LoadReport and LoadTotals, version 3 CrashEvidence, version 4 UsageReport and UsageTotals, version 5 digests in
-// CrashEvidence, versions of instances in RouterState, StreamOrigins, OriginQuery and OriginReply, version 6 evacuations in RouterState.
+// CrashEvidence, versions of instances in RouterState, StreamOrigins, OriginQuery and OriginReply, version 6 evacuations in RouterState
+// and listings of upstreams in CacheEntries.
 const (
 	ProtocolVersion    = 6
 	minProtocolVersion = 1
@@ -42,6 +43,8 @@
 
 // EvacuationsVersion is the first version with evacuations in RouterState.
 const EvacuationsVersion = 6
+// CacheListingVersion is the first version with listings of upstreams in CacheEntries.
+const CacheListingVersion = 6
 
 // UsageReportVersion is the first version with UsageReport and UsageTotals.
 const UsageReportVersion = 4
--- a/router/internal/routers/state.go
+++ b/router/internal/routers/state.go
@@ -101,6 +101,9 @@
 	if link.Version() < peer.EvacuationsVersion {
 		state.Evacuations = nil
 	}
+	if link.Version() < peer.CacheListingVersion {
+		state.CacheEntries = affinity.WithoutListings(state.CacheEntries)
+	}
 	return state
 }
 
