--- a/core/peer/control.go
+++ b/core/peer/control.go
@@ -43,6 +43,7 @@
 
 // EvacuationsVersion is the first version with evacuations in RouterState.
 const EvacuationsVersion = 6
+
 // CacheListingVersion is the first version with listings of upstreams in CacheEntries.
 const CacheListingVersion = 6
 
