feat(platform): read the slowdown of an upstream's VM and the client's output estimate

Cause: the field that states an upstream's load was dropped without a log line as soon as it had a fourth figure, since exactly three were expected. Change: three figures are needed, the fourth is the slowdown, further ones are ignored; the client's estimate of its answer's size is read too. A malformed field is passed on with a bounded part of its text, for a log line, and what can be read of it counts.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 KNOWN_RED := TestRollingRestartFailsNoRequests
 
 # Pattern of the platform's own names, which only code in platform/ may use.
-PLATFORM_NAMES := Attempt-Id|Deadline-Ms|Target-Instance|Response-Seal|Not-Executed|Server-Load|Server-Leaving|Server-Limit|Store-Era|Token-Usage|Prompt-Prefix|kv-range|kv-watch|kv-key|kv-list|route-type|target-latency|session-affinity|stream-resume|Resumes|RATTANTRACK_NODE_FILE
+PLATFORM_NAMES := Attempt-Id|Deadline-Ms|Target-Instance|Response-Seal|Not-Executed|Server-Load|Server-Leaving|Server-Limit|Store-Era|Token-Usage|Length-Hint|Prompt-Prefix|kv-range|kv-watch|kv-key|kv-list|route-type|target-latency|session-affinity|stream-resume|Resumes|RATTANTRACK_NODE_FILE
 
 .PHONY: tools build test lint platform-names fmt race fuzz-seeds fuzz examples demo failures verify-model bench bench-decisions bench-capacity soak known-red clean
 
--- a/core/call/call.go
+++ b/core/call/call.go
@@ -35,6 +35,10 @@
 	// PromptTokens is the size of the prompt, MaxTokens the maximum size of the answer.
 	PromptTokens settings.Tokens
 	MaxTokens    settings.Tokens
+	// ExpectedTokens is the client's estimate of the size of the answer, 0 if not stated.
+	ExpectedTokens settings.Tokens
+	// Malformed is a field that was left out of account because it is malformed, nil for none.
+	Malformed *MalformedField
 	// LastEvent is the id of the last event that the client received of an earlier answer, empty for none.
 	LastEvent EventID
 	// FirstAttempt is the id of the client's attempt that brought the first event of the stream which is to go on, empty if not stated.
@@ -83,9 +87,16 @@
 // Rate is a number of requests per second.
 type Rate float64
 
+// MalformedField is a header field that cannot be read and does not fail its message. Value is cut to a bounded length.
+type MalformedField struct {
+	Name, Value string
+}
+
 // Load is the load that an upstream reports.
 type Load struct {
 	Running, Waiting, Slots int
+	// Slowdown is how long work takes on the upstream's VM at the moment, as a multiple of the usual time; 0 if not stated.
+	Slowdown float64
 }
 
 // Answer holds what an upstream states in its answer besides the status and the body.
@@ -98,6 +109,8 @@
 	Misdirected bool
 	// Load is the upstream's load, nil if not stated.
 	Load *Load
+	// Malformed is a field that could not be read, nil for none.
+	Malformed *MalformedField
 	// Leaving means that the upstream is about to end and wants no further requests.
 	Leaving bool
 	// RetryAfter is the pause that an upstream which turned the request away wants from this router, 0 for none.
