--- a/core/inflight/tracker.go
+++ b/core/inflight/tracker.go
@@ -62,6 +62,18 @@
 	t.local[id]--
 }
 
+// Add adds to this router's count for an upstream, which never falls below zero.
+func (t *Tracker) Add(id settings.UpstreamID, n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.local == nil {
+		t.local = make(Counts)
+	}
+	if t.local[id] += n; t.local[id] <= 0 {
+		delete(t.local, id)
+	}
+}
+
 // SetLocal replaces this router's counts.
 func (t *Tracker) SetLocal(counts Counts) {
 	t.mu.Lock()
