feat(work): keep work and speeds at routers and exchange them through relays

Protocol version 6 adds WorkReport and WorkTotals, which carry what UsageReport and UsageTotals do with the work left and the newest readings; older routers get the messages of their versions. They are sent only while upstreams state their speed. Log lines, metrics and the dump show estimates, work, speeds and how long readings hold. Nothing decides by them yet.

--- a/core/peer/message.go
+++ b/core/peer/message.go
@@ -40,6 +40,8 @@
 	KindStreamOrigins
 	KindOriginQuery
 	KindOriginReply
+	KindWorkReport
+	KindWorkTotals
 )
 
 // Message is one typed message of the protocol.
@@ -123,6 +125,10 @@
 		return &OriginQuery{}
 	case KindOriginReply:
 		return &OriginReply{}
+	case KindWorkReport:
+		return &WorkReport{}
+	case KindWorkTotals:
+		return &WorkTotals{}
 	}
 	return nil
 }
--- a/router/internal/app/direct.go
+++ b/router/internal/app/direct.go
@@ -15,6 +15,7 @@
 	"rattantrack.dev/core/affinity"
 	"rattantrack.dev/core/backoff"
 	"rattantrack.dev/core/clock"
+	"rattantrack.dev/core/cost"
 	"rattantrack.dev/core/gossip"
 	"rattantrack.dev/core/kernel"
 	"rattantrack.dev/core/members"
@@ -27,6 +28,7 @@
 	"rattantrack.dev/core/routing"
 	"rattantrack.dev/core/settings"
 	"rattantrack.dev/core/unresponsive"
+	"rattantrack.dev/core/work"
 	"rattantrack.dev/router/internal/client"
 	"rattantrack.dev/router/internal/crashes"
 	"rattantrack.dev/router/internal/directory"
@@ -73,6 +75,8 @@
 	backoff      *backoff.Tracker
 	quarantine   *quarantine.Tracker
 	rateLimits   *ratelimit.Tracker
+	costs        *cost.Estimator
+	work         *work.Tracker
 	connections  *upstream.Pool
 	endpoint     *peer.Endpoint
 	loads        *loads.Service
@@ -103,6 +107,8 @@
 		backoff:      &backoff.Tracker{},
 		quarantine:   &quarantine.Tracker{},
 		rateLimits:   &ratelimit.Tracker{},
+		costs:        &cost.Estimator{},
+		work:         &work.Tracker{},
 	}
 	var incarnation peer.Incarnation
 	var err error
@@ -215,7 +221,7 @@
 			Ready:   d.ready,
 			Dumpers: []operator.Dumper{
 				d.client, d.watcher, d.members, &pauses{tracker: d.backoff}, &suspects{tracker: d.quarantine},
-				&rateLimits{tracker: d.rateLimits}, d.origins, d.routers, d.gossip, &operator.Links{Endpoint: d.endpoint},
+				&rateLimits{tracker: d.rateLimits}, &workload{costs: d.costs, work: d.work, members: d.members}, d.origins, d.routers, d.gossip, &operator.Links{Endpoint: d.endpoint},
 			},
 		},
 		d.readiness,
--- a/router/internal/client/serve.go
+++ b/router/internal/client/serve.go
@@ -152,6 +152,10 @@
 		"waited_ms", res.QueueTime.Milliseconds(), "first_ms", res.FirstByte.Milliseconds(), "duration_ms", duration.Milliseconds(),
 		"left_ms", r.Deadline.Sub(s.Clock.Now()).Milliseconds(),
 	}
+	if r.RouteConfig.Affinity {
+		fields = append(fields, "prompt_tokens", int(r.PromptTokens), "estimate", round(float64(res.Estimate.Median)),
+			"basis", res.Estimate.Basis, "pause_ms", res.LongestPause.Milliseconds())
+	}
 	if r.ContinuesStream() {
 		fields = append(fields, "first_attempt", r.FirstAttempt, "last_event", r.LastEvent)
 	}
--- a/router/internal/direct/attempt.go
+++ b/router/internal/direct/attempt.go
@@ -36,7 +36,9 @@
 func (ex *exchange) attempt(ctx context.Context, inst members.Instance) attempt.Ending {
 	dispatcher := ex.dispatcher
 	now := dispatcher.Clock.Now()
+	ex.beginWork(now, inst)
 	defer func() {
+		ex.work.entry.End()
 		dispatcher.InFlight.End(inst.ID)
 		dispatcher.Queues.RequestEnded(dispatcher.Clock.Now(), ex.Service)
 	}()
@@ -87,6 +89,7 @@
 		return
 	}
 	d := ex.dispatcher
+	ex.recordLoad(ex.answeredAt, inst, a)
 	if a.RetryAfter > 0 {
 		now := d.Clock.Now()
 		until := d.Backoff.Record(now, inst, a.RetryAfter)
@@ -233,12 +236,15 @@
 			if err := ex.relay.end(res); err != nil {
 				return attempt.ClientGone, true
 			}
+			ex.recordOutput(ex.dispatcher.Clock.Now())
 			return attempt.Complete, true
 		}
 		if err != nil {
 			return ex.interrupted(ctx, inst, err), false
 		}
-		ex.dispatcher.Unresponsive.ResponseReceived(ex.dispatcher.Clock.Now(), inst.ID)
+		now := ex.dispatcher.Clock.Now()
+		ex.dispatcher.Unresponsive.ResponseReceived(now, inst.ID)
+		ex.recordEvent(now, inst)
 		timer.reset()
 		if ex.relay.events == ex.eventsBefore {
 			ex.recordOrigin(inst)
--- a/router/internal/direct/dispatch.go
+++ b/router/internal/direct/dispatch.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -16,6 +17,7 @@
 	"rattantrack.dev/core/backoff"
 	"rattantrack.dev/core/call"
 	"rattantrack.dev/core/clock"
+	"rattantrack.dev/core/cost"
 	"rattantrack.dev/core/inflight"
 	"rattantrack.dev/core/members"
 	"rattantrack.dev/core/origin"
@@ -28,6 +30,7 @@
 	"rattantrack.dev/core/settings"
 	"rattantrack.dev/core/unresponsive"
 	"rattantrack.dev/core/waiting"
+	"rattantrack.dev/core/work"
 	"rattantrack.dev/router/internal/upstream"
 )
 
@@ -72,14 +75,17 @@
 	Backoff      *backoff.Tracker
 	Quarantine   *quarantine.Tracker
 	RateLimits   *ratelimit.Tracker
-	Origins      Origins
-	Queues       *waiting.Queues
-	Refusals     *waiting.Refusals
-	Budget       *retry.FleetBudget
-	Connections  Connections
-	Dialect      Dialect
-	Warmup       Warmup
-	Clock        Clock
+	// Costs estimates what requests cost, Work holds what upstreams still have to do.
+	Costs       *cost.Estimator
+	Work        *work.Tracker
+	Origins     Origins
+	Queues      *waiting.Queues
+	Refusals    *waiting.Refusals
+	Budget      *retry.FleetBudget
+	Connections Connections
+	Dialect     Dialect
+	Warmup      Warmup
+	Clock       Clock
 	// KnownRouters returns the number of routers that may send requests to the upstreams, with this one.
 	KnownRouters func() int
 	// OnLeaving is called when an upstream states in an answer that it is leaving.
@@ -88,6 +94,8 @@
 	Scope     tally.Scope
 
 	reserving sync.Mutex
+	// malformedLogged is when a malformed field was last logged.
+	malformedLogged atomic.Int64
 }
 
 // Wait times of a request.
@@ -117,8 +125,10 @@
 	// of its answer.
 	eventsBefore int
 	survived     bool
-	res          Result
-	relay        relay
+	// work follows the work of the last attempt.
+	work  attemptWork
+	res   Result
+	relay relay
 	// failure is the last complete failure response of an upstream.
 	failure *bufferedResponse
 }
@@ -129,6 +139,7 @@
 	ctx, cancel := context.WithTimeout(ctx, r.Remaining(now))
 	defer cancel()
 	d.Budget.RecordRequest(now, r.Service)
+	d.recordMalformed(now, r.Malformed, "request", r.ID)
 	ex := &exchange{Request: r, dispatcher: d, sink: sink, relay: relay{sink: sink, lastEvent: r.LastEvent}}
 	ex.run(ctx)
 	ex.res.HeadSent = ex.relay.headSent
--- a/router/internal/direct/dispatch_test.go
+++ b/router/internal/direct/dispatch_test.go
@@ -21,6 +21,7 @@
 	"rattantrack.dev/core/backoff"
 	"rattantrack.dev/core/call"
 	"rattantrack.dev/core/clock"
+	"rattantrack.dev/core/cost"
 	"rattantrack.dev/core/inflight"
 	"rattantrack.dev/core/members"
 	"rattantrack.dev/core/origin"
@@ -32,6 +33,7 @@
 	"rattantrack.dev/core/settings"
 	"rattantrack.dev/core/unresponsive"
 	"rattantrack.dev/core/waiting"
+	"rattantrack.dev/core/work"
 	"rattantrack.dev/router/internal/upstream"
 )
 
@@ -221,7 +223,7 @@
 	b := &fixture{Dispatcher: &Dispatcher{
 		DataCentre: "kano", Members: &members.Registry{}, InFlight: &inflight.Tracker{}, Affinity: &affinity.Index{},
 		Outliers: &outlier.Detector{}, Unresponsive: &unresponsive.Detector{}, Queues: &waiting.Queues{}, Refusals: &waiting.Refusals{}, Backoff: &backoff.Tracker{}, Quarantine: &quarantine.Tracker{},
-		RateLimits: &ratelimit.Tracker{}, KnownRouters: func() int { return 1 },
+		RateLimits: &ratelimit.Tracker{}, Costs: &cost.Estimator{}, Work: &work.Tracker{}, KnownRouters: func() int { return 1 },
 		Origins:     &beginnings{},
 		Budget:      &retry.FleetBudget{Limits: retry.Limits{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}},
 		Connections: pool,
--- a/router/internal/direct/request.go
+++ b/router/internal/direct/request.go
@@ -8,6 +8,7 @@
 	"rattantrack.dev/core/attempt"
 	"rattantrack.dev/core/call"
 	"rattantrack.dev/core/clock"
+	"rattantrack.dev/core/cost"
 	"rattantrack.dev/core/members"
 	"rattantrack.dev/core/origin"
 	"rattantrack.dev/core/peer"
@@ -104,4 +105,8 @@
 	// LastEnding is the ending of the last attempt. Choice is the placement of the last attempt.
 	LastEnding attempt.Ending
 	Choice     placement.Choice
+	// Estimate is the output expected of the request; LongestPause is the longest time between two events. Both are 0 for a request
+	// without a prompt.
+	Estimate     cost.Estimate
+	LongestPause time.Duration
 }
--- a/router/internal/loads/service.go
+++ b/router/internal/loads/service.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -17,6 +15,7 @@
 	"rattantrack.dev/core/ratelimit"
 	"rattantrack.dev/core/relay"
 	"rattantrack.dev/core/settings"
+	"rattantrack.dev/core/work"
 )
 
 // Times of an exchange.
@@ -55,6 +54,8 @@
 	avoidUntil clock.Instant
 	// digest is that of the router's list of upstreams, limits that of the rate limits that it knows, as of its last message.
 	digest, limits uint64
+	// work is the digest of the router's list of upstreams as of its last message with work.
+	work uint64
 }
 
 // Service exchanges counts with the relay of the data centre or, as a relay, with those of the others.
@@ -67,6 +68,8 @@
 	Members  *members.Registry
 	// RateLimits holds the rate limits of the upstreams and the requests sent to these.
 	RateLimits *ratelimit.Tracker
+	// Work holds what the upstreams still have to do and how fast they work.
+	Work *work.Tracker
 	// DirectoryState returns how long ago this router read the directory, and whether it cannot read it.
 	DirectoryState func() (age time.Duration, failing bool)
 	Clock          Clock
@@ -82,6 +85,8 @@
 	// directoryReads holds, by data centre, when another router last read the directory. Like the counts, reads are passed on from
 	// a router to its relay, from there to the other relays, and from these to their routers, so that none comes back younger.
 	directoryReads map[settings.DataCentre]clock.Instant
+	// speedsReported is when the upstreams' speeds were last logged.
+	speedsReported clock.Instant
 	wg             sync.WaitGroup
 }
 
@@ -100,6 +105,7 @@
 			return nil
 		case <-t.C:
 			s.startExchanges(ctx)
+			s.reportSpeeds()
 		}
 	}
 }
@@ -108,10 +114,10 @@
 func (s *Service) startExchanges(ctx context.Context) {
 	list, slow := s.Routers.Relays(interval)
 	now := s.Clock.Now()
-	limited := s.RateLimits.Active(now)
+	needed := slow || s.RateLimits.Active(now) || s.Work.Active(now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !slow && !limited {
+	if !needed {
 		if now.Sub(s.lastIdle) < idleInterval {
 			return
 		}
@@ -181,9 +187,10 @@
 		return
 	}
 	if withLoads {
-		p.digest = totals.Loads.Open.Digest
+		p.digest = totals.Usage.Loads.Open.Digest
 	}
-	p.limits = totals.Usage.LimitsDigest
+	p.limits = totals.Usage.Usage.LimitsDigest
+	p.work = totals.Work.Prompt.Digest
 	s.mu.Unlock()
 	// The counts are as old as the exchange, since the partner may have replied at once and the reply waited here.
 	s.record(now, totals, relays)
@@ -192,32 +199,49 @@
 // request sends the counts of this router or, from a relay, the sums of its data centre.
 func (s *Service) request(
 	ctx context.Context, now clock.Instant, address string, p *partner, relays, withLoads bool,
-) (*peer.UsageTotals, error) {
+) (*peer.WorkTotals, error) {
 	link, err := s.Dialer.Dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
 	report := s.report(now, p, relays, withLoads)
-	if link.Version() >= peer.UsageReportVersion {
-		s.mu.Lock()
-		known := p.limits
-		s.mu.Unlock()
-		message := &peer.UsageReport{Loads: *report, Usage: s.usage(now, known, func(t *inflight.Tracker) inflight.Counts {
-			if relays {
-				return t.SumOf(now, s.Self.DataCentre)
-			}
-			return t.Local()
-		})}
-		return peer.Request[*peer.UsageTotals](ctx, link, message, requestTimeout)
+	if link.Version() < peer.UsageReportVersion {
+		return s.requestLoads(ctx, link, report, withLoads)
+	}
+	s.mu.Lock()
+	limits, digest := p.limits, p.work
+	s.mu.Unlock()
+	counts := func(t *inflight.Tracker) inflight.Counts {
+		if relays {
+			return t.SumOf(now, s.Self.DataCentre)
+		}
+		return t.Local()
+	}
+	usage := peer.UsageReport{Loads: *report, Usage: s.usage(now, limits, counts)}
+	if link.Version() >= peer.WorkReportVersion && s.Work.Active(now) {
+		message := &peer.WorkReport{Usage: usage, Work: s.packWork(now, digest, counts)}
+		return peer.Request[*peer.WorkTotals](ctx, link, message, requestTimeout)
+	}
+	totals, err := peer.Request[*peer.UsageTotals](ctx, link, &usage, requestTimeout)
+	if err != nil {
+		return nil, err
 	}
+	return &peer.WorkTotals{Usage: *totals}, nil
+}
+
+// requestLoads sends the counts of open requests to a router whose version knows nothing else.
+func (s *Service) requestLoads(ctx context.Context, link *peer.Link, report *peer.LoadReport, withLoads bool) (*peer.WorkTotals, error) {
+	totals := &peer.WorkTotals{}
+	totals.Usage.Loads = peer.LoadTotals{DataCentre: link.Remote().DataCentre, DirectoryAge: unknownAge}
 	if !withLoads {
-		return &peer.UsageTotals{Loads: peer.LoadTotals{DataCentre: link.Remote().DataCentre, DirectoryAge: unknownAge}}, nil
+		return totals, nil
 	}
 	loads, err := peer.Request[*peer.LoadTotals](ctx, link, report, requestTimeout)
 	if err != nil {
 		return nil, err
 	}
-	return &peer.UsageTotals{Loads: *loads}, nil
+	totals.Usage.Loads = *loads
+	return totals, nil
 }
 
 // unknownAge is the age of a directory read that nobody has reported.
@@ -243,41 +267,6 @@
 	return report
 }
 
-// usage returns the usage of rate limits for a router that knows the limits with the given digest. counts selects what it gets.
-func (s *Service) usage(now clock.Instant, known uint64, counts func(*inflight.Tracker) inflight.Counts) peer.Usage {
-	usage := s.RateLimits.Usage(now)
-	u := peer.Usage{Wanted: packAll(counts(usage.Wanted)), Sent: packAll(counts(usage.Sent)), LimitsDigest: s.RateLimits.Digest(now)}
-	if known != u.LimitsDigest {
-		u.Limits = s.RateLimits.Statements(now)
-	}
-	return u
-}
-
-// packAll encodes counts with the names of their upstreams. Limits are rare, so these take little room.
-func packAll(counts inflight.Counts) inflight.Packed {
-	return inflight.Pack(inflight.NewIDs(slices.Sorted(maps.Keys(counts))), counts, true)
-}
-
-// mergeUsage applies the limits that another router knows, and passes the requests that it reports to record.
-func (s *Service) mergeUsage(now clock.Instant, u peer.Usage, record func(*inflight.Tracker, inflight.Counts)) {
-	for _, changed := range s.RateLimits.Merge(now, u.Limits) {
-		s.Log.Info("rate limit learnt from a router", "upstream", changed.Upstream, "limited", changed.Limited, "per_second", float64(changed.Rate))
-	}
-	usage := s.RateLimits.Usage(now)
-	for _, part := range []struct {
-		packed  inflight.Packed
-		tracker *inflight.Tracker
-	}{{u.Wanted, usage.Wanted}, {u.Sent, usage.Sent}} {
-		counts, err := part.packed.Unpack(inflight.IDs{})
-		if err != nil {
-			s.Scope.Counter("load_exchange_undecoded").Inc(1)
-			s.Log.Warn("cannot decode the requests for limited upstreams", "error", err)
-			return
-		}
-		record(part.tracker, counts)
-	}
-}
-
 // recordRead records when a router of a data centre read the directory.
 func (s *Service) recordRead(name settings.DataCentre, at clock.Instant) {
 	s.mu.Lock()
@@ -307,18 +296,21 @@
 }
 
 // record stores the sums of a reply.
-func (s *Service) record(at clock.Instant, totals *peer.UsageTotals, relays bool) {
-	s.recordRead(totals.Loads.DataCentre, at.Add(-totals.Loads.DirectoryAge))
-	if !totals.Usage.Wanted.Empty() {
-		s.mergeUsage(at, totals.Usage, func(t *inflight.Tracker, counts inflight.Counts) {
-			recordSums(t, at, totals.Loads.DataCentre, counts, relays)
-		})
+func (s *Service) record(at clock.Instant, totals *peer.WorkTotals, relays bool) {
+	loads := &totals.Usage.Loads
+	s.recordRead(loads.DataCentre, at.Add(-loads.DirectoryAge))
+	sums := func(t *inflight.Tracker, counts inflight.Counts) { recordSums(t, at, loads.DataCentre, counts, relays) }
+	if !totals.Usage.Usage.Wanted.Empty() {
+		s.mergeUsage(at, totals.Usage.Usage, sums)
 	}
-	if totals.Loads.Open.Empty() {
+	if !totals.Work.Prompt.Empty() {
+		s.mergeWork(at, totals.Work, sums)
+	}
+	if loads.Open.Empty() {
 		return
 	}
-	if counts, ok := s.unpack(totals.Loads.Open); ok {
-		recordSums(s.InFlight, at, totals.Loads.DataCentre, counts, relays)
+	if counts, ok := s.unpack(loads.Open); ok {
+		sums(s.InFlight, counts)
 	}
 }
 
@@ -344,74 +336,3 @@
 	}
 	return counts, true
 }
-
-// Serve records the counts of another router and replies with sums; it returns false for messages of other services.
-func (s *Service) Serve(ctx context.Context, st *peer.Stream, m peer.Message) bool {
-	now := s.Clock.Now()
-	var reply peer.Message
-	var from inflight.RouterID
-	switch v := m.(type) {
-	case *peer.LoadReport:
-		from, reply = v.Router, s.serveLoads(now, v)
-	case *peer.UsageReport:
-		from = v.Loads.Router
-		reply = &peer.UsageTotals{Loads: *s.serveLoads(now, &v.Loads), Usage: s.serveUsage(now, v)}
-	default:
-		return false
-	}
-	if err := st.Send(ctx, reply); err != nil {
-		s.Log.Debug("cannot send counts to a router", "router", from, "error", err)
-	}
-	return true
-}
-
-// serveLoads records the open requests of another router and returns the sums for it.
-func (s *Service) serveLoads(now clock.Instant, report *peer.LoadReport) *peer.LoadTotals {
-	s.recordRead(report.DataCentre, now.Add(-report.DirectoryAge))
-	age, _ := s.DirectoryState()
-	if report.Sum {
-		age = min(age, s.directoryAge(now, s.Self.DataCentre))
-	} else {
-		age = min(age, now.Sub(s.LastDirectoryRead()))
-	}
-	totals := &peer.LoadTotals{DataCentre: s.Self.DataCentre, DirectoryAge: age}
-	if report.Open.Empty() {
-		return totals
-	}
-	if counts, ok := s.unpack(report.Open); ok {
-		s.recordReport(s.InFlight, now, report, counts)
-	}
-	counts := s.sumsFor(s.InFlight, now, report)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	ids := s.currentIDs()
-	totals.Open = inflight.Pack(ids, counts, report.Open.Digest != ids.Digest)
-	return totals
-}
-
-// serveUsage records what another router has sent to limited upstreams and returns the sums for it.
-func (s *Service) serveUsage(now clock.Instant, report *peer.UsageReport) peer.Usage {
-	s.mergeUsage(now, report.Usage, func(t *inflight.Tracker, counts inflight.Counts) {
-		s.recordReport(t, now, &report.Loads, counts)
-	})
-	return s.usage(now, report.Usage.LimitsDigest, func(t *inflight.Tracker) inflight.Counts {
-		return s.sumsFor(t, now, &report.Loads)
-	})
-}
-
-// recordReport stores the counts of a router or, from a relay, the sums of its data centre.
-func (s *Service) recordReport(t *inflight.Tracker, now clock.Instant, report *peer.LoadReport, counts inflight.Counts) {
-	if report.Sum {
-		t.ReportSum(now, report.DataCentre, counts)
-		return
-	}
-	t.Report(now, report.Router, report.DataCentre, counts)
-}
-
-// sumsFor returns the sums of this data centre for a relay, and those over all other routers for any other one.
-func (s *Service) sumsFor(t *inflight.Tracker, now clock.Instant, report *peer.LoadReport) inflight.Counts {
-	if report.Sum {
-		return t.SumOf(now, s.Self.DataCentre)
-	}
-	return t.TotalsFor(now, report.Router, s.Self.DataCentre)
-}
--- a/router/internal/loads/service_test.go
+++ b/router/internal/loads/service_test.go
@@ -21,6 +21,7 @@
 	"rattantrack.dev/core/ratelimit"
 	"rattantrack.dev/core/relay"
 	"rattantrack.dev/core/settings"
+	"rattantrack.dev/core/work"
 )
 
 // fleet is a set of routers on loopback that know each other.
@@ -65,6 +66,12 @@
 
 // startFleet starts routers in data centres of three.
 func startFleet(t *testing.T, n int) *fleet {
+	t.Helper()
+	return startMixedFleet(t, n, func(int) int { return peer.ProtocolVersion })
+}
+
+// startMixedFleet starts routers that speak the given versions of the protocol.
+func startMixedFleet(t *testing.T, n int, version func(i int) int) *fleet {
 	t.Helper()
 	c := qt.New(t)
 	f := &fleet{}
@@ -78,13 +85,13 @@
 		one := &node{fleet: f}
 		id := fmt.Sprintf("router-%d", i)
 		endpoint := &peer.Endpoint{
-			LocalHello: func() peer.Hello { return peer.Hello{Protocol: peer.ProtocolVersion, Role: peer.RoleRouter, ID: id} },
+			LocalHello: func() peer.Hello { return peer.Hello{Protocol: version(i), Role: peer.RoleRouter, ID: id} },
 			Handler:    one, Allow: allow,
 		}
 		one.service = &Service{
 			ID:      inflight.RouterID(id),
 			Self:    relay.Router{Address: ln.Addr().String(), DataCentre: settings.DataCentre(fmt.Sprint(i / 3)), Cores: 1},
-			Routers: one, Dialer: endpoint, InFlight: &inflight.Tracker{}, RateLimits: &ratelimit.Tracker{}, Members: &members.Registry{}, Clock: clock.Boot{},
+			Routers: one, Dialer: endpoint, InFlight: &inflight.Tracker{}, RateLimits: &ratelimit.Tracker{}, Work: &work.Tracker{}, Members: &members.Registry{}, Clock: clock.Boot{},
 			DirectoryState: func() (time.Duration, bool) {
 				if i == 0 {
 					return 0, false
