--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -26,6 +26,8 @@
 	Wanted               float64
 	// Excluded means that the request must not be sent there, for example because the upstream is ejected or was unreachable.
 	Excluded bool
+	// Work is the work and the speed of the upstream, nil if that is not known.
+	Work *Work
 }
 
 // Request describes the request to place.
@@ -35,6 +37,9 @@
 	SharedTokens settings.Tokens
 	// Affinity means that the upstreams cache prompts.
 	Affinity bool
+	// PromptTokens is the size of the prompt. Pauses describes the streams beside the request. Both count with Candidate.Work only.
+	PromptTokens settings.Tokens
+	Pauses       Pauses
 }
 
 // Policy weighs the load of upstreams against the work of prefilling a prompt again. Costs are in units of one open request.
@@ -60,6 +65,8 @@
 	// FailureCost is the cost of an upstream at which the request failed before. A long prompt cached there can outweigh
 	// it, so that the request is sent there again.
 	FailureCost float64
+	// PausedCost is the cost of a stream that pauses for longer than its objective because of the request.
+	PausedCost float64
 	// Overcommit is the number of open requests that an upstream may have for each of its slots.
 	Overcommit float64
 }
@@ -87,6 +94,8 @@
 	// Load and CachedTokens are those of the chosen candidate.
 	Load         int
 	CachedTokens settings.Tokens
+	// Work is that of the chosen candidate, nil if it is not known.
+	Work *Work
 	// CacheOwner is the candidate with the most cached tokens of the prompt if it has more than the chosen one, else nil.
 	CacheOwner *Candidate
 }
@@ -120,7 +129,7 @@
 		if choice.Reason != Chosen || cost < lowestCost {
 			choice.Reason, choice.Index, lowestCost = Chosen, i, cost
 			choice.LoadBound = p.loadBound(r, c, choice.MeanLoad)
-			choice.Load, choice.CachedTokens = c.Load, c.CachedTokens
+			choice.Load, choice.CachedTokens, choice.Work = c.Load, c.CachedTokens, c.Work
 		}
 	}
 	if owner != nil && owner.CachedTokens > choice.CachedTokens {
@@ -178,6 +187,7 @@
 	if r.Affinity {
 		cost += float64(max(0, r.SharedTokens-c.CachedTokens) / p.TokensPerRequest)
 	}
+	cost += p.workCost(r, c)
 	if r.SharedTokens > 0 && !c.Primary && !cached {
 		cost += p.NonPrimaryCost
 	}
--- a/core/work/ledger.go
+++ b/core/work/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"rattantrack.dev/core/clock"
 	"rattantrack.dev/core/inflight"
@@ -41,6 +42,24 @@
 	return amounts
 }
 
+// reportedAge is how old the other routers' amounts are on average.
+const reportedAge = 120 * time.Millisecond
+
+// Waiting returns the prompt tokens that each upstream has to prefill now, in the given order, if it prefills one in perToken. The
+// amounts of other routers are from a moment ago, so what the upstream has prefilled since then is deducted.
+func (l *Ledger) Waiting(now clock.Instant, ids []settings.UpstreamID, perToken time.Duration) []settings.Tokens {
+	others, all := l.Prompt.Others(now, ids), l.Prompt.Loads(now, ids)
+	done := 0
+	if perToken > 0 {
+		done = int(reportedAge / perToken)
+	}
+	waiting := make([]settings.Tokens, len(ids))
+	for i := range ids {
+		waiting[i] = settings.Tokens(all[i] - others[i] + max(0, others[i]-done))
+	}
+	return waiting
+}
+
 // Entry is the work of one request. A nil Entry holds none.
 type Entry struct {
 	ledger   *Ledger
--- a/router/internal/client/serve.go
+++ b/router/internal/client/serve.go
@@ -156,6 +156,9 @@
 		fields = append(fields, "prompt_tokens", int(r.PromptTokens), "estimate", round(float64(res.Estimate.Median)),
 			"basis", res.Estimate.Basis, "pause_ms", res.LongestPause.Milliseconds())
 	}
+	if w := res.Choice.Work; w != nil {
+		fields = append(fields, "waiting_tokens", int(w.Waiting), "slowdown", round(w.Slowdown))
+	}
 	if r.ContinuesStream() {
 		fields = append(fields, "first_attempt", r.FirstAttempt, "last_event", r.LastEvent)
 	}
--- a/router/internal/direct/place.go
+++ b/router/internal/direct/place.go
@@ -52,6 +52,7 @@
 	ColdCost:         3,
 	ExcessCost:       10,
 	FailureCost:      12,
+	PausedCost:       4,
 	Overcommit:       1,
 }
 
@@ -110,6 +111,7 @@
 		policy = &enginePolicy
 	}
 	request := &placement.Request{DataCentre: d.DataCentre, SharedTokens: r.SharedTokens(), Affinity: r.RouteConfig.Affinity}
+	d.addWork(now, r, request, candidates, ids)
 	choice := placement.Choose(policy, request, candidates)
 	if choice.Reason != placement.Chosen {
 		return members.Instance{}, choice
--- a/router/internal/direct/work.go
+++ b/router/internal/direct/work.go
@@ -9,6 +9,7 @@
 	"rattantrack.dev/core/clock"
 	"rattantrack.dev/core/cost"
 	"rattantrack.dev/core/members"
+	"rattantrack.dev/core/placement"
 	"rattantrack.dev/core/settings"
 	"rattantrack.dev/core/work"
 )
@@ -96,3 +97,24 @@
 	}
 	d.Log.Warn("malformed header field", append(fields, "field", m.Name, "value", m.Value)...)
 }
+
+// addWork adds the work and the speed of the candidates, if upstreams state how fast they work and the time to prefill is known.
+func (d *Dispatcher) addWork(
+	now clock.Instant, r *Request, request *placement.Request, candidates []placement.Candidate, ids []settings.UpstreamID,
+) {
+	if !r.RouteConfig.Affinity || !d.Work.Active(now) {
+		return
+	}
+	perToken := d.Work.PrefillTime(r.Service, 1000) / 1000
+	if perToken <= 0 {
+		return
+	}
+	request.PromptTokens = r.PromptTokens
+	request.Pauses = placement.Pauses{PerToken: perToken, Objective: r.RouteConfig.PauseObjective}
+	waiting, slowdown := d.Work.Waiting(now, ids, perToken), d.Work.Expected(now, ids)
+	list := make([]placement.Work, len(ids))
+	for i := range ids {
+		list[i] = placement.Work{Waiting: waiting[i], Slowdown: slowdown[i]}
+		candidates[i].Work = &list[i]
+	}
+}
