--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -67,6 +67,10 @@
 	FailureCost float64
 	// PausedCost is the cost of a stream that pauses for longer than its objective because of the request.
 	PausedCost float64
+	// SpreadCost is the cost of the last upstream in the order for the prompt as a share of the cost of prefilling what it lacks. It
+	// makes routers choose different upstreams for different prompts that no upstream has cached, since what another router has just
+	// sent is not known yet.
+	SpreadCost float64
 	// Overcommit is the number of open requests that an upstream may have for each of its slots.
 	Overcommit float64
 }
--- a/core/placement/work.go
+++ b/core/placement/work.go
@@ -36,7 +36,8 @@
 	uncached := float64(max(0, r.PromptTokens-c.CachedTokens))
 	prefill := c.Work.Slowdown * (float64(c.Work.Waiting) + uncached)
 	// The cost has the tokens that the candidate lacks already, at the usual speed.
-	return (prefill-uncached)/float64(p.TokensPerRequest) + p.pausedCost(r, c, prefill)
+	cost := (prefill - uncached) / float64(p.TokensPerRequest)
+	return cost + p.pausedCost(r, c, prefill) + p.SpreadCost*c.Order*uncached/float64(p.TokensPerRequest)
 }
 
 // pausedCost returns the cost of the streams that the request makes late, with the prefill in tokens of the usual speed.
--- a/core/work/speeds.go
+++ b/core/work/speeds.go
@@ -146,6 +146,18 @@
 	return expected
 }
 
+// Excess returns how much longer than on average work is expected to take now at each upstream, in the given order, at least 1. Upstreams
+// that are not slow are alike: if the newest reading decided between them, all routers would choose the upstream that it is from.
+func (s *Speeds) Excess(now clock.Instant, ids []settings.UpstreamID) []float64 {
+	excess := s.Expected(now, ids)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range excess {
+		excess[i] = max(1, excess[i]/max(1, s.mean))
+	}
+	return excess
+}
+
 // Status describes what is known of the upstreams' speeds.
 type Status struct {
 	// Upstreams is the number of upstreams with recent readings, Slow that of those whose latest reading exceeds the mean by half of it.
--- a/router/internal/direct/place.go
+++ b/router/internal/direct/place.go
@@ -53,6 +53,7 @@
 	ExcessCost:       10,
 	FailureCost:      12,
 	PausedCost:       4,
+	SpreadCost:       0.3,
 	Overcommit:       1,
 }
 
--- a/router/internal/direct/work.go
+++ b/router/internal/direct/work.go
@@ -111,7 +111,7 @@
 	}
 	request.PromptTokens = r.PromptTokens
 	request.Pauses = placement.Pauses{PerToken: perToken, Objective: r.RouteConfig.PauseObjective}
-	waiting, slowdown := d.Work.Waiting(now, ids, perToken), d.Work.Expected(now, ids)
+	waiting, slowdown := d.Work.Waiting(now, ids, perToken), d.Work.Excess(now, ids)
 	list := make([]placement.Work, len(ids))
 	for i := range ids {
 		list[i] = placement.Work{Waiting: waiting[i], Slowdown: slowdown[i]}
