--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -37,9 +37,9 @@
 	SharedTokens settings.Tokens
 	// Affinity means that the upstreams cache prompts.
 	Affinity bool
-	// PromptTokens is the size of the prompt. Pauses describes the streams beside the request. Both count with Candidate.Work only.
+	// PromptTokens is the size of the prompt. Times describes how long it takes. Both count with Candidate.Work only.
 	PromptTokens settings.Tokens
-	Pauses       Pauses
+	Times        Times
 }
 
 // Policy weighs the load of upstreams against the work of prefilling a prompt again. Costs are in units of one open request.
@@ -65,9 +65,9 @@
 	// FailureCost is the cost of an upstream at which the request failed before. A long prompt cached there can outweigh
 	// it, so that the request is sent there again.
 	FailureCost float64
-	// PausedCost is the cost of a stream that pauses for longer than its objective because of the request.
-	PausedCost float64
-	// SpreadCost is the cost of the last upstream in the order for the prompt as a share of the cost of prefilling what it lacks. It
+	// LateCost is the cost of a late request: the request itself or a stream that pauses for longer than its objective because of it.
+	LateCost float64
+	// SpreadCost is the cost of the last upstream in the order for the prompt as a share of the cost of prefilling the shared tokens that it lacks. It
 	// makes routers choose different upstreams for different prompts that no upstream has cached, since what another router has just
 	// sent is not known yet.
 	SpreadCost float64
--- a/core/placement/work.go
+++ b/core/placement/work.go
@@ -14,38 +14,40 @@
 	Slowdown float64
 }
 
-// Pauses describes when a prompt disturbs the streams that run beside it. An upstream prefills prompts between the steps of its
-// streams, so the prefill of a long prompt shows as a pause in each of them.
-type Pauses struct {
+// Times describes how long upstreams take for a prompt, and when that is too long. An upstream prefills prompts between the steps of
+// its streams, so the prefill of a long prompt shows as a pause in each of them.
+type Times struct {
 	// PerToken is the usual time to prefill a prompt token, 0 if it is not known.
 	PerToken time.Duration
-	// Objective is the longest pause with which a stream is on time, 0 for none.
-	Objective time.Duration
+	// FirstEvent and Pause are the objectives of the request's first event and of the pauses in streams, 0 for none.
+	FirstEvent, Pause time.Duration
 }
 
-// tolerablePause is the share of the objective up to which a pause that is expected costs nothing.
-const tolerablePause = 0.5
+// tolerable is the share of an objective up to which an expected time costs nothing.
+const tolerable = 0.5
 
-// workCost returns the cost of what a candidate's work adds to the time until the request's first event, and of the pauses that the
-// request causes to the streams there. It answers loads in which upstreams are slow for fractions of a second and prompts that no
-// upstream has cached come in clumps: a long prompt goes where it is prefilled at once and fast.
+// workCost returns the cost of what a candidate's work and speed add for the request and for the streams there. It answers loads in
+// which upstreams are slow for fractions of a second, and in which prompts that no upstream has cached come in clumps: a long prompt
+// goes where it is prefilled at once and fast. A wait that makes nothing late costs nothing, so that short prompts stay where they are
+// cached.
 func (p *Policy) workCost(r *Request, c *Candidate) float64 {
 	if c.Work == nil || p.TokensPerRequest <= 0 {
 		return 0
 	}
 	uncached := float64(max(0, r.PromptTokens-c.CachedTokens))
-	prefill := c.Work.Slowdown * (float64(c.Work.Waiting) + uncached)
-	// The cost has the tokens that the candidate lacks already, at the usual speed.
-	cost := (prefill - uncached) / float64(p.TokensPerRequest)
-	return cost + p.pausedCost(r, c, prefill) + p.SpreadCost*c.Order*uncached/float64(p.TokensPerRequest)
+	missing := float64(max(0, r.SharedTokens-c.CachedTokens))
+	// The cost has the missing tokens already, at the usual speed.
+	cost := ((c.Work.Slowdown-1)*uncached + p.SpreadCost*c.Order*missing) / float64(p.TokensPerRequest)
+	before := c.Work.Slowdown * float64(c.Work.Waiting) * float64(r.Times.PerToken)
+	after := before + c.Work.Slowdown*uncached*float64(r.Times.PerToken)
+	cost += p.LateCost * lateness(after, r.Times.FirstEvent)
+	return cost + p.LateCost*float64(c.Load)*(lateness(after, r.Times.Pause)-lateness(before, r.Times.Pause))
 }
 
-// pausedCost returns the cost of the streams that the request makes late, with the prefill in tokens of the usual speed.
-func (p *Policy) pausedCost(r *Request, c *Candidate, prefill float64) float64 {
-	objective := float64(r.Pauses.Objective)
+// lateness returns how likely an expected time is to exceed its objective, from 0 to 1.
+func lateness(expected float64, objective time.Duration) float64 {
 	if objective <= 0 {
 		return 0
 	}
-	pause := prefill * float64(r.Pauses.PerToken) / objective
-	return p.PausedCost * float64(c.Load) * max(0, min(1, (pause-tolerablePause)/(1-tolerablePause)))
+	return max(0, min(1, (expected/float64(objective)-tolerable)/(1-tolerable)))
 }
--- a/router/internal/direct/place.go
+++ b/router/internal/direct/place.go
@@ -52,7 +52,7 @@
 	ColdCost:         3,
 	ExcessCost:       10,
 	FailureCost:      12,
-	PausedCost:       4,
+	LateCost:         4,
 	SpreadCost:       0.3,
 	Overcommit:       1,
 }
--- a/router/internal/direct/work.go
+++ b/router/internal/direct/work.go
@@ -110,7 +110,9 @@
 		return
 	}
 	request.PromptTokens = r.PromptTokens
-	request.Pauses = placement.Pauses{PerToken: perToken, Objective: r.RouteConfig.PauseObjective}
+	request.Times = placement.Times{
+		PerToken: perToken, FirstEvent: r.RouteConfig.Objective, Pause: r.RouteConfig.PauseObjective,
+	}
 	waiting, slowdown := d.Work.Waiting(now, ids, perToken), d.Work.Excess(now, ids)
 	list := make([]placement.Work, len(ids))
 	for i := range ids {
