--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -191,7 +191,7 @@
 	if r.Affinity {
 		cost += float64(max(0, r.SharedTokens-c.CachedTokens) / p.TokensPerRequest)
 	}
-	cost += p.workCost(r, c)
+	cost += p.workCost(r, c, mean)
 	if r.SharedTokens > 0 && !c.Primary && !cached {
 		cost += p.NonPrimaryCost
 	}
--- a/core/placement/work.go
+++ b/core/placement/work.go
@@ -30,7 +30,7 @@
 // which upstreams are slow for fractions of a second, and in which prompts that no upstream has cached come in clumps: a long prompt
 // goes where it is prefilled at once and fast. A wait that makes nothing late costs nothing, so that short prompts stay where they are
 // cached.
-func (p *Policy) workCost(r *Request, c *Candidate) float64 {
+func (p *Policy) workCost(r *Request, c *Candidate, mean float64) float64 {
 	if c.Work == nil || p.TokensPerRequest <= 0 {
 		return 0
 	}
@@ -41,7 +41,9 @@
 	before := c.Work.Slowdown * float64(c.Work.Waiting) * float64(r.Times.PerToken)
 	after := before + c.Work.Slowdown*uncached*float64(r.Times.PerToken)
 	cost += p.LateCost * lateness(after, r.Times.FirstEvent)
-	return cost + p.LateCost*float64(c.Load)*(lateness(after, r.Times.Pause)-lateness(before, r.Times.Pause))
+	// The streams there count as many as on average. By their own numbers, all routers would send their long prompts to the same
+	// upstreams, those with few streams.
+	return cost + p.LateCost*mean*(lateness(after, r.Times.Pause)-lateness(before, r.Times.Pause))
 }
 
 // lateness returns how likely an expected time is to exceed its objective, from 0 to 1.
--- a/router/internal/direct/place.go
+++ b/router/internal/direct/place.go
@@ -53,7 +53,7 @@
 	ExcessCost:       10,
 	FailureCost:      12,
 	LateCost:         4,
-	SpreadCost:       0.3,
+	SpreadCost:       0.5,
 	Overcommit:       1,
 }
 
