feat(placement): place long prompts by expected times where upstreams state their speed

Load: upstreams that are slow for fractions of a second, and prompts that no upstream has cached, which come in clumps. What the request and the streams beside it would exceed their objectives by costs, without an upper limit; slow upstreams are avoided as far as their readings hold, the others are alike, and the order for the prompt spreads what routers send before they know of each other.

--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -65,7 +65,8 @@
 	// FailureCost is the cost of an upstream at which the request failed before. A long prompt cached there can outweigh
 	// it, so that the request is sent there again.
 	FailureCost float64
-	// LateCost is the cost of a late request: the request itself or a stream that pauses for longer than its objective because of it.
+	// LateCost is the cost of a time of one objective more than is tolerable, for the request itself and for each stream that pauses
+	// because of it.
 	LateCost float64
 	// SpreadCost is the cost of the last upstream in the order for the prompt as a share of the cost of prefilling the shared tokens that it lacks. It
 	// makes routers choose different upstreams for different prompts that no upstream has cached, since what another router has just
--- a/core/placement/work.go
+++ b/core/placement/work.go
@@ -40,16 +40,17 @@
 	cost := ((c.Work.Slowdown-1)*uncached + p.SpreadCost*c.Order*missing) / float64(p.TokensPerRequest)
 	before := c.Work.Slowdown * float64(c.Work.Waiting) * float64(r.Times.PerToken)
 	after := before + c.Work.Slowdown*uncached*float64(r.Times.PerToken)
-	cost += p.LateCost * lateness(after, r.Times.FirstEvent)
+	cost += p.LateCost * excess(after, r.Times.FirstEvent)
 	// The streams there count as many as on average. By their own numbers, all routers would send their long prompts to the same
 	// upstreams, those with few streams.
-	return cost + p.LateCost*mean*(lateness(after, r.Times.Pause)-lateness(before, r.Times.Pause))
+	return cost + p.LateCost*mean*(excess(after, r.Times.Pause)-excess(before, r.Times.Pause))
 }
 
-// lateness returns how likely an expected time is to exceed its objective, from 0 to 1.
-func lateness(expected float64, objective time.Duration) float64 {
+// excess returns by how much an expected time exceeds what is tolerable, as a multiple of its objective. It has no upper limit: if what
+// is late anyway cost nothing more, the upstreams with the most work would be the cheapest.
+func excess(expected float64, objective time.Duration) float64 {
 	if objective <= 0 {
 		return 0
 	}
-	return max(0, min(1, (expected/float64(objective)-tolerable)/(1-tolerable)))
+	return max(0, expected/float64(objective)-tolerable)
 }
--- a/router/internal/direct/place.go
+++ b/router/internal/direct/place.go
@@ -52,7 +52,7 @@
 	ColdCost:         3,
 	ExcessCost:       10,
 	FailureCost:      12,
-	LateCost:         4,
+	LateCost:         30,
 	SpreadCost:       0.5,
 	Overcommit:       1,
 }
