--- a/core/work/speeds.go
+++ b/core/work/speeds.go
@@ -32,6 +32,9 @@
 	history = 8
 	// activeTime is how long the absence of readings is taken for chance.
 	activeTime = 10 * time.Second
+	// maxSlowdown bounds a statement, so that an upstream that states nonsense does not lose the prompts that it has cached, nor shift the
+	// mean.
+	maxSlowdown = 4
 	// usual is the statement of an upstream that works as fast as usual.
 	usual = 100
 	// meanWeight is the weight of one reading in the mean over all upstreams.
@@ -79,6 +82,7 @@
 
 // add inserts a sample by its time; s.mu is held.
 func (s *Speeds) add(id settings.UpstreamID, n sample) {
+	n.slowdown = min(n.slowdown, maxSlowdown)
 	list := s.samples[id]
 	for _, old := range list {
 		if old.stamp == n.stamp && old.slowdown == n.slowdown {
--- a/core/work/speeds_test.go
+++ b/core/work/speeds_test.go
@@ -147,3 +147,21 @@
 	c.Assert(list, qt.HasLen, maxReadings)
 	c.Assert(list[0].Upstream, qt.Equals, settings.UpstreamID("1279"))
 }
+
+// TestImplausibleSpeedIsBounded covers an upstream that lies about its speed: the others and the mean are not affected by much.
+func TestImplausibleSpeedIsBounded(t *testing.T) {
+	c := qt.New(t)
+	var s Speeds
+	now := clock.Instant(time.Second)
+	for i := range 4000 {
+		now = now.Add(5 * time.Millisecond)
+		s.Record(now, settings.UpstreamID(fmt.Sprint(i%20)), 1)
+		if i%20 == 0 {
+			s.Record(now, "liar", 100)
+		}
+	}
+	got := s.Excess(now, []settings.UpstreamID{"liar", "3"})
+	c.Assert(got[0] <= maxSlowdown, qt.IsTrue, qt.Commentf("%v", got))
+	c.Assert(got[1], qt.Equals, 1.0)
+	c.Assert(s.Status(now).Mean < 1.3, qt.IsTrue)
+}
--- a/rattantrack/internal/process/router.go
+++ b/rattantrack/internal/process/router.go
@@ -1,6 +1,7 @@
 package process
 
 import (
+	"fmt"
 	"strconv"
 	"strings"
 
@@ -16,6 +17,31 @@
 	// Leaving are the upstreams that are about to end, Paused those that have asked this router for a pause.
 	Leaving []settings.UpstreamID `json:"leaving,omitempty"`
 	Paused  []settings.UpstreamID `json:"paused,omitempty"`
+	// Work is the work that the upstreams have to do for all routers, nil if the router tells nothing about it.
+	Work *RouterWork `json:"work,omitempty"`
+}
+
+// RouterWork is the part of a router's state about work that the status command shows.
+type RouterWork struct {
+	PromptTokens   int64   `json:"prompt_tokens"`
+	Events         int64   `json:"events"`
+	EstimateSpread float64 `json:"estimate_spread"`
+	StatedSpeeds   *struct {
+		Upstreams int `json:"upstreams"`
+		Slow      int `json:"slow"`
+	} `json:"stated_speeds,omitempty"`
+}
+
+// String returns the work on one line, empty for a router without prompts.
+func (w *RouterWork) String() string {
+	if w.PromptTokens == 0 && w.Events == 0 && w.StatedSpeeds == nil {
+		return ""
+	}
+	text := fmt.Sprintf(", work %d tokens %d events, estimates within %.1f", w.PromptTokens, w.Events, w.EstimateSpread)
+	if w.StatedSpeeds != nil {
+		text += fmt.Sprintf(", slow %d of %d", w.StatedSpeeds.Slow, w.StatedSpeeds.Upstreams)
+	}
+	return text
 }
 
 // Router returns the status of a router, nil if the state is not that of a router without sides.
@@ -40,6 +66,10 @@
 			s.Paused = append(s.Paused, p.ID)
 		}
 	}
+	var work RouterWork
+	if Find(sections, "work", &work) {
+		s.Work = &work
+	}
 	return s
 }
 
@@ -59,5 +89,8 @@
 		}
 		text += ", " + list.label + " " + strings.Join(names, " ")
 	}
+	if s.Work != nil {
+		text += s.Work.String()
+	}
 	return text
 }
--- a/router/internal/direct/dispatch_test.go
+++ b/router/internal/direct/dispatch_test.go
@@ -54,7 +54,16 @@
 	if v, err := strconv.ParseFloat(h.Get("Limit"), 64); err == nil {
 		limit = (*call.Rate)(&v)
 	}
+	var load *call.Load
+	if v, err := strconv.ParseFloat(h.Get("Slow"), 64); err == nil {
+		load = &call.Load{Slowdown: v}
+	}
+	var malformed *call.MalformedField
+	if v := h.Get("Odd"); v != "" {
+		malformed = &call.MalformedField{Name: "Odd", Value: v}
+	}
 	return call.Answer{
+		Load: load, Malformed: malformed,
 		RateLimit: limit,
 		ID:        call.ID(h.Get("Id")), NotRun: h.Get("Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest,
 		Leaving: h.Get("Leaving") != "", RetryAfter: pause,
