--- a/router/internal/direct/work.go
+++ b/router/internal/direct/work.go
@@ -58,9 +58,12 @@
 		return
 	}
 	w.entry.Event()
-	if w.lastEvent == 0 {
+	switch {
+	case w.lastEvent == 0 && ex.res.Choice.Load >= inst.Slots:
+		// The request may have waited for a slot, so the time says nothing about the prefill.
+	case w.lastEvent == 0:
 		ex.dispatcher.Work.RecordPrefill(ex.Service, w.prompt, now.Sub(w.sentAt))
-	} else {
+	default:
 		pause := now.Sub(w.lastEvent)
 		ex.res.LongestPause = max(ex.res.LongestPause, pause)
 		ex.dispatcher.Work.RecordPause(now, ex.Service, inst.ID, pause)
