--- a/core/placement/work.go
+++ b/core/placement/work.go
@@ -26,6 +26,10 @@
 // tolerable is the share of an objective up to which an expected time costs nothing.
 const tolerable = 0.5
 
+// maxPausedStreams bounds the streams that count as paused. In a busy fleet, the rest of a prompt would otherwise cost more than to
+// prefill all of it elsewhere, and prompts would leave the upstreams that cache them.
+const maxPausedStreams = 5
+
 // workCost returns the cost of what a candidate's work and speed add for the request and for the streams there. It answers loads in
 // which upstreams are slow for fractions of a second, and in which prompts that no upstream has cached come in clumps: a long prompt
 // goes where it is prefilled at once and fast. A wait that makes nothing late costs nothing, so that short prompts stay where they are
@@ -43,7 +47,7 @@
 	cost += p.LateCost * excess(after, r.Times.FirstEvent)
 	// The streams there count as many as on average. By their own numbers, all routers would send their long prompts to the same
 	// upstreams, those with few streams.
-	return cost + p.LateCost*mean*(excess(after, r.Times.Pause)-excess(before, r.Times.Pause))
+	return cost + p.LateCost*min(mean, maxPausedStreams)*(excess(after, r.Times.Pause)-excess(before, r.Times.Pause))
 }
 
 // excess returns by how much an expected time exceeds what is tolerable, as a multiple of its objective. It has no upper limit: if what
--- a/core/placement/work_test.go
+++ b/core/placement/work_test.go
@@ -220,6 +220,8 @@
 			[]Candidate{with(candidate("a", 2, 0), 0, 2.1), with(candidate("b", 4, 0), 0, 1)}, "b"},
 		{"a long prompt stays where it is cached, slow or not", long,
 			[]Candidate{with(candidate("a", 2, 10_500), 0, 2.1), with(candidate("b", 2, 0), 0, 1)}, "a"},
+		{"a long prompt stays where it is cached in a busy fleet", long,
+			[]Candidate{with(candidate("a", 40, 10_500), 20_000, 1), with(candidate("b", 40, 0), 0, 1)}, "a"},
 		{"two long prompts meet at none", long,
 			[]Candidate{with(candidate("a", 2, 0), 12_000, 1), with(candidate("b", 6, 0), 0, 1)}, "b"},
 		{"the least work counts if all have too much", long,
