--- a/router/internal/direct/dispatch.go
+++ b/router/internal/direct/dispatch.go
@@ -75,20 +75,19 @@
 	Backoff      *backoff.Tracker
 	Quarantine   *quarantine.Tracker
 	RateLimits   *ratelimit.Tracker
-	// Costs estimates what requests cost, Work holds what upstreams still have to do.
-	Costs       *cost.Estimator
-	Work        *work.Tracker
-	Origins     Origins
-	Queues      *waiting.Queues
-	Refusals    *waiting.Refusals
-	RunTimes    *waiting.Durations
-	Residence   *waiting.Durations
-	Demand      *waiting.Demand
-	Budget      *retry.FleetBudget
-	Connections Connections
-	Dialect     Dialect
-	Warmup      Warmup
-	Clock       Clock
+	Costs        *cost.Estimator
+	Work         *work.Tracker
+	Origins      Origins
+	Queues       *waiting.Queues
+	Refusals     *waiting.Refusals
+	RunTimes     *waiting.Durations
+	Residence    *waiting.Durations
+	Demand       *waiting.Demand
+	Budget       *retry.FleetBudget
+	Connections  Connections
+	Dialect      Dialect
+	Warmup       Warmup
+	Clock        Clock
 	// KnownRouters returns the number of routers that may send requests to the upstreams, with this one.
 	KnownRouters func() int
 	// OnLeaving is called when an upstream states in an answer that it is leaving.
@@ -130,10 +129,9 @@
 	// of its answer.
 	eventsBefore int
 	survived     bool
-	// work follows the work of the last attempt.
-	work  attemptWork
-	res   Result
-	relay relay
+	work         attemptWork
+	res          Result
+	relay        relay
 	// failure is the last complete failure response of an upstream.
 	failure *bufferedResponse
 }
