--- a/core/placement/choose.go
+++ b/core/placement/choose.go
@@ -27,6 +27,8 @@
 	Wanted               float64
 	// Excluded means that the request must not be sent there, for example because the upstream is ejected or was unreachable.
 	Excluded bool
+	// Work is the work and the speed of the upstream, nil if that is not known.
+	Work *Work
 }
 
 // Request describes the request to place.
@@ -36,6 +38,9 @@
 	SharedTokens settings.Tokens
 	// Affinity means that the upstreams cache prompts.
 	Affinity bool
+	// PromptTokens is the size of the prompt. Times describes how long it takes. Both count with Candidate.Work only.
+	PromptTokens settings.Tokens
+	Times        Times
 	// Overcommit is the number of requests that an upstream may have open for each of its slots, with this one; 0 for that of the policy.
 	Overcommit float64
 }
@@ -63,6 +68,13 @@
 	// FailureCost is the cost of an upstream at which the request failed before. A long prompt cached there can outweigh
 	// it, so that the request is sent there again.
 	FailureCost float64
+	// LateCost is the cost of a time of one objective more than is tolerable, for the request itself and for each stream that pauses
+	// because of it.
+	LateCost float64
+	// SpreadCost is the cost of the last upstream in the order for the prompt as a share of the cost of prefilling the shared tokens that
+	// it lacks. It makes routers choose different upstreams for different prompts that no upstream has cached, since what another router
+	// has just sent is not known yet.
+	SpreadCost float64
 	// Overcommit is the number of open requests that an upstream may have for each of its slots.
 	Overcommit float64
 	// LoadScale is the mean load above which loads count relative to the mean, 0 for never. In a busy fleet all loads are high, and the
@@ -97,6 +109,8 @@
 	// Load and CachedTokens are those of that candidate.
 	Load         int
 	CachedTokens settings.Tokens
+	// Work is that of the chosen candidate, nil if it is not known.
+	Work *Work
 	// CacheOwner is the candidate with the most cached tokens of the prompt if it has more than the chosen one, else nil.
 	CacheOwner *Candidate
 }
@@ -143,7 +157,7 @@
 	}
 	c := &candidates[choice.Index]
 	choice.LoadBound = p.loadBound(r, c, choice.MeanLoad)
-	choice.Load, choice.CachedTokens = c.Load, c.CachedTokens
+	choice.Load, choice.CachedTokens, choice.Work = c.Load, c.CachedTokens, c.Work
 	if owner != nil && owner.CachedTokens > choice.CachedTokens {
 		choice.CacheOwner = owner
 	}
@@ -230,6 +244,7 @@
 	if r.Affinity {
 		cost += float64(max(0, r.SharedTokens-c.CachedTokens) / p.TokensPerRequest)
 	}
+	cost += p.workCost(r, c, mean)
 	if r.SharedTokens > 0 && !c.Primary && !cached {
 		cost += p.NonPrimaryCost
 	}
--- a/router/internal/app/direct.go
+++ b/router/internal/app/direct.go
@@ -16,6 +16,7 @@
 	"rattantrack.dev/core/backoff"
 	"rattantrack.dev/core/clock"
 	"rattantrack.dev/core/cold"
+	"rattantrack.dev/core/cost"
 	"rattantrack.dev/core/evacuation"
 	"rattantrack.dev/core/fairshare"
 	"rattantrack.dev/core/gossip"
@@ -30,6 +31,7 @@
 	"rattantrack.dev/core/routing"
 	"rattantrack.dev/core/settings"
 	"rattantrack.dev/core/unresponsive"
+	"rattantrack.dev/core/work"
 	"rattantrack.dev/router/internal/client"
 	"rattantrack.dev/router/internal/crashes"
 	"rattantrack.dev/router/internal/directory"
@@ -79,6 +81,8 @@
 	shares       *fairshare.Tracker
 	evacuations  *evacuation.Tracker
 	cold         *cold.Tracker
+	costs        *cost.Estimator
+	work         *work.Tracker
 	connections  *upstream.Pool
 	endpoint     *peer.Endpoint
 	loads        *loads.Service
@@ -111,6 +115,8 @@
 		rateLimits:   &ratelimit.Tracker{},
 		shares:       &fairshare.Tracker{},
 		evacuations:  &evacuation.Tracker{},
+		costs:        &cost.Estimator{},
+		work:         &work.Tracker{},
 	}
 	var incarnation peer.Incarnation
 	var err error
@@ -224,7 +230,8 @@
 			Dumpers: []operator.Dumper{
 				d.client, d.watcher, d.members, &pauses{tracker: d.backoff}, &suspects{tracker: d.quarantine},
 				&rateLimits{tracker: d.rateLimits}, &evacuations{tracker: d.evacuations}, &coldUpstreams{tracker: d.cold},
-				&teamShares{tracker: d.shares}, d.origins, d.routers, d.gossip, &operator.Links{Endpoint: d.endpoint},
+				&teamShares{tracker: d.shares}, &workload{costs: d.costs, work: d.work, members: d.members},
+				d.origins, d.routers, d.gossip, &operator.Links{Endpoint: d.endpoint},
 			},
 		},
 		d.readiness,
--- a/router/internal/direct/dispatch.go
+++ b/router/internal/direct/dispatch.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -17,6 +18,7 @@
 	"rattantrack.dev/core/call"
 	"rattantrack.dev/core/clock"
 	"rattantrack.dev/core/cold"
+	"rattantrack.dev/core/cost"
 	"rattantrack.dev/core/evacuation"
 	"rattantrack.dev/core/fairshare"
 	"rattantrack.dev/core/inflight"
@@ -31,6 +33,7 @@
 	"rattantrack.dev/core/settings"
 	"rattantrack.dev/core/unresponsive"
 	"rattantrack.dev/core/waiting"
+	"rattantrack.dev/core/work"
 	"rattantrack.dev/router/internal/upstream"
 )
 
@@ -79,6 +82,8 @@
 	Quarantine   *quarantine.Tracker
 	RateLimits   *ratelimit.Tracker
 	Cold         *cold.Tracker
+	Costs        *cost.Estimator
+	Work         *work.Tracker
 	Origins      Origins
 	Queues       *waiting.Queues
 	Refusals     *waiting.Refusals
@@ -101,6 +106,8 @@
 	Scope     tally.Scope
 
 	reserving sync.Mutex
+	// malformedLogged is when a malformed field was last logged.
+	malformedLogged atomic.Int64
 }
 
 // Wait times of a request.
@@ -136,6 +143,7 @@
 	// of its answer.
 	eventsBefore int
 	survived     bool
+	work         attemptWork
 	res          Result
 	relay        relay
 	// failure is the last complete failure response of an upstream.
@@ -148,6 +156,7 @@
 	ctx, cancel := context.WithTimeout(ctx, r.Remaining(now))
 	defer cancel()
 	d.Budget.RecordRequest(now, r.Service)
+	d.recordMalformed(now, r.Malformed, "request", r.ID)
 	d.Demand.Record(now, r.Service, r.Rank, r.RouteConfig.Objective)
 	ex := &exchange{Request: r, dispatcher: d, sink: sink, relay: relay{sink: sink, lastEvent: r.LastEvent}}
 	ex.run(ctx)
--- a/router/internal/direct/dispatch_test.go
+++ b/router/internal/direct/dispatch_test.go
@@ -22,6 +22,7 @@
 	"rattantrack.dev/core/call"
 	"rattantrack.dev/core/clock"
 	"rattantrack.dev/core/cold"
+	"rattantrack.dev/core/cost"
 	"rattantrack.dev/core/evacuation"
 	"rattantrack.dev/core/fairshare"
 	"rattantrack.dev/core/inflight"
@@ -35,6 +36,7 @@
 	"rattantrack.dev/core/settings"
 	"rattantrack.dev/core/unresponsive"
 	"rattantrack.dev/core/waiting"
+	"rattantrack.dev/core/work"
 	"rattantrack.dev/router/internal/upstream"
 )
 
@@ -56,8 +58,16 @@
 		limit = (*call.Rate)(&v)
 	}
 	coldTime, _ := time.ParseDuration(h.Get("Cold"))
+	var load *call.Load
+	if v, err := strconv.ParseFloat(h.Get("Slow"), 64); err == nil {
+		load = &call.Load{Slowdown: v}
+	}
+	var malformed *call.MalformedField
+	if v := h.Get("Odd"); v != "" {
+		malformed = &call.MalformedField{Name: "Odd", Value: v}
+	}
 	return call.Answer{
-		RateLimit: limit, Cold: coldTime,
+		Load: load, Malformed: malformed, RateLimit: limit, Cold: coldTime,
 		ID: call.ID(h.Get("Id")), NotRun: h.Get("Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest,
 		Leaving: h.Get("Leaving") != "", RetryAfter: pause,
 	}
@@ -241,7 +251,8 @@
 		Cold: &cold.Tracker{
 			Limits: cold.Limits{Overage: 1}, Self: "a", Routers: func() ([]string, bool) { return nil, false },
 		},
-		ColdLimit:   func(settings.ServiceName) (time.Duration, float64) { return 0, 0 },
+		ColdLimit: func(settings.ServiceName) (time.Duration, float64) { return 0, 0 },
+		Costs:     &cost.Estimator{}, Work: &work.Tracker{},
 		Origins:     &beginnings{},
 		Budget:      &retry.FleetBudget{Limits: retry.Limits{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}},
 		Connections: pool,
--- a/router/internal/direct/place.go
+++ b/router/internal/direct/place.go
@@ -53,6 +53,8 @@
 	ColdCost:         3,
 	ExcessCost:       10,
 	FailureCost:      12,
+	LateCost:         30,
+	SpreadCost:       0.5,
 	// The queue of an engine is bounded by time (waiting.Overcommit). This bound keeps it from refusing requests if the estimate is wrong.
 	Overcommit: 3,
 	LoadScale:  20,
@@ -136,6 +138,7 @@
 		DataCentre: d.DataCentre, SharedTokens: r.SharedTokens(), Affinity: r.RouteConfig.Affinity,
 		Overcommit: min(policy.Overcommit, waiting.Overcommit(d.runTime(r), d.Demand.QueueTime(now, r.Service, r.Rank))),
 	}
+	d.addWork(now, r, request, candidates, ids)
 	choice := placement.Choose(policy, request, candidates)
 	if choice.Reason != placement.Chosen {
 		return members.Instance{}, choice
