test(router): an overloaded fleet on a virtual clock, which collapses

Cause shown: with Overcommit 1 a full engine takes no further request, so one whose prompt is cached there goes to whichever engine has a slot. Its prompt is prefilled there and displaces others, engines slow down, loads rise, and so on until the demand has ended. Test: 40 engines with finite memory and a queue by priority, 22 routers whose counts of each other are 120 ms old, clients that leave without an event and come back once when told. The decisions are the dispatcher's own (reserve, waitLimit, recordEnding, allowRetry, waiting.Queues, affinity.Index). Ruled out: that the fleet is too small for the load (the naive rule serves it).

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 # Pattern of the platform's own names, which only code in platform/ may use.
 PLATFORM_NAMES := Attempt-Id|Deadline-Ms|Target-Instance|Response-Seal|Not-Executed|Server-Load|Server-Leaving|Server-Limit|Store-Era|Token-Usage|Prompt-Prefix|kv-range|kv-watch|kv-key|kv-list|route-type|target-latency|session-affinity|stream-resume|Resumes|RATTANTRACK_NODE_FILE
 
-.PHONY: tools build test lint platform-names fmt race fuzz-seeds fuzz examples demo failures verify-model bench bench-decisions bench-capacity soak known-red clean
+.PHONY: tools build test lint platform-names fmt race fuzz-seeds fuzz examples demo failures verify-model bench bench-decisions bench-overload bench-capacity soak known-red clean
 
 build:
 	@mkdir -p $(BIN)
@@ -79,6 +79,10 @@
 bench-decisions:
 	@cd core && go run ./internal/benchdecisions
 
+# Plays an overloaded fleet on a virtual clock, and draws the served worth at multiples of its capacity beside that of a naive rule.
+bench-overload:
+	@cd router && go test -run '^$$' -bench '^BenchmarkOverload$$' -benchtime 1x -v ./internal/direct
+
 # Measures the request path, open streams and routing decisions in running processes and prints JSON lines.
 bench: build
 	@$(BIN)/standin bench --bin $(BIN) --only path,streams,fleet
