--- a/router/internal/direct/overload_call_test.go
+++ b/router/internal/direct/overload_call_test.go
@@ -25,17 +25,20 @@
 
 // simCall is a client's request; it comes back once if it is refused.
 type simCall struct {
-	sim     *overloadSim
-	router  *simRouter
-	prompt  *simPrompt
-	team    int
-	sent    clock.Instant // first by the client
-	again   bool
-	done    bool
-	ex      *exchange
-	start   clock.Instant // of the wait for an upstream
-	waiter  *waiting.Waiter
-	engine  *simEngine
+	sim    *overloadSim
+	router *simRouter
+	prompt *simPrompt
+	team   int
+	sent   clock.Instant // first by the client
+	again  bool
+	done   bool
+	ex     *exchange
+	start  clock.Instant // of the wait for an upstream
+	waiter *waiting.Waiter
+	engine *simEngine
+	inst   members.Instance
+	// offered is when the request was sent to the engine.
+	offered clock.Instant
 	attempt int
 	events  int
 	late    bool
@@ -65,6 +68,7 @@
 	c.ex = &exchange{Request: r, dispatcher: c.router.Dispatcher, relay: relay{}}
 	c.start, c.progress, c.events, c.attempt = s.now, s.now, 0, c.attempt+1
 	c.router.Budget.RecordRequest(s.now, simService)
+	c.router.Demand.Record(s.now, simService, class.rank, class.objective)
 	c.watch(c.attempt)
 	c.place()
 }
@@ -110,7 +114,11 @@
 func (c *simCall) wait() {
 	s, d := c.sim, c.router.Dispatcher
 	limit := c.ex.waitLimit(c.start)
-	w := &waiting.Waiter{Rank: c.ex.Rank, Deadline: limit}
+	if c.ex.waiter == nil {
+		c.ex.waiter = &waiting.Waiter{Rank: c.ex.Rank}
+	}
+	w := c.ex.waiter
+	w.Deadline = limit
 	if refusal := d.Queues.Enter(s.now, simService, w); refusal != nil {
 		c.ex.giveUp(context.Background(), CodeOverloaded, refusal.RetryAfter)
 		c.refused()
@@ -118,10 +126,11 @@
 	}
 	c.waiter = w
 	c.router.waiting = append(c.router.waiting, c)
+	ready := w.Ready()
 	s.after(limit.Sub(s.now), func() {
-		if c.waiter == w {
+		if c.waiter == w && w.Ready() == ready {
 			c.leaveQueue()
-			c.ex.giveUp(context.Background(), CodeOverloaded, d.Queues.RetryAfter(simService))
+			c.ex.giveUp(context.Background(), CodeOverloaded, d.Queues.RetryAfter(s.now, simService))
 			c.refused()
 		}
 	})
@@ -140,7 +149,7 @@
 func (c *simCall) send(engine int, inst members.Instance) {
 	s := c.sim
 	e := s.engines[engine]
-	c.engine = e
+	c.engine, c.inst, c.offered = e, inst, s.now
 	c.ex.answeredAt = 0
 	c.router.own[engine]++
 	if !s.naive {
@@ -151,29 +160,27 @@
 		return
 	}
 	if !s.naive && c.ex.RouteConfig.Repeatable() && c.ex.res.Runs+1 < c.ex.RouteConfig.Attempts {
-		c.watchStall(inst, c.attempt, e)
+		timeout := max(minStallTimeout, responseTimeoutFactor*c.prompt.class.objective)
+		timeout += waiting.Wait(c.router.runTime(c.ex.Request), c.ex.res.Choice.Load, simSlots)
+		c.watchStall(c.attempt, e, timeout)
 	}
 }
 
 // watchStall gives up an attempt without progress, as the stall timer does.
-func (c *simCall) watchStall(inst members.Instance, attemptNumber int, e *simEngine) {
-	s := c.sim
-	since, limit := c.progress, max(minStallTimeout, responseTimeoutFactor*c.prompt.class.objective)
-	if c.events > 0 {
-		limit = max(minStallTimeout, stallTimeoutFactor*c.prompt.class.pause)
-	} else {
-		since = max(since, s.now)
-	}
-	s.after(since.Add(limit).Sub(s.now), func() {
+func (c *simCall) watchStall(attemptNumber int, e *simEngine, wait time.Duration) {
+	s, since := c.sim, max(c.progress, c.offered)
+	s.after(since.Add(wait).Sub(s.now), func() {
+		pause := max(minStallTimeout, stallTimeoutFactor*c.prompt.class.pause)
 		switch {
 		case c.done || c.attempt != attemptNumber || c.engine != e:
 		case c.progress > since:
-			c.watchStall(inst, attemptNumber, e)
+			c.watchStall(attemptNumber, e, pause)
+		case !c.ex.takeRetry(c.inst, "stalled"):
+			s.after(pause, func() { c.watchStall(attemptNumber, e, pause) })
 		default:
 			c.ex.res.Runs++
 			c.ex.stalled = true
-			e.remove(c)
-			c.ended(inst, attempt.Lost)
+			c.ended(c.inst, attempt.Lost)
 		}
 	})
 }
@@ -195,6 +202,9 @@
 func (c *simCall) complete() {
 	c.event()
 	c.done = true
+	if !c.sim.naive {
+		c.ex.recordRunTime(c.inst, c.offered)
+	}
 	t := c.sim.tally(c)
 	if c.late {
 		t.late++
@@ -233,7 +243,7 @@
 		return
 	}
 	// As exchange.finish does, with the simulation's random numbers.
-	ex.res.RetryAfter = max(c.router.Queues.RetryAfter(simService), c.router.Refusals.RetryAfter(s.now, simService, s.rng.Float64()))
+	ex.res.RetryAfter = max(c.router.Queues.RetryAfter(s.now, simService), c.router.Refusals.RetryAfter(s.now, simService, s.rng.Float64()))
 	c.refused()
 }
 
@@ -251,6 +261,7 @@
 		return
 	}
 	r.InFlight.End(e.id)
+	r.Residence.Record(simService, c.sim.now.Sub(c.offered))
 	r.Queues.RequestEnded(c.sim.now, simService)
 	for i := 0; i < len(r.waiting); i++ {
 		w := r.waiting[i]
--- a/router/internal/direct/overload_sim_test.go
+++ b/router/internal/direct/overload_sim_test.go
@@ -191,6 +191,7 @@
 		r := &simRouter{own: make([]int, len(s.engines)), Dispatcher: &Dispatcher{
 			DataCentre: "dc", Members: &members.Registry{}, InFlight: &inflight.Tracker{}, Affinity: &affinity.Index{},
 			Outliers: &outlier.Detector{}, Unresponsive: &unresponsive.Detector{}, Queues: &waiting.Queues{}, Refusals: &waiting.Refusals{},
+			RunTimes: &waiting.Durations{}, Residence: &waiting.Durations{}, Demand: &waiting.Demand{},
 			Backoff: &backoff.Tracker{}, Quarantine: &quarantine.Tracker{}, RateLimits: &ratelimit.Tracker{},
 			KnownRouters: func() int { return simRouters / scale },
 			Budget:       &retry.FleetBudget{Limits: retry.Limits{Ratio: 0.2, Slack: 84 / float64(scale), Window: 10 * time.Second}},
