fix(waiting): each router takes its part of the room that all see

Change: of the requests that want an engine's room, the share is sent that the room is of what all routers want until the counts show it (Room).

--- a/core/inflight/tracker.go
+++ b/core/inflight/tracker.go
@@ -238,6 +238,17 @@
 	return loads
 }
 
+// Age returns how long ago the counts of the other routers were received on average.
+func (t *Tracker) Age(now clock.Instant) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.refresh(now)
+	if len(t.remoteTotal) == 0 {
+		return 0
+	}
+	return now.Sub(t.remoteAt)
+}
+
 // Others returns the number of requests that the other routers have open at each upstream, in the given order.
 func (t *Tracker) Others(now clock.Instant, ids []settings.UpstreamID) []int {
 	t.mu.Lock()
--- a/router/internal/app/services.go
+++ b/router/internal/app/services.go
@@ -149,6 +149,7 @@
 		Refusals:     &waiting.Refusals{},
 		RunTimes:     &waiting.Durations{}, Residence: &waiting.Durations{},
 		Demand:       &waiting.Demand{},
+		Placements:   &waiting.Rates{},
 		FairShare:    d.shares,
 		Budget:       &retry.FleetBudget{Limits: retry.Limits{Ratio: budget.Ratio, Slack: budget.Slack, Window: budget.Window}},
 		Connections:  d.connections,
--- a/router/internal/direct/dispatch.go
+++ b/router/internal/direct/dispatch.go
@@ -90,6 +90,7 @@
 	RunTimes     *waiting.Durations
 	Residence    *waiting.Durations
 	Demand       *waiting.Demand
+	Placements   *waiting.Rates
 	FairShare    *fairshare.Tracker
 	Budget       *retry.FleetBudget
 	Connections  Connections
--- a/router/internal/direct/dispatch_test.go
+++ b/router/internal/direct/dispatch_test.go
@@ -246,7 +246,7 @@
 		Outliers: &outlier.Detector{}, Unresponsive: &unresponsive.Detector{}, Backoff: &backoff.Tracker{},
 		Quarantine: &quarantine.Tracker{}, Evacuations: &evacuation.Tracker{},
 		Queues: &waiting.Queues{}, Refusals: &waiting.Refusals{}, RunTimes: &waiting.Durations{}, Residence: &waiting.Durations{},
-		Demand: &waiting.Demand{}, FairShare: &fairshare.Tracker{},
+		Demand: &waiting.Demand{}, Placements: &waiting.Rates{}, FairShare: &fairshare.Tracker{},
 		RateLimits: &ratelimit.Tracker{}, KnownRouters: func() int { return 1 },
 		Cold: &cold.Tracker{
 			Limits: cold.Limits{Overage: 1}, Self: "a", Routers: func() ([]string, bool) { return nil, false },
--- a/router/internal/direct/overload_call_test.go
+++ b/router/internal/direct/overload_call_test.go
@@ -70,6 +70,10 @@
 	c.router.Budget.RecordRequest(s.now, simService)
 	c.router.Demand.Record(s.now, simService, class.rank, class.objective)
 	c.watch(c.attempt)
+	if !s.naive && !c.ex.withinShare(context.Background()) {
+		c.refused()
+		return
+	}
 	c.place()
 }
 
@@ -100,6 +104,7 @@
 	inst, choice := d.reserve(s.now, c.ex.Request, &c.ex.tried)
 	switch {
 	case choice.Reason == placement.Chosen:
+		c.ex.recordRoom(s.now)
 		c.ex.res.Choice = choice
 		c.send(slices.Index(s.ids, inst.ID), inst)
 	case choice.Reason == placement.NoUpstream:
--- a/router/internal/direct/overload_sim_test.go
+++ b/router/internal/direct/overload_sim_test.go
@@ -16,6 +16,10 @@
 	"rattantrack.dev/core/backoff"
 	"rattantrack.dev/core/call"
 	"rattantrack.dev/core/clock"
+	"rattantrack.dev/core/cold"
+	"rattantrack.dev/core/cost"
+	"rattantrack.dev/core/evacuation"
+	"rattantrack.dev/core/fairshare"
 	"rattantrack.dev/core/inflight"
 	"rattantrack.dev/core/members"
 	"rattantrack.dev/core/outlier"
@@ -26,6 +30,7 @@
 	"rattantrack.dev/core/settings"
 	"rattantrack.dev/core/unresponsive"
 	"rattantrack.dev/core/waiting"
+	"rattantrack.dev/core/work"
 )
 
 // simClass is a kind of request. A prompt is a shared part that returns and an own one.
@@ -192,8 +197,11 @@
 		r := &simRouter{own: make([]int, len(s.engines)), Dispatcher: &Dispatcher{
 			DataCentre: "dc", Members: &members.Registry{}, InFlight: &inflight.Tracker{}, Affinity: &affinity.Index{},
 			Outliers: &outlier.Detector{}, Unresponsive: &unresponsive.Detector{}, Queues: &waiting.Queues{}, Refusals: &waiting.Refusals{},
-			RunTimes: &waiting.Durations{}, Residence: &waiting.Durations{}, Demand: &waiting.Demand{},
+			RunTimes: &waiting.Durations{}, Residence: &waiting.Durations{}, Demand: &waiting.Demand{}, Placements: &waiting.Rates{},
 			Backoff: &backoff.Tracker{}, Quarantine: &quarantine.Tracker{}, RateLimits: &ratelimit.Tracker{},
+			Evacuations: &evacuation.Tracker{}, Costs: &cost.Estimator{}, Work: &work.Tracker{}, FairShare: &fairshare.Tracker{},
+			Cold:         &cold.Tracker{Routers: func() ([]string, bool) { return nil, false }},
+			ColdLimit:    func(settings.ServiceName) (time.Duration, float64) { return 0, 0 },
 			KnownRouters: func() int { return simRouters },
 			Budget:       &retry.FleetBudget{Limits: retry.Limits{Ratio: 0.2, Slack: 84 / float64(scale), Window: 10 * time.Second}},
 			Clock:        s, Log: log.New(io.Discard), Scope: tally.NoopScope,
--- a/router/internal/direct/place.go
+++ b/router/internal/direct/place.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"encoding/binary"
 	"slices"
 	"time"
 
@@ -140,12 +141,40 @@
 	}
 	d.addWork(now, r, request, candidates, ids)
 	choice := placement.Choose(policy, request, candidates)
+	if choice.Reason == placement.Chosen && r.RouteConfig.Affinity &&
+		!d.takesPart(now, r, request, &candidates[choice.Index], len(candidates)) {
+		choice.Reason = placement.Full
+	}
 	if choice.Reason != placement.Chosen {
 		return members.Instance{}, choice
 	}
 	return serving[choice.Index], choice
 }
 
+// exchangeAge is how old the counts of other routers are when they arrive.
+const exchangeAge = 80 * time.Millisecond
+
+// takesPart reports whether a request is among those that may use the room of the chosen engine. Other routers see the same room. The
+// counts of plain services are older than their requests last, so they say nothing about a single slot.
+func (d *Dispatcher) takesPart(
+	now clock.Instant, r *Request, request *placement.Request, c *placement.Candidate, candidates int,
+) bool {
+	wanted := d.Placements.Record(now, r.Service)
+	routers := d.InFlight.RouterCount(now)
+	if routers <= 1 {
+		return true
+	}
+	room := waiting.Room{
+		Load: float64(c.Load), Limit: request.Overcommit * float64(c.Slots),
+		Residence: d.Residence.Mean(r.Service, d.runTime(r)), Age: d.InFlight.Age(now) + exchangeAge,
+		Wanted: wanted * float64(routers) / float64(candidates),
+	}
+	h := xxhash.New()
+	_, _ = h.WriteString(string(r.ID))
+	_, _ = h.Write(binary.BigEndian.AppendUint64(nil, uint64(now)))
+	return float64(h.Sum64()>>11)/(1<<53) < room.Share()
+}
+
 func (d *Dispatcher) candidates(
 	now clock.Instant, r *Request, serving []members.Instance, ids []settings.UpstreamID,
 ) []placement.Candidate {
