--- a/router/internal/direct/origin_test.go
+++ b/router/internal/direct/origin_test.go
@@ -130,3 +130,36 @@
 	res, _ := b.takeUp(mixedRoute, "r2", "first")
 	c.Check(res.Outcome, qt.Equals, peer.OutcomeDone)
 }
+
+// TestRequestGoesToTheVersionThatHasReadItsPrompt guards against a prompt that two versions have read after the loss of all routers, so
+// that nobody could tell where its stream began.
+func TestRequestGoesToTheVersionThatHasReadItsPrompt(t *testing.T) {
+	whole := handlers{streamEvents(5, true)}
+	tests := []struct {
+		name     string
+		cachedAt members.Version
+		requests []int
+	}{
+		{"a version that serves", "v2", []int{0, 1}},
+		{"a version that has gone", "v0", []int{1, 0}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			b := newVersionFixture(t, []members.Version{"v1", "v2"}, whole, whole)
+			b.Origins.(*beginnings).cached = map[call.PromptBlockID]members.Version{7: tt.cachedAt}
+			now := b.Clock.Now()
+			r := &Request{
+				Request:     call.Request{ID: "r1", PromptBlocks: []call.PromptBlock{{ID: 7, Tokens: 50}}},
+				RouteConfig: mixedRoute, Service: "desk", Arrived: now, Deadline: now.Add(3 * time.Second),
+			}
+			r.Outbound.ID, r.Outbound.Method, r.Outbound.URI, r.Outbound.Host = "r1", http.MethodPost, "/a", "h.example"
+			r.Outbound.Header = http.Header{"Id": {"r1"}}
+			res := b.Do(context.Background(), r, &memorySink{})
+			c.Check(res.Outcome, qt.Equals, peer.OutcomeDone)
+			for i, n := range tt.requests {
+				c.Check(len(b.upstreams[i].requests()), qt.Equals, n, qt.Commentf("upstream %d", i))
+			}
+		})
+	}
+}
--- a/router/internal/origins/service_test.go
+++ b/router/internal/origins/service_test.go
@@ -278,3 +278,55 @@
 	_, verdict = late.find("s")
 	c.Assert(verdict, qt.Equals, origin.Unknown)
 }
+
+// TestStreamIsPlacedByItsPromptAfterAllRecordsAreLost covers the loss of all routers while two versions serve.
+func TestStreamIsPlacedByItsPromptAfterAllRecordsAreLost(t *testing.T) {
+	c := qt.New(t)
+	f := &fleet{t: t}
+	n := f.start("", false)
+	index := &affinity.Index{}
+	n.service.Caches = index
+	engine := func(id string, version members.Version, blocks ...call.PromptBlock) members.Instance {
+		inst := members.Instance{ID: settings.UpstreamID(id), Service: "letters", Version: version, Incarnation: 1}
+		n.service.Apply([]members.Event{{ID: inst.ID, Kind: members.EventAdded, Instance: inst}})
+		index.RecordListing(clock.Boot{}.Now(), blocks, inst)
+		return inst
+	}
+	own := call.PromptBlock{ID: 7, Tokens: 50}
+	engine("a", "v1", call.PromptBlock{ID: 7, Tokens: 90})
+	engine("b", "v2", call.PromptBlock{ID: 8, Tokens: 90})
+	find := func(block call.PromptBlock) (members.Version, origin.Verdict) {
+		o, verdict := n.service.Find(context.Background(), &origin.Question{FirstAttempt: "s", Service: "letters", Own: block})
+		return o.Version, verdict
+	}
+	version, verdict := find(own)
+	c.Assert(verdict, qt.Equals, origin.Cached)
+	c.Assert(version, qt.Equals, members.Version("v1"))
+	version, ok := n.service.CachedAt("letters", own)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(version, qt.Equals, members.Version("v1"))
+	for _, block := range []call.PromptBlock{{}, {ID: 9, Tokens: 50}} {
+		_, verdict = find(block)
+		c.Assert(verdict, qt.Equals, origin.Unknown)
+		_, ok = n.service.CachedAt("letters", block)
+		c.Assert(ok, qt.IsFalse)
+	}
+	// An instance of the other version that was there before and has not listed its cache.
+	unread := members.Instance{ID: "c", Service: "letters", Version: "v2", Incarnation: 2}
+	n.service.Apply([]members.Event{{ID: "c", Kind: members.EventAdded, Instance: unread}})
+	_, verdict = find(own)
+	c.Assert(verdict, qt.Equals, origin.Unknown)
+	// It starts again, later than the router.
+	unread.Incarnation = members.Incarnation(time.Now().Add(time.Second).UnixMilli())
+	n.service.Apply([]members.Event{{ID: "c", Kind: members.EventRestarted, Instance: unread}})
+	_, verdict = find(own)
+	c.Assert(verdict, qt.Equals, origin.Cached)
+	// The engine of the other version that had the prompt too has left.
+	d := engine("d", "v2", call.PromptBlock{ID: 7, Tokens: 50})
+	index.Forget(d.ID)
+	n.service.Apply([]members.Event{{ID: "d", Kind: members.EventRemoved}})
+	_, verdict = find(own)
+	c.Assert(verdict, qt.Equals, origin.Unknown)
+	_, ok = n.service.CachedAt("letters", own)
+	c.Assert(ok, qt.IsFalse)
+}
