feat(engines): the caches of leaving engines are read where several versions serve

A stream of another version was refused while an engine that was leaving could not be ruled out, and one that began there could go on nowhere. The test fails on the code before. Queries: one more for each leaving engine of a service with several versions, once after the loss of all routers.

--- a/core/members/registry.go
+++ b/core/members/registry.go
@@ -284,6 +284,20 @@
 	return r.services[name]
 }
 
+// Draining returns the instances of a service that are leaving and may still complete requests, sorted by id.
+func (r *Registry) Draining(name settings.ServiceName) []Instance {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var list []Instance
+	for _, e := range r.entries {
+		if e.instance.Draining && e.instance.Service == name {
+			list = append(list, e.instance)
+		}
+	}
+	slices.SortFunc(list, func(x, y Instance) int { return cmp.Compare(x.ID, y.ID) })
+	return list
+}
+
 // IDs returns the sorted ids of all instances. It returns the same slice until they change; callers must not modify it.
 func (r *Registry) IDs() []settings.UpstreamID {
 	r.mu.Lock()
--- a/router/internal/engines/warmup.go
+++ b/router/internal/engines/warmup.go
@@ -222,15 +222,25 @@
 	return true
 }
 
-// engines returns the instances that may cache prompts.
+// engines returns the instances that may cache prompts. Those that are leaving are among them where several versions serve, since
+// their caches tell which streams began there.
 func (w *Warmup) engines() []members.Instance {
 	var list []members.Instance
 	for _, service := range w.Services() {
-		list = append(list, w.Members.Serving(service)...)
+		serving, draining := w.Members.Serving(service), w.Members.Draining(service)
+		list = append(list, serving...)
+		if hasSeveralVersions(serving, draining) {
+			list = append(list, draining...)
+		}
 	}
 	return list
 }
 
+func hasSeveralVersions(lists ...[]members.Instance) bool {
+	all := slices.Concat(lists...)
+	return slices.ContainsFunc(all, func(i members.Instance) bool { return i.Version != all[0].Version })
+}
+
 // query reads the cache of one engine. An engine that does not respond counts as queried, since its entries are recorded
 // when their prompts are used.
 func (w *Warmup) query(ctx context.Context, inst members.Instance) {
--- a/router/internal/engines/warmup_test.go
+++ b/router/internal/engines/warmup_test.go
@@ -107,6 +107,28 @@
 	}
 }
 
+// TestLeavingEnginesAreQueriedAmongVersions guards against streams that go on nowhere because the engine that began them, or one that may
+// have, was leaving as the routers started. With one version nothing depends on its list.
+func TestLeavingEnginesAreQueriedAmongVersions(t *testing.T) {
+	for _, version := range []members.Version{"v1", "v2"} {
+		t.Run(string(version), func(t *testing.T) {
+			c := qt.New(t)
+			cache := &fakeCache{queries: make(map[settings.UpstreamID]int)}
+			w := newWarmup("a", cache, &fakeRouters{})
+			w.Members.Apply(2, []members.Change{
+				{ID: "e1", Revision: 2, Instance: members.Instance{ID: "e1", Service: "letters", Version: "v1", Draining: true, Incarnation: 5}},
+				{ID: "e2", Revision: 2, Instance: members.Instance{ID: "e2", Service: "letters", Version: version}},
+				{ID: "e3", Revision: 2, Removed: true}, {ID: "e4", Revision: 2, Removed: true},
+				{ID: "e5", Revision: 2, Removed: true}, {ID: "e6", Revision: 2, Removed: true},
+			})
+			queryAll(w, warmup.TakeoverDelay)
+			queryAll(w, 2*time.Second)
+			c.Assert(cache.queries["e1"], qt.Equals, map[members.Version]int{"v1": 0, "v2": 1}[version])
+			c.Assert(w.Affinity.WasRead(clock.Boot{}.Now(), "e1", 5), qt.Equals, version == "v2")
+		})
+	}
+}
+
 func TestNoQueriesWhenEntriesAreReceived(t *testing.T) {
 	c := qt.New(t)
 	cache := &fakeCache{queries: make(map[settings.UpstreamID]int)}
