feat(engines,origins): the engines' caches are read on demand where a stream cannot be placed

Change: a router that cannot place a stream while several versions serve demands the lists. The routers that have such streams divide the engines by rendezvous and take over what is not read after 0.5 s; a process is read at most once a minute by a router. The stream waits for the lists for at most 1 s. What has not listed is no longer ruled out by its start, since a router that outlived the others has seen instances start where others began streams. Tests: TestCachesAreReadOnDemand, TestStreamIsPlacedByItsPromptAfterAllRecordsAreLost.

--- a/core/origin/decide.go
+++ b/core/origin/decide.go
@@ -20,8 +20,8 @@
 // Engine is what a router knows of an instance that may have begun a stream.
 type Engine struct {
 	Origin Origin
-	// Excluded reports that the instance has listed its cache, or has started too late to have begun a stream that nobody remembers.
-	Excluded bool
+	// HasListed reports that the instance has listed its cache.
+	HasListed bool
 }
 
 // Listing is the statement of an instance, which may have ended since, that it has a stream's own block cached.
@@ -122,7 +122,7 @@
 		return Origin{}, false
 	}
 	for _, e := range k.Engines {
-		if e.Origin != o && !e.Excluded {
+		if e.Origin != o && !e.HasListed {
 			return Origin{}, false
 		}
 	}
--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -57,7 +57,7 @@
 // a stream began, unless an engine of another version may have it too.
 func TestStreamGoesOnWhereItsPromptIsCached(t *testing.T) {
 	v1, v2 := Origin{Service: "letters", Version: "v1"}, Origin{Service: "letters", Version: "v2"}
-	engines := []Engine{{Origin: v1, Excluded: true}, {Origin: v2, Excluded: true}}
+	engines := []Engine{{Origin: v1, HasListed: true}, {Origin: v2, HasListed: true}}
 	tests := []struct {
 		name   string
 		change func(k *Knowledge)
@@ -75,8 +75,8 @@
 		{"not read to its end", func(k *Knowledge) { k.Listings[0].Tokens = 50 - pageTokens }, Origin{}},
 		{"nobody", func(k *Knowledge) { k.Listings = nil }, Origin{}},
 		{"listings were dropped", func(k *Knowledge) { k.ListingsComplete = false }, Origin{}},
-		{"an engine of another version has not listed its cache", func(k *Knowledge) { k.Engines[0].Excluded = false }, Origin{}},
-		{"an engine of the version has not listed its cache", func(k *Knowledge) { k.Engines[1].Excluded = false }, v2},
+		{"an engine of another version has not listed its cache", func(k *Knowledge) { k.Engines[0].HasListed = false }, Origin{}},
+		{"an engine of the version has not listed its cache", func(k *Knowledge) { k.Engines[1].HasListed = false }, v2},
 		{"the router is cut off", func(k *Knowledge) { k.Fresh = false }, Origin{}},
 		{"engines that name no version", func(k *Knowledge) { k.Listings[0].Origin.Version = "" }, Origin{}},
 	}
--- a/core/warmup/assign.go
+++ b/core/warmup/assign.go
@@ -46,6 +46,12 @@
 	return s.Elapsed >= fallbackDelay && assignee(append([]string{s.Self}, s.Reachable...), engine) == s.Self
 }
 
+// AssignedOnDemand reports whether this router has to query an engine that has not been queried since streams came that nobody can
+// place. Elapsed is the time since then. A router that got no such stream queries none, so its engines are taken over.
+func AssignedOnDemand(s State, engine settings.UpstreamID) bool {
+	return s.Elapsed >= TakeoverDelay || assignee(append([]string{s.Self}, s.Reachable...), engine) == s.Self
+}
+
 // assignee returns the first router for an engine by rendezvous hashing.
 func assignee(routers []string, engine settings.UpstreamID) string {
 	ids := make([]settings.UpstreamID, len(routers))
--- a/router/internal/app/services.go
+++ b/router/internal/app/services.go
@@ -85,6 +85,7 @@
 		Routers:      d.routers,
 		Dialer:       d.endpoint,
 		Caches:       d.affinity,
+		Demand:       func(name settings.ServiceName) { d.warmup.Demand(name) },
 		DirectoryAge: d.directoryAge,
 		KnownRouters: d.routers.Known,
 		Clock:        clock.Boot{},
--- a/router/internal/engines/warmup.go
+++ b/router/internal/engines/warmup.go
@@ -80,6 +80,8 @@
 	started     map[settings.UpstreamID]bool
 	queried     []settings.UpstreamID
 	reportUntil clock.Instant
+
+	demand demands
 }
 
 // Queried returns the engines that this router has queried, or nil once reportTime has passed since the last query.
@@ -136,7 +138,7 @@
 	}
 	w.complete.Store(true)
 	w.setWarm()
-	<-ctx.Done()
+	w.serveDemands(ctx)
 	return nil
 }
 
@@ -227,15 +229,19 @@
 func (w *Warmup) engines() []members.Instance {
 	var list []members.Instance
 	for _, service := range w.Services() {
-		serving, draining := w.Members.Serving(service), w.Members.Draining(service)
-		list = append(list, serving...)
-		if hasSeveralVersions(serving, draining) {
-			list = append(list, draining...)
-		}
+		list = append(list, w.enginesOf(service)...)
 	}
 	return list
 }
 
+func (w *Warmup) enginesOf(name settings.ServiceName) []members.Instance {
+	serving, draining := w.Members.Serving(name), w.Members.Draining(name)
+	if hasSeveralVersions(serving, draining) {
+		return slices.Concat(serving, draining)
+	}
+	return serving
+}
+
 func hasSeveralVersions(lists ...[]members.Instance) bool {
 	all := slices.Concat(lists...)
 	return slices.ContainsFunc(all, func(i members.Instance) bool { return i.Version != all[0].Version })
@@ -244,18 +250,22 @@
 // query reads the cache of one engine. An engine that does not respond counts as queried, since its entries are recorded
 // when their prompts are used.
 func (w *Warmup) query(ctx context.Context, inst members.Instance) {
+	w.read(ctx, inst)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.queried = append(w.queried, inst.ID)
+	w.reportUntil = w.Clock.Now().Add(reportTime)
+}
+
+// read reads the cache of one engine.
+func (w *Warmup) read(ctx context.Context, inst members.Instance) {
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
 	w.Scope.Counter("inventory_questions").Inc(1)
 	blocks, err := w.Cache.CachedBlocks(ctx, inst)
-	now := w.Clock.Now()
 	if err != nil {
 		w.Log.Warn("cannot query the cache of an engine", "upstream", inst.ID, "error", err)
-	} else {
-		w.Affinity.RecordListing(now, blocks, inst)
+		return
 	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.queried = append(w.queried, inst.ID)
-	w.reportUntil = now.Add(reportTime)
+	w.Affinity.RecordListing(w.Clock.Now(), blocks, inst)
 }
--- a/router/internal/engines/warmup_test.go
+++ b/router/internal/engines/warmup_test.go
@@ -135,3 +135,60 @@
 	newWarmup("a", cache, &fakeRouters{entriesReceived: true}).warmUp(context.Background())
 	c.Assert(cache.queries, qt.HasLen, 0)
 }
+
+// TestCachesAreReadOnDemand guards against streams that go on nowhere after the loss of most routers: those that are left pass on where
+// prompts are cached, but not what the engines list.
+func TestCachesAreReadOnDemand(t *testing.T) {
+	c := qt.New(t)
+	cache := &fakeCache{queries: make(map[settings.UpstreamID]int)}
+	start := func(address string, reachable ...string) *Warmup {
+		w := newWarmup(address, cache, &fakeRouters{entriesReceived: true, reachable: reachable})
+		var list []members.Change
+		for _, inst := range w.Members.Serving("letters") {
+			inst.Incarnation = 5
+			list = append(list, members.Change{ID: inst.ID, Revision: 2, Instance: inst})
+		}
+		w.Members.Apply(1, list)
+		ctx, cancel := context.WithCancel(context.Background())
+		var wg sync.WaitGroup
+		wg.Go(func() { _ = w.Run(ctx, func() {}) })
+		t.Cleanup(func() { cancel(); wg.Wait() })
+		return w
+	}
+	queries := func() (engines, queries int) {
+		cache.mu.Lock()
+		defer cache.mu.Unlock()
+		for _, n := range cache.queries {
+			queries += n
+		}
+		return len(cache.queries), queries
+	}
+	routers := []*Warmup{start("a", "b", "x"), start("b", "a", "x")}
+	time.Sleep(5 * pollInterval)
+	n, _ := queries()
+	c.Assert(n, qt.Equals, 0)
+	for range 20 {
+		routers[0].Demand("letters")
+		routers[1].Demand("letters")
+	}
+	time.Sleep(5 * pollInterval)
+	n, total := queries()
+	c.Assert(n < 6, qt.IsTrue, qt.Commentf("the engines of a router without such streams are left to it at first"))
+	c.Assert(total, qt.Equals, n, qt.Commentf("each engine is queried by one router"))
+	time.Sleep(warmup.TakeoverDelay)
+	n, total = queries()
+	c.Assert(n, qt.Equals, 6)
+	c.Assert(total <= 12, qt.IsTrue)
+	for _, inst := range routers[0].Members.Serving("letters") {
+		read := func(w *Warmup) bool { return w.Affinity.WasRead(clock.Boot{}.Now(), inst.ID, 5) }
+		c.Assert(read(routers[0]) || read(routers[1]), qt.IsTrue)
+	}
+	time.Sleep(demandTime)
+	for _, w := range routers {
+		w.Demand("letters")
+		w.Demand("drafts")
+	}
+	time.Sleep(warmup.TakeoverDelay + 5*pollInterval)
+	_, again := queries()
+	c.Assert(again <= 12, qt.IsTrue, qt.Commentf("a process is queried once a minute by a router"))
+}
--- a/router/internal/origins/find.go
+++ b/router/internal/origins/find.go
@@ -27,6 +27,8 @@
 	graceTime = 60 * time.Millisecond
 	// maxSources is how many routers one that has started asks for their history at a time.
 	maxSources = 3
+	// cachesTimeout is how long a stream waits for the lists of the engines' caches.
+	cachesTimeout = time.Second
 	// maxDirectoryAge is the age of the directory from which on a router may have missed a version.
 	maxDirectoryAge = 2500 * time.Millisecond
 )
@@ -51,6 +53,9 @@
 		asked, replies = s.askFor(ctx, id, q, &k)
 		o, verdict = origin.Decide(q.Service, &k)
 	}
+	if verdict == origin.Unknown && s.demands(q, &k) {
+		o, verdict = s.waitForCaches(ctx, q, &k)
+	}
 	s.Scope.Tagged(map[string]string{"verdict": string(verdict)}).Counter("streams_taken_up").Inc(1)
 	if verdict == origin.Unknown {
 		s.Log.Warn("origin of a stream unknown", "first_attempt", q.FirstAttempt, "service", q.Service, "asked", asked,
@@ -79,11 +84,11 @@
 	return list
 }
 
-// unread returns the number of instances that may have begun the stream and have not listed their caches.
+// unread returns the number of instances that have not listed their caches.
 func unread(engines []origin.Engine) int {
 	n := 0
 	for _, e := range engines {
-		if !e.Excluded {
+		if !e.HasListed {
 			n++
 		}
 	}
@@ -101,14 +106,31 @@
 	for _, l := range listed {
 		k.Listings = append(k.Listings, origin.Listing{Origin: originOf(l), Tokens: settings.Tokens(l.Tokens)})
 	}
-	if len(listed) == 0 {
-		return
-	}
 	for _, p := range s.history.Processes(q.Service) {
-		isLater := int64(p.Incarnation) > s.startedAt.UnixMilli()
-		k.Engines = append(k.Engines, origin.Engine{
-			Origin: p.Origin, Excluded: isLater || s.Caches.WasRead(now, p.ID, p.Incarnation),
-		})
+		k.Engines = append(k.Engines, origin.Engine{Origin: p.Origin, HasListed: s.Caches.WasRead(now, p.ID, p.Incarnation)})
+	}
+}
+
+// demands reports whether what engines have not listed yet may tell where a stream began: several versions have served, and some of
+// their instances have not been read.
+func (s *Service) demands(q *origin.Question, k *origin.Knowledge) bool {
+	return q.Own.ID != 0 && k.Fresh && len(versionsOf(k.Versions)) > 1 && unread(k.Engines) > 0
+}
+
+// waitForCaches demands the lists of the engines and waits for them. It returns as soon as they tell where a stream began, or all
+// have come.
+func (s *Service) waitForCaches(ctx context.Context, q *origin.Question, k *origin.Knowledge) (origin.Origin, origin.Verdict) {
+	s.Demand(q.Service)
+	ctx, cancel := context.WithTimeout(ctx, cachesTimeout)
+	defer cancel()
+	for {
+		s.addCaches(s.Clock.Now(), q, k)
+		if o, verdict := origin.Decide(q.Service, k); verdict != origin.Unknown || unread(k.Engines) == 0 {
+			return o, verdict
+		}
+		if !clock.Sleep(ctx, askPause/2) {
+			return origin.Origin{}, origin.Unknown
+		}
 	}
 }
 
--- a/router/internal/origins/service.go
+++ b/router/internal/origins/service.go
@@ -73,6 +73,8 @@
 	Routers    Routers
 	Dialer     Dialer
 	Caches     Caches
+	// Demand asks for the lists of the caches of a service's engines; it does not wait for them.
+	Demand func(name settings.ServiceName)
 	// DirectoryAge returns the age of the newest directory read that this router knows of.
 	DirectoryAge func() time.Duration
 	// KnownRouters returns the number of routers that may be running, with this one.
@@ -81,9 +83,7 @@
 	Log          *log.Logger
 	Scope        tally.Scope
 
-	// startedAt is the time of day at which Run was called, by which incarnations are named.
-	startedAt time.Time
-	history   origin.History
+	history origin.History
 	// began holds the streams that began or went on here, held those of other routers.
 	began, held origin.Records
 
@@ -103,7 +103,6 @@
 
 // Run sends records until ctx ends.
 func (s *Service) Run(ctx context.Context, ready func()) error {
-	s.startedAt = time.Now()
 	s.history.Start(s.Clock.Now(), s.FirstStart)
 	ready()
 	defer s.wg.Wait()
--- a/router/internal/origins/service_test.go
+++ b/router/internal/origins/service_test.go
@@ -84,7 +84,7 @@
 	}
 	n.service = &Service{
 		ID: inflight.RouterID(n.address), Address: n.address, FirstStart: first, Routers: n, Dialer: endpoint, Clock: clock.Boot{},
-		Caches:       &affinity.Index{},
+		Caches: &affinity.Index{}, Demand: func(settings.ServiceName) {},
 		DirectoryAge: func() time.Duration { return 0 }, KnownRouters: func() int { return f.size() },
 		Log: log.New(io.Discard), Scope: tally.NoopScope,
 	}
@@ -316,11 +316,19 @@
 	n.service.Apply([]members.Event{{ID: "c", Kind: members.EventAdded, Instance: unread}})
 	_, verdict = find(own)
 	c.Assert(verdict, qt.Equals, origin.Unknown)
-	// It starts again, later than the router.
-	unread.Incarnation = members.Incarnation(time.Now().Add(time.Second).UnixMilli())
-	n.service.Apply([]members.Event{{ID: "c", Kind: members.EventRestarted, Instance: unread}})
+	// Its list comes on demand.
+	demanded := 0
+	n.service.Demand = func(name settings.ServiceName) {
+		demanded++
+		c.Check(name, qt.Equals, settings.ServiceName("letters"))
+		time.AfterFunc(2*askPause, func() { index.RecordListing(clock.Boot{}.Now(), nil, unread) })
+	}
 	_, verdict = find(own)
 	c.Assert(verdict, qt.Equals, origin.Cached)
+	c.Assert(demanded, qt.Equals, 1)
+	_, verdict = find(call.PromptBlock{ID: 9, Tokens: 50})
+	c.Assert(verdict, qt.Equals, origin.Unknown)
+	c.Assert(demanded, qt.Equals, 1, qt.Commentf("all lists are there"))
 	// The engine of the other version that had the prompt too has left.
 	d := engine("d", "v2", call.PromptBlock{ID: 7, Tokens: 50})
 	index.Forget(d.ID)
