--- a/core/settings/process_test.go
+++ b/core/settings/process_test.go
@@ -29,3 +29,29 @@
 		})
 	}
 }
+
+// TestColdLimitsOfAPlatformWithoutThem guards against settings that a platform which states no such bounds renders with empty values.
+func TestColdLimitsOfAPlatformWithoutThem(t *testing.T) {
+	c := qt.New(t)
+	for _, tt := range []struct {
+		text string
+		want ColdLimits
+	}{
+		{"direct:\n  cold:\n    overage: \n    slack: \n", ColdLimits{Overage: DefaultColdOverage}},
+		{"direct: {memory_mb: 5}\n", ColdLimits{Overage: DefaultColdOverage}},
+		{"direct: {cold: {overage: 1.5, slack: 5}}\n", ColdLimits{Overage: 1.5, Slack: 5}},
+	} {
+		var r Router
+		c.Assert(decodeStrict([]byte(tt.text), &r), qt.IsNil)
+		r.SetDefaults()
+		c.Assert(r.Direct.Cold, qt.Equals, tt.want, qt.Commentf("%q", tt.text))
+	}
+	r := Router{Direct: &Direct{Cold: ColdLimits{Overage: -1, Slack: -1}}}
+	r.SetDefaults()
+	var fields []string
+	for _, p := range r.Validate("router.yaml") {
+		fields = append(fields, p.Field)
+	}
+	c.Assert(fields, qt.Contains, "direct.cold.overage")
+	c.Assert(fields, qt.Contains, "direct.cold.slack")
+}
