fix(origins,affinity): streams are not held for lists that do not come, and lists of a router that evicted blocks prove nothing

Found in review: an engine that never lists its cache held each stream for a second, and a router that had evicted blocks passed on the marks that its engines were read. Both tests fail on the code before.

--- a/core/affinity/index.go
+++ b/core/affinity/index.go
@@ -165,7 +165,7 @@
 	ix.mu.Lock()
 	defer ix.mu.Unlock()
 	entries := ix.appendRecent(now, n, false, ix.appendRecent(now, n, true, nil))
-	if len(entries) < n {
+	if len(entries) < n && ix.holdsAll(now) {
 		entries = append(entries, ix.readMarks(now)...)
 	}
 	return entries
--- a/core/affinity/listing.go
+++ b/core/affinity/listing.go
@@ -112,7 +112,7 @@
 func (ix *Index) Listed(now clock.Instant, block call.PromptBlockID) ([]Listed, bool) {
 	ix.mu.Lock()
 	defer ix.mu.Unlock()
-	if at := ix.readings.evictedAt; ix.readings.evicted || (at != 0 && now.Sub(at) < entryLifetime) {
+	if !ix.holdsAll(now) {
 		return nil, false
 	}
 	entry, ok := ix.table().Peek(block)
@@ -128,6 +128,12 @@
 	return list, !entry.listedByMany
 }
 
+// holdsAll reports that no block was evicted within the lifetime of the entries. ix.mu is held.
+func (ix *Index) holdsAll(now clock.Instant) bool {
+	at := ix.readings.evictedAt
+	return !ix.readings.evicted && (at == 0 || now.Sub(at) >= entryLifetime)
+}
+
 // WasRead reports whether the cache of a process has been read within the lifetime of the entries.
 func (ix *Index) WasRead(now clock.Instant, id settings.UpstreamID, incarnation members.Incarnation) bool {
 	ix.mu.Lock()
--- a/core/affinity/listing_test.go
+++ b/core/affinity/listing_test.go
@@ -96,6 +96,9 @@
 	}
 	_, complete = ix.Listed(now, 2)
 	c.Assert(complete, qt.IsFalse)
+	var late Index
+	late.Merge(now, exchanged(c, ix.Recent(now, 2*maxBlocks)))
+	c.Assert(late.WasRead(now, "a", 7), qt.IsFalse)
 	ix.TakeUpdates(now)
 	_, complete = ix.Listed(now.Add(entryLifetime-1), 2)
 	c.Assert(complete, qt.IsFalse)
--- a/router/internal/origins/find.go
+++ b/router/internal/origins/find.go
@@ -29,6 +29,8 @@
 	maxSources = 3
 	// cachesTimeout is how long a stream waits for the lists of the engines' caches.
 	cachesTimeout = time.Second
+	// demandPause is the time between two demands for the lists of a service.
+	demandPause = 5 * time.Second
 	// maxDirectoryAge is the age of the directory from which on a router may have missed a version.
 	maxDirectoryAge = 2500 * time.Millisecond
 )
@@ -106,6 +108,9 @@
 	for _, l := range listed {
 		k.Listings = append(k.Listings, origin.Listing{Origin: originOf(l), Tokens: settings.Tokens(l.Tokens)})
 	}
+	if len(versionsOf(k.Versions)) < 2 {
+		return
+	}
 	for _, p := range s.history.Processes(q.Service) {
 		k.Engines = append(k.Engines, origin.Engine{Origin: p.Origin, HasListed: s.Caches.WasRead(now, p.ID, p.Incarnation)})
 	}
@@ -114,18 +119,35 @@
 // demands reports whether what engines have not listed yet may tell where a stream began: several versions have served, and some of
 // their instances have not been read.
 func (s *Service) demands(q *origin.Question, k *origin.Knowledge) bool {
-	return q.Own.ID != 0 && k.Fresh && len(versionsOf(k.Versions)) > 1 && unread(k.Engines) > 0
+	return q.Own.ID != 0 && k.Fresh && unread(k.Engines) > 0
+}
+
+// demand demands the lists of a service's engines and returns until when a stream may wait for them. Engines that have not listed by
+// then may never do so, so that the streams that come later are not held for them.
+func (s *Service) demand(name settings.ServiceName) clock.Instant {
+	now := s.Clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at, ok := s.demandedAt[name]
+	if !ok || now.Sub(at) >= demandPause {
+		if s.demandedAt == nil {
+			s.demandedAt = make(map[settings.ServiceName]clock.Instant)
+		}
+		at = now
+		s.demandedAt[name] = at
+		s.Demand(name)
+	}
+	return at.Add(cachesTimeout)
 }
 
 // waitForCaches demands the lists of the engines and waits for them. It returns as soon as they tell where a stream began, or all
 // have come.
 func (s *Service) waitForCaches(ctx context.Context, q *origin.Question, k *origin.Knowledge) (origin.Origin, origin.Verdict) {
-	s.Demand(q.Service)
-	ctx, cancel := context.WithTimeout(ctx, cachesTimeout)
-	defer cancel()
+	until := s.demand(q.Service)
 	for {
-		s.addCaches(s.Clock.Now(), q, k)
-		if o, verdict := origin.Decide(q.Service, k); verdict != origin.Unknown || unread(k.Engines) == 0 {
+		now := s.Clock.Now()
+		s.addCaches(now, q, k)
+		if o, verdict := origin.Decide(q.Service, k); verdict != origin.Unknown || unread(k.Engines) == 0 || now >= until {
 			return o, verdict
 		}
 		if !clock.Sleep(ctx, askPause/2) {
@@ -179,7 +201,9 @@
 	now := s.Clock.Now()
 	k.Versions = append(k.Versions, s.history.Seen(now, q.Service)...)
 	k.Complete = k.Complete || s.history.Complete(now) || s.history.Settled(time.Now(), q.Service)
-	s.addCaches(now, q, k)
+	if k.Found == nil {
+		s.addCaches(now, q, k)
+	}
 	k.Fresh = replies > 0 || s.DirectoryAge() < maxDirectoryAge || s.KnownRouters() <= 1
 	return len(addresses), replies
 }
--- a/router/internal/origins/service.go
+++ b/router/internal/origins/service.go
@@ -95,7 +95,9 @@
 	inherited bool
 	inheritAt clock.Instant
 	wake      chan struct{}
-	wg        sync.WaitGroup
+	// demandedAt is when the caches of a service's engines were last demanded.
+	demandedAt map[settings.ServiceName]clock.Instant
+	wg         sync.WaitGroup
 }
 
 // String returns the service's name.
--- a/router/internal/origins/service_test.go
+++ b/router/internal/origins/service_test.go
@@ -314,9 +314,19 @@
 	// An instance of the other version that was there before and has not listed its cache.
 	unread := members.Instance{ID: "c", Service: "letters", Version: "v2", Incarnation: 2}
 	n.service.Apply([]members.Event{{ID: "c", Kind: members.EventAdded, Instance: unread}})
+	start := time.Now()
 	_, verdict = find(own)
 	c.Assert(verdict, qt.Equals, origin.Unknown)
+	c.Assert(time.Since(start) >= cachesTimeout, qt.IsTrue)
+	// The next stream does not wait for a list that has not come.
+	start = time.Now()
+	_, verdict = find(own)
+	c.Assert(verdict, qt.Equals, origin.Unknown)
+	c.Assert(time.Since(start) < cachesTimeout/2, qt.IsTrue)
 	// Its list comes on demand.
+	n.service.mu.Lock()
+	n.service.demandedAt = nil
+	n.service.mu.Unlock()
 	demanded := 0
 	n.service.Demand = func(name settings.ServiceName) {
 		demanded++
