--- a/core/placement/work.go
+++ b/core/placement/work.go
@@ -28,7 +28,7 @@
 
 // maxPausedStreams bounds the streams that count as paused. In a busy fleet, the rest of a prompt would otherwise cost more than to
 // prefill all of it elsewhere, and prompts would leave the upstreams that cache them.
-const maxPausedStreams = 5
+const maxPausedStreams = 3
 
 // workCost returns the cost of what a candidate's work and speed add for the request and for the streams there. It answers loads in
 // which upstreams are slow for fractions of a second, and in which prompts that no upstream has cached come in clumps: a long prompt
@@ -40,8 +40,7 @@
 	}
 	uncached := float64(max(0, r.PromptTokens-c.CachedTokens))
 	missing := float64(max(0, r.SharedTokens-c.CachedTokens))
-	// The cost has the missing tokens already, at the usual speed.
-	cost := ((c.Work.Slowdown-1)*uncached + p.SpreadCost*c.Order*missing) / float64(p.TokensPerRequest)
+	cost := p.SpreadCost * c.Order * missing / float64(p.TokensPerRequest)
 	before := c.Work.Slowdown * float64(c.Work.Waiting) * float64(r.Times.PerToken)
 	after := before + c.Work.Slowdown*uncached*float64(r.Times.PerToken)
 	cost += p.LateCost * excess(after, r.Times.FirstEvent)
