--- a/router/internal/app/direct.go
+++ b/router/internal/app/direct.go
@@ -16,6 +16,7 @@
 	"rattantrack.dev/core/backoff"
 	"rattantrack.dev/core/clock"
 	"rattantrack.dev/core/cost"
+	"rattantrack.dev/core/fairshare"
 	"rattantrack.dev/core/gossip"
 	"rattantrack.dev/core/kernel"
 	"rattantrack.dev/core/members"
@@ -77,6 +78,7 @@
 	rateLimits   *ratelimit.Tracker
 	costs        *cost.Estimator
 	work         *work.Tracker
+	shares       *fairshare.Tracker
 	connections  *upstream.Pool
 	endpoint     *peer.Endpoint
 	loads        *loads.Service
@@ -109,6 +111,7 @@
 		rateLimits:   &ratelimit.Tracker{},
 		costs:        &cost.Estimator{},
 		work:         &work.Tracker{},
+		shares:       &fairshare.Tracker{},
 	}
 	var incarnation peer.Incarnation
 	var err error
@@ -221,7 +224,8 @@
 			Ready:   d.ready,
 			Dumpers: []operator.Dumper{
 				d.client, d.watcher, d.members, &pauses{tracker: d.backoff}, &suspects{tracker: d.quarantine},
-				&rateLimits{tracker: d.rateLimits}, &workload{costs: d.costs, work: d.work, members: d.members}, d.origins, d.routers, d.gossip, &operator.Links{Endpoint: d.endpoint},
+				&rateLimits{tracker: d.rateLimits}, &workload{costs: d.costs, work: d.work, members: d.members},
+				&teamShares{tracker: d.shares}, d.origins, d.routers, d.gossip, &operator.Links{Endpoint: d.endpoint},
 			},
 		},
 		d.readiness,
--- a/router/internal/app/services.go
+++ b/router/internal/app/services.go
@@ -136,6 +136,7 @@
 		Refusals:     &waiting.Refusals{},
 		RunTimes:     &waiting.Durations{}, Residence: &waiting.Durations{},
 		Demand:       &waiting.Demand{},
+		FairShare:    d.shares,
 		Budget:       &retry.FleetBudget{Limits: retry.Limits{Ratio: budget.Ratio, Slack: budget.Slack, Window: budget.Window}},
 		Connections:  d.connections,
 		Dialect:      platform.Dialect{},
--- a/router/internal/direct/work.go
+++ b/router/internal/direct/work.go
@@ -31,7 +31,7 @@
 
 // beginWork counts the work of an attempt at an upstream that caches prompts.
 func (ex *exchange) beginWork(now clock.Instant, inst members.Instance) {
-	ex.work = attemptWork{}
+	ex.attemptWork = attemptWork{}
 	if !ex.RouteConfig.Affinity {
 		return
 	}
@@ -39,9 +39,9 @@
 	if ex.res.Estimate.Median == 0 {
 		ex.res.Estimate = d.Costs.Estimate(now, ex.costRequest())
 	}
-	ex.work = attemptWork{prompt: max(0, ex.PromptTokens-ex.res.Choice.CachedTokens), sentAt: now}
+	ex.attemptWork = attemptWork{prompt: max(0, ex.PromptTokens-ex.res.Choice.CachedTokens), sentAt: now}
 	events := max(1, int(ex.res.Estimate.Median)-ex.relay.events)
-	ex.work.entry = d.Work.Begin(inst.ID, work.Amount{Prompt: ex.work.prompt, Events: events})
+	ex.attemptWork.entry = d.Work.Begin(inst.ID, work.Amount{Prompt: ex.attemptWork.prompt, Events: events})
 }
 
 // costRequest returns what is known of the request's cost.
@@ -53,7 +53,7 @@
 
 // recordEvent records that an event of the stream has come.
 func (ex *exchange) recordEvent(now clock.Instant, inst members.Instance) {
-	w := &ex.work
+	w := &ex.attemptWork
 	if w.entry == nil {
 		return
 	}
@@ -73,7 +73,7 @@
 
 // recordOutput records the output of a stream that ran from its beginning to its end.
 func (ex *exchange) recordOutput(now clock.Instant) {
-	if ex.work.entry == nil || ex.LastEvent != "" {
+	if ex.attemptWork.entry == nil || ex.LastEvent != "" {
 		return
 	}
 	ratio := ex.dispatcher.Costs.Record(now, ex.costRequest(), ex.relay.events)
