--- a/router/internal/direct/dispatch.go
+++ b/router/internal/direct/dispatch.go
@@ -21,7 +21,6 @@
 	"rattantrack.dev/core/fairshare"
 	"rattantrack.dev/core/inflight"
 	"rattantrack.dev/core/members"
-	"rattantrack.dev/core/origin"
 	"rattantrack.dev/core/outlier"
 	"rattantrack.dev/core/peer"
 	"rattantrack.dev/core/placement"
@@ -57,14 +56,6 @@
 	Wait(ctx context.Context, limit time.Duration)
 }
 
-// Origins remembers with which version of a service each stream began.
-type Origins interface {
-	// Begin records the origin of a stream, whose first event an attempt of the client has brought.
-	Begin(attempt call.ID, o origin.Origin)
-	// Find returns where a stream may go on that the client has events of.
-	Find(ctx context.Context, attempt call.ID, name settings.ServiceName) (origin.Origin, origin.Verdict)
-}
-
 // Dispatcher sends requests to upstreams and relays their responses.
 type Dispatcher struct {
 	DataCentre   settings.DataCentre
--- a/router/internal/direct/origin.go
+++ b/router/internal/direct/origin.go
@@ -4,11 +4,20 @@
 	"context"
 	"slices"
 
+	"rattantrack.dev/core/call"
 	"rattantrack.dev/core/members"
 	"rattantrack.dev/core/origin"
 	"rattantrack.dev/core/settings"
 )
 
+// Origins remembers with which version of a service each stream began.
+type Origins interface {
+	// Begin records the origin of a stream, whose first event an attempt of the client has brought.
+	Begin(attempt call.ID, o origin.Origin)
+	// Find returns where a stream may go on that the client has events of.
+	Find(ctx context.Context, attempt call.ID, name settings.ServiceName) (origin.Origin, origin.Verdict)
+}
+
 // findOrigin finds out where the stream began that the client takes up again. It returns false if the request has ended, because the
 // stream cannot go on there.
 func (ex *exchange) findOrigin(ctx context.Context) bool {
