--- a/router/internal/direct/attempt.go
+++ b/router/internal/direct/attempt.go
@@ -26,7 +26,7 @@
 	now := dispatcher.Clock.Now()
 	ex.beginWork(now, inst)
 	defer func() {
-		ex.work.entry.End()
+		ex.attemptWork.entry.End()
 		dispatcher.InFlight.End(inst.ID)
 		dispatcher.Residence.Record(ex.Service, dispatcher.Clock.Now().Sub(now))
 		dispatcher.Queues.RequestEnded(dispatcher.Clock.Now(), ex.Service)
--- a/router/internal/direct/dispatch.go
+++ b/router/internal/direct/dispatch.go
@@ -23,7 +23,6 @@
 	"rattantrack.dev/core/fairshare"
 	"rattantrack.dev/core/inflight"
 	"rattantrack.dev/core/members"
-	"rattantrack.dev/core/origin"
 	"rattantrack.dev/core/outlier"
 	"rattantrack.dev/core/peer"
 	"rattantrack.dev/core/placement"
@@ -59,16 +58,6 @@
 	Wait(ctx context.Context, limit time.Duration)
 }
 
-// Origins remembers with which version of a service each stream began.
-type Origins interface {
-	// Begin records the origin of a stream, whose first event an attempt of the client has brought.
-	Begin(attempt call.ID, o origin.Origin)
-	// Find returns where a stream may go on that the client has events of.
-	Find(ctx context.Context, q *origin.Question) (origin.Origin, origin.Verdict)
-	// CachedAt returns the only version of a service that has the block of a request in its caches, while several versions serve.
-	CachedAt(name settings.ServiceName, block call.PromptBlock) (members.Version, bool)
-}
-
 // Dispatcher sends requests to upstreams and relays their responses.
 type Dispatcher struct {
 	DataCentre   settings.DataCentre
@@ -144,7 +133,7 @@
 	// of its answer.
 	eventsBefore int
 	survived     bool
-	work         attemptWork
+	attemptWork  attemptWork
 	res          Result
 	relay        relay
 	// failure is the last complete failure response of an upstream.
--- a/router/internal/direct/origin.go
+++ b/router/internal/direct/origin.go
@@ -4,11 +4,22 @@
 	"context"
 	"slices"
 
+	"rattantrack.dev/core/call"
 	"rattantrack.dev/core/members"
 	"rattantrack.dev/core/origin"
 	"rattantrack.dev/core/settings"
 )
 
+// Origins remembers with which version of a service each stream began.
+type Origins interface {
+	// Begin records the origin of a stream, whose first event an attempt of the client has brought.
+	Begin(attempt call.ID, o origin.Origin)
+	// Find returns where a stream may go on that the client has events of.
+	Find(ctx context.Context, q *origin.Question) (origin.Origin, origin.Verdict)
+	// CachedAt returns the only version of a service that has the block of a request in its caches, while several versions serve.
+	CachedAt(name settings.ServiceName, block call.PromptBlock) (members.Version, bool)
+}
+
 // chooseVersion finds out which version the stream has to go to, if any. It returns false if the request has ended.
 func (ex *exchange) chooseVersion(ctx context.Context) bool {
 	if ex.ContinuesStream() {
