--- a/core/affinity/index.go
+++ b/core/affinity/index.go
@@ -120,15 +120,22 @@
 	return oldest
 }
 
-// Merge adds the cache entries that another router has sent.
-func (ix *Index) Merge(now clock.Instant, entries []CacheEntry) {
+// Merge adds the cache entries that another router has sent, and returns those of uses that were not known. A use counts as known if one
+// was reported within half of renewInterval before it, which is more than an entry is delayed on its way.
+func (ix *Index) Merge(now clock.Instant, entries []CacheEntry) []CacheEntry {
 	ix.mu.Lock()
 	defer ix.mu.Unlock()
+	var news []CacheEntry
 	for _, entry := range entries {
-		owner := ix.record(entry.Block, entry.Upstream, now.Add(-entry.Age))
-		// The sender also reports it to the other routers, so this router need not.
-		owner.reported = max(owner.reported, now.Add(-entry.Age))
+		used := now.Add(-entry.Age)
+		owner := ix.record(entry.Block, entry.Upstream, used)
+		if owner.reported == 0 || used.Sub(owner.reported) >= renewInterval/2 {
+			news = append(news, entry)
+		}
+		// This router need not report the use again.
+		owner.reported = max(owner.reported, used)
 	}
+	return news
 }
 
 // TakeUpdates returns and clears the entries to send to other routers.
--- a/core/peer/control.go
+++ b/core/peer/control.go
@@ -19,9 +19,9 @@
 
 // ProtocolVersion is the latest version of the protocol, and minProtocolVersion the oldest that a process still speaks. Version 2
 // added LoadReport and LoadTotals, version 3 CrashEvidence, version 4 UsageReport and UsageTotals, version 5 digests in
-// CrashEvidence, versions of instances in RouterState, StreamOrigins, OriginQuery and OriginReply.
+// CrashEvidence, versions of instances in RouterState, StreamOrigins, OriginQuery and OriginReply, version 6 StateExchange.
 const (
-	ProtocolVersion    = 5
+	ProtocolVersion    = 6
 	minProtocolVersion = 1
 )
 
@@ -43,6 +43,9 @@
 // UsageReportVersion is the first version with UsageReport and UsageTotals.
 const UsageReportVersion = 4
 
+// StateExchangeVersion is the first version with StateExchange.
+const StateExchangeVersion = 6
+
 // Hello is the first message in each direction of a link.
 type Hello struct {
 	Protocol    int
--- a/core/peer/message.go
+++ b/core/peer/message.go
@@ -40,6 +40,7 @@
 	KindStreamOrigins
 	KindOriginQuery
 	KindOriginReply
+	KindStateExchange
 )
 
 // Message is one typed message of the protocol.
@@ -123,6 +124,8 @@
 		return &OriginQuery{}
 	case KindOriginReply:
 		return &OriginReply{}
+	case KindStateExchange:
+		return &StateExchange{}
 	}
 	return nil
 }
--- a/core/peer/receive.go
+++ b/core/peer/receive.go
@@ -91,7 +91,7 @@
 func opensStream(m Message) bool {
 	switch m.(type) {
 	case *Submit, *AttemptQuery, *IssueTicket, *ChatServed, *LoadExchange, *Announce, *Pull, *Claim, *Handover, *Leaving,
-		*FetchPrefix, *RouterState, *LoadReport, *CrashEvidence, *UsageReport, *StreamOrigins, *OriginQuery:
+		*FetchPrefix, *RouterState, *LoadReport, *CrashEvidence, *UsageReport, *StreamOrigins, *OriginQuery, *StateExchange:
 		return true
 	}
 	return false
--- a/router/internal/app/direct.go
+++ b/router/internal/app/direct.go
@@ -31,6 +31,7 @@
 	"rattantrack.dev/router/internal/crashes"
 	"rattantrack.dev/router/internal/directory"
 	"rattantrack.dev/router/internal/engines"
+	"rattantrack.dev/router/internal/exchange"
 	"rattantrack.dev/router/internal/loads"
 	"rattantrack.dev/router/internal/origins"
 	"rattantrack.dev/router/internal/routers"
@@ -80,6 +81,7 @@
 	origins      *origins.Service
 	gossip       *gossip.Service
 	routers      *routers.Service
+	exchange     *exchange.Service
 	client       *client.Server
 	watcher      *directory.Watcher
 	warmup       *engines.Warmup
@@ -192,8 +194,8 @@
 
 // Serve passes a peer's message to the service that handles it.
 func (d *Direct) Serve(ctx context.Context, st *peer.Stream, m peer.Message) {
-	if d.routers.Serve(ctx, st, m) || d.loads.Serve(ctx, st, m) || d.crashes.Serve(ctx, st, m) || d.origins.Serve(ctx, st, m) ||
-		d.gossip.Serve(ctx, st, m) {
+	if d.routers.Serve(ctx, st, m) || d.exchange.Serve(ctx, st, m) || d.loads.Serve(ctx, st, m) || d.crashes.Serve(ctx, st, m) ||
+		d.origins.Serve(ctx, st, m) || d.gossip.Serve(ctx, st, m) {
 		return
 	}
 	d.log.Warn("unexpected message", "kind", m.Kind(), "peer", st.Link().Remote().ID)
@@ -215,13 +217,14 @@
 			Ready:   d.ready,
 			Dumpers: []operator.Dumper{
 				d.client, d.watcher, d.members, &pauses{tracker: d.backoff}, &suspects{tracker: d.quarantine},
-				&rateLimits{tracker: d.rateLimits}, d.origins, d.routers, d.gossip, &operator.Links{Endpoint: d.endpoint},
+				&rateLimits{tracker: d.rateLimits}, d.origins, d.routers, d.exchange, d.gossip, &operator.Links{Endpoint: d.endpoint},
 			},
 		},
 		d.readiness,
 		&peer.Listener{Address: d.cfg.Peer, Endpoint: d.endpoint, IdleTimeout: idleLinkTimeout},
 		d.connections,
 		d.routers,
+		d.exchange,
 		d.loads,
 		d.crashes,
 		d.origins,
--- a/router/internal/app/services.go
+++ b/router/internal/app/services.go
@@ -22,6 +22,7 @@
 	"rattantrack.dev/router/internal/direct"
 	"rattantrack.dev/router/internal/directory"
 	"rattantrack.dev/router/internal/engines"
+	"rattantrack.dev/router/internal/exchange"
 	"rattantrack.dev/router/internal/loads"
 	"rattantrack.dev/router/internal/origins"
 	"rattantrack.dev/router/internal/routers"
@@ -39,6 +40,7 @@
 		ID:              inflight.RouterID(d.cfg.ID),
 		Address:         d.cfg.Advertise,
 		Incarnation:     incarnation,
+		DataCentre:      d.cfg.DataCentre,
 		Cores:           d.cfg.Direct.Cores,
 		Seeds:           d.cfg.Peers,
 		Dialer:          d.endpoint,
@@ -54,6 +56,17 @@
 		CacheQueried:    func() []settings.UpstreamID { return d.warmup.Queried() },
 		OnEvents:        d.applyMemberEvents,
 	}
+	d.exchange = &exchange.Service{
+		ID:          inflight.RouterID(d.cfg.ID),
+		Address:     d.cfg.Advertise,
+		Incarnation: incarnation,
+		Routers:     d.routers,
+		Dialer:      d.endpoint,
+		Sections:    d.routers.Sections(),
+		Clock:       clock.Boot{},
+		Log:         d.log,
+		Scope:       scope,
+	}
 	d.loads = &loads.Service{
 		ID: inflight.RouterID(d.cfg.ID),
 		Self: relay.Router{
@@ -137,6 +150,7 @@
 		Warmup:       d.warmup,
 		Clock:        clock.Boot{},
 		KnownRouters: d.routers.Known,
+		FleetSize:    d.routers.FleetSize,
 		Log:          d.log,
 		Scope:        scope,
 	}
--- a/router/internal/crashes/service.go
+++ b/router/internal/crashes/service.go
@@ -73,9 +73,9 @@
 
 	mu       sync.Mutex
 	partners map[string]*partner
-	// requested is the number of routers that have sent all evidence.
-	requested int
-	wg        sync.WaitGroup
+	// requested is the number of routers that have sent all evidence, requesting that of open requests for it.
+	requested, requesting int
+	wg                    sync.WaitGroup
 }
 
 // String returns the service's name.
@@ -120,12 +120,15 @@
 			continue
 		}
 		evidence, last := s.Quarantine.Since(now, p.sent)
-		message := &peer.CrashEvidence{Router: s.ID, Evidence: evidence, WantsAll: s.requested < sources && !p.asked}
+		message := &peer.CrashEvidence{Router: s.ID, Evidence: evidence, WantsAll: s.requested+s.requesting < sources && !p.asked}
 		if evidence.Empty() && !message.WantsAll {
 			p.sent = last
 			continue
 		}
 		p.exchanging = true
+		if message.WantsAll {
+			s.requesting++
+		}
 		s.wg.Add(1)
 		go func() {
 			defer s.wg.Done()
@@ -144,6 +147,9 @@
 	now := s.Clock.Now()
 	s.mu.Lock()
 	p.exchanging = false
+	if message.WantsAll {
+		s.requesting--
+	}
 	if err != nil {
 		p.retryAt = now.Add(retryPause)
 		s.mu.Unlock()
--- a/router/internal/direct/dispatch.go
+++ b/router/internal/direct/dispatch.go
@@ -82,6 +82,9 @@
 	Clock        Clock
 	// KnownRouters returns the number of routers that may send requests to the upstreams, with this one.
 	KnownRouters func() int
+	// FleetSize returns the number of routers of a large fleet, whose routers do not report their open requests to each other. Nil or 0
+	// stands for a small fleet.
+	FleetSize func() int
 	// OnLeaving is called when an upstream states in an answer that it is leaving.
 	OnLeaving func(inst members.Instance)
 	Log       *log.Logger
@@ -175,6 +178,9 @@
 func (ex *exchange) allowRetry(inst members.Instance, ending attempt.Ending) bool {
 	now := ex.dispatcher.Clock.Now()
 	routers := ex.dispatcher.InFlight.RouterCount(now)
+	if ex.dispatcher.FleetSize != nil {
+		routers = max(routers, ex.dispatcher.FleetSize())
+	}
 	ok := ex.dispatcher.Budget.Allow(now, ex.Service, routers)
 	ex.dispatcher.Log.Info("repeat", "request", ex.ID, "upstream", inst.ID, "ending", ending, "runs", ex.res.Runs,
 		"routers", routers, "allowed", ok)
--- a/router/internal/routers/service.go
+++ b/router/internal/routers/service.go
@@ -87,17 +87,22 @@
 	// dataCentre and version are those of the latest link.
 	dataCentre settings.DataCentre
 	version    int
+	tableEntry
 }
 
 // reachable reports whether the router has exchanged states with this one, whichever of the two began, and the last
 // exchange from here did not fail.
-func (r *router) reachable() bool { return !r.lost && (r.lastExchange != 0 || r.lastReceived != 0) }
+func (r *router) reachable() bool { return !r.lost && r.lastSign() != 0 }
+
+// lastSign is when the router last showed that it runs.
+func (r *router) lastSign() clock.Instant { return max(r.lastExchange, r.lastReceived, r.beatAt) }
 
 // Service exchanges states with all other routers.
 type Service struct {
 	ID          inflight.RouterID
 	Address     string
 	Incarnation peer.Incarnation
+	DataCentre  settings.DataCentre
 	// Cores is the number of processor cores that the VM gives this router, 0 if unknown.
 	Cores        float64
 	Seeds        []string
@@ -132,6 +137,7 @@
 	requestingEntries bool
 	// queriedByOthers holds the upstreams whose caches other routers have queried.
 	queriedByOthers map[settings.UpstreamID]bool
+	tree            tree
 }
 
 // String returns the service's name.
@@ -175,7 +181,9 @@
 	r := s.routers[address]
 	if r == nil {
 		r = &router{address: address, since: s.Clock.Now()}
-		r.cacheUpdates, r.updateTimes = slices.Clone(s.backlog), slices.Clone(s.backlogTimes)
+		if !s.tree.large {
+			r.cacheUpdates, r.updateTimes = slices.Clone(s.backlog), slices.Clone(s.backlogTimes)
+		}
 		s.routers[address] = r
 	}
 	return r
@@ -192,13 +200,17 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.Clock.Now()
+	s.reviewTree(now)
 	interval := s.interval()
 	for address, r := range s.routers {
 		if address == s.Address || r.exchanging {
 			continue
 		}
-		if !r.seed && now.Sub(max(r.lastExchange, r.lastReceived, r.since)) > forgetTime {
-			delete(s.routers, address)
+		if !r.seed && now.Sub(max(r.lastSign(), r.since)) > forgetTime {
+			s.forget(r)
+			continue
+		}
+		if !s.contacts(r, now) {
 			continue
 		}
 		due := max(r.lastExchange, r.lastReceived).Add(interval)
@@ -257,7 +269,7 @@
 
 // needsEntries reports whether this router should request the cache entries of another one. The caller holds the lock.
 func (s *Service) needsEntries(r *router) bool {
-	return r.hasCacheEntries && !s.requestingEntries && !s.cacheEntriesReceived && !s.HasCacheEntries()
+	return s.direct(r) && r.hasCacheEntries && !s.requestingEntries && !s.cacheEntriesReceived && !s.HasCacheEntries()
 }
 
 // beginEntriesRequest reports whether an exchange that begins now should request the cache entries of the router, and marks
@@ -313,6 +325,7 @@
 		s.Scope.Counter("routers_lost").Inc(1)
 	}
 	r.lost, r.since = true, now
+	s.claimLost(r)
 	// The router may have applied only a part of the changes, so it is sent all instances again. The cache updates of this
 	// exchange are not queued again.
 	r.fullStateSent, r.sentAddresses = false, 0
--- a/router/internal/routers/state.go
+++ b/router/internal/routers/state.go
@@ -21,8 +21,14 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.addBacklog(now, updates)
+	s.tree.caches.add(now, updates, len(s.routers))
+	if !s.tree.large {
+		s.addBacklog(now, updates)
+	}
 	for _, r := range s.routers {
+		if !s.direct(r) {
+			continue
+		}
 		for _, update := range updates {
 			r.cacheUpdates = append(r.cacheUpdates, update)
 			r.updateTimes = append(r.updateTimes, now)
@@ -48,10 +54,17 @@
 }
 
 // Broadcast queues instance changes for every other router.
-func (s *Service) Broadcast(changes []members.Change) {
+func (s *Service) Broadcast(changes []members.Change) { s.broadcast("", changes) }
+
+// broadcast queues instance changes for every other router but the one that has sent them.
+func (s *Service) broadcast(source string, changes []members.Change) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.tree.members.add(source, changes)
 	for _, r := range s.routers {
+		if !s.direct(r) {
+			continue
+		}
 		r.memberChanges = append(r.memberChanges, changes...)
 		if len(r.memberChanges) > maxPending {
 			r.memberChanges, r.fullStateSent = nil, false
@@ -64,9 +77,17 @@
 func (s *Service) state(r *router, initiating, allEntries bool) *peer.RouterState {
 	now := s.Clock.Now()
 	state := &peer.RouterState{
-		Router: s.ID, Address: s.Address, Incarnation: s.Incarnation, Cores: s.Cores, Open: s.InFlight.Local(),
-		Observations: s.Unresponsive.Local(now), HasCacheEntries: s.HasCacheEntries(),
+		Router: s.ID, Address: s.Address, Incarnation: s.Incarnation, Cores: s.Cores, HasCacheEntries: s.HasCacheEntries(),
+	}
+	if !s.exchangesDirectly(r) {
+		// The rest comes over the tree.
+		state.DirectoryAge, state.DirectoryFailing = s.DirectoryState()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		state.Routers = s.newAddresses(now, r)
+		return state
 	}
+	state.Open, state.Observations = s.InFlight.Local(), s.Unresponsive.Local(now)
 	state.CacheQueried = s.CacheQueried()
 	// The age is read before the changes, so that it never covers changes that are not in this state.
 	state.DirectoryAge, state.DirectoryFailing = s.DirectoryState()
@@ -135,7 +156,7 @@
 	}
 	if len(events) > 0 {
 		s.OnEvents(string(state.Router), events)
-		s.Broadcast(members.ChangesOf(events))
+		s.broadcast(state.Address, members.ChangesOf(events))
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
