--- a/router/internal/exchange/section.go
+++ b/router/internal/exchange/section.go
@@ -24,6 +24,8 @@
 	Urgent() peer.StateVersion
 	// Digest identifies the complete state.
 	Digest() uint64
+	// Resume returns the version from which a router with the same digest goes on that has had another partner until now.
+	Resume(now clock.Instant) peer.StateVersion
 	// Since returns the changes after a version without those that came from the receiver, bounded by the section. It returns false if
 	// they are no longer known, so that the receiver needs the complete state.
 	Since(now clock.Instant, after peer.StateVersion, receiver string) (Changes, bool)
--- a/router/internal/exchange/service.go
+++ b/router/internal/exchange/service.go
@@ -239,8 +239,10 @@
 		}
 	}
 	if at.digest == part.Digest {
-		part.To = section.Version()
-		return part
+		if changes, ok := section.Since(now, section.Resume(now), receiver); ok {
+			part.To, part.Data = changes.To, changes.Data
+			return part
+		}
 	}
 	changes := section.Full(now, at.digest)
 	part.To, part.Data, part.Full = changes.To, changes.Data, len(changes.Data) > 0
--- a/router/internal/routers/sections.go
+++ b/router/internal/routers/sections.go
@@ -23,6 +23,8 @@
 	// router may use for control. Each router adds an equal part, within cacheBurst of its rate.
 	cacheEntriesPerSecond = 1000
 	cacheBurst            = 2 * time.Second
+	// resumeTime is how far back the entries go that a router with a new partner gets again.
+	resumeTime = 2 * time.Second
 	// maxQueries bounds the upstreams that routers have queried after a start of the whole fleet. queryTime is how long after the last of
 	// them they are told to a router that joins.
 	maxQueries = 16_384
@@ -96,6 +98,8 @@
 	return x.s.tree.members.digest
 }
 
+func (x memberSection) Resume(clock.Instant) peer.StateVersion { return x.Version() }
+
 func (x memberSection) Since(_ clock.Instant, after peer.StateVersion, receiver string) (exchange.Changes, bool) {
 	x.s.mu.Lock()
 	defer x.s.mu.Unlock()
@@ -210,6 +214,18 @@
 	return digestCold
 }
 
+// Resume covers the entries that another partner may not have passed on.
+func (x cacheSection) Resume(now clock.Instant) peer.StateVersion {
+	x.s.mu.Lock()
+	defer x.s.mu.Unlock()
+	l := &x.s.tree.caches.log
+	i := len(l.items)
+	for i > 0 && now.Sub(l.items[i-1].at) < resumeTime {
+		i--
+	}
+	return 1 + l.dropped + peer.StateVersion(i)
+}
+
 func (x cacheSection) Since(now clock.Instant, after peer.StateVersion, receiver string) (exchange.Changes, bool) {
 	x.s.mu.Lock()
 	defer x.s.mu.Unlock()
@@ -312,6 +328,8 @@
 	return 0
 }
 
+func (x querySection) Resume(clock.Instant) peer.StateVersion { return x.Version() }
+
 func (x querySection) Since(_ clock.Instant, after peer.StateVersion, receiver string) (exchange.Changes, bool) {
 	x.Version()
 	x.s.mu.Lock()
--- a/router/internal/routers/service.go
+++ b/router/internal/routers/service.go
@@ -343,6 +343,10 @@
 		r.incarnation, r.fullStateSent, r.sentAddresses = state.Incarnation, false, 0
 	}
 	r.lastReceived = s.Clock.Now()
+	if s.tree.large {
+		// This router may not begin another exchange with it.
+		r.lost = false
+	}
 	r.dataCentre, r.version = st.Link().Remote().DataCentre, st.Link().Version()
 	s.mu.Unlock()
 	s.merge(state, st.Link().Remote().DataCentre)
--- a/router/internal/routers/table.go
+++ b/router/internal/routers/table.go
@@ -229,6 +229,8 @@
 	return sum
 }
 
+func (x routerSection) Resume(clock.Instant) peer.StateVersion { return x.Version() }
+
 func (x routerSection) Since(_ clock.Instant, after peer.StateVersion, receiver string) (exchange.Changes, bool) {
 	x.s.mu.Lock()
 	defer x.s.mu.Unlock()
--- a/router/internal/routers/tree.go
+++ b/router/internal/routers/tree.go
@@ -104,12 +104,12 @@
 	switch {
 	case !s.tree.large:
 		return true
-	case r.lost:
-		return s.tree.root
+	case r.version >= peer.StateExchangeVersion:
+		return r.lost && s.tree.root
 	case r.version == 0:
 		return r.seed || now.Sub(r.since) >= unknownDelay
 	}
-	return r.version < peer.StateExchangeVersion
+	return true
 }
 
 // capable returns the reachable routers that can take part in the tree. The caller holds the lock.
