--- a/router/internal/exchange/section.go
+++ b/router/internal/exchange/section.go
@@ -31,6 +31,8 @@
 	Since(now clock.Instant, after peer.StateVersion, receiver string) (Changes, bool)
 	// Full returns the complete state for a router with another digest.
 	Full(now clock.Instant, digest uint64) Changes
+	// Bulky reports that the complete state is so large that two routers whose digests differ wait whether these become the same.
+	Bulky() bool
 	// Apply applies what another router has sent.
 	Apply(now clock.Instant, sender string, full bool, data []byte) error
 }
@@ -50,8 +52,8 @@
 }
 
 // due reports whether an exchange should begin. urgent is the sum of the current urgent versions.
-func (n *neighbour) due(now clock.Instant, urgent peer.StateVersion) bool {
-	return now.Sub(n.lastStart) >= interval || (n.urgent != urgent && now.Sub(n.lastStart) >= urgentInterval)
+func (n *neighbour) due(now clock.Instant, urgent peer.StateVersion, joining bool) bool {
+	return now.Sub(n.lastStart) >= interval || (!joining && n.urgent != urgent && now.Sub(n.lastStart) >= urgentInterval)
 }
 
 // place is how far the exchange of one section with a neighbour has come.
@@ -61,6 +63,21 @@
 	// digest is that of the neighbour's state; known is set once the neighbour has stated it.
 	digest uint64
 	known  bool
+	// differsSince is when the digests were first found to differ, 0 if they do not.
+	differsSince clock.Instant
+}
+
+// settled reports whether the digests of a section have differed for so long that it is not for changes on their way, which is the rule
+// while a tree forms. A router without state does not wait.
+func (p *place) settled(now clock.Instant, own uint64) bool {
+	if p.digest == 0 || p.digest == own {
+		p.differsSince = 0
+		return true
+	}
+	if p.differsSince == 0 {
+		p.differsSince = now
+	}
+	return now.Sub(p.differsSince) >= settleTime
 }
 
 // place returns the place of a section. The caller holds the lock.
--- a/router/internal/exchange/service.go
+++ b/router/internal/exchange/service.go
@@ -25,6 +25,8 @@
 	requestTimeout = 700 * time.Millisecond
 	// lostTime is how long after its last exchange a router counts as lost whose link has ended.
 	lostTime = 2 * interval
+	// settleTime is how long the states of two routers that have just met may differ before they are sent completely.
+	settleTime = time.Second
 	// keepTime is how long the place of a router without exchanges is kept.
 	keepTime = 5 * time.Second
 )
@@ -104,7 +106,7 @@
 	for _, p := range partners {
 		isPartner[p.Address] = true
 		n := s.neighbour(p.Address)
-		if n.exchanging || !n.due(now, urgent) {
+		if n.exchanging || !n.due(now, urgent, p.Joining) {
 			continue
 		}
 		s.begin(ctx, now, p, n, nil)
@@ -123,7 +125,7 @@
 			delete(s.neighbours, address)
 			continue
 		}
-		if n.began && n.urgent != urgent && n.due(now, urgent) && !n.link.Ended() && now.Sub(n.lastExchange) < 2*interval {
+		if n.began && n.urgent != urgent && n.due(now, urgent, false) && !n.link.Ended() && now.Sub(n.lastExchange) < 2*interval {
 			s.begin(ctx, now, Partner{Address: address}, n, n.link)
 		}
 	}
@@ -211,13 +213,15 @@
 	s.mu.Lock()
 	n.urgent = urgent
 	m := &peer.StateExchange{Router: s.ID, Address: s.Address, Incarnation: s.Incarnation, Receiver: n.incarnation}
-	places := make([]place, len(sections))
-	for i, section := range sections {
-		places[i] = *n.place(section.ID())
-	}
 	s.mu.Unlock()
-	for i, section := range sections {
-		part := encode(now, section, places[i], address)
+	for _, section := range sections {
+		digest := section.Digest()
+		s.mu.Lock()
+		p := n.place(section.ID())
+		settled := p.settled(now, digest) || !section.Bulky()
+		at := *p
+		s.mu.Unlock()
+		part := encode(now, section, at, digest, settled, address)
 		m.Sections = append(m.Sections, part)
 		if len(part.Data) > 0 {
 			s.count(section, "out", part)
@@ -227,8 +231,8 @@
 }
 
 // encode returns what a neighbour at the given place lacks of a section.
-func encode(now clock.Instant, section Section, at place, receiver string) peer.StateSection {
-	part := peer.StateSection{ID: section.ID(), Ack: at.applied, Digest: section.Digest()}
+func encode(now clock.Instant, section Section, at place, digest uint64, settled bool, receiver string) peer.StateSection {
+	part := peer.StateSection{ID: section.ID(), Ack: at.applied, Digest: digest}
 	if !at.known {
 		return part
 	}
@@ -244,6 +248,9 @@
 			return part
 		}
 	}
+	if !settled {
+		return part
+	}
 	changes := section.Full(now, at.digest)
 	part.To, part.Data, part.Full = changes.To, changes.Data, len(changes.Data) > 0
 	return part
--- a/router/internal/routers/sections.go
+++ b/router/internal/routers/sections.go
@@ -130,6 +130,8 @@
 	return changes, true
 }
 
+func (x memberSection) Bulky() bool { return true }
+
 func (x memberSection) Full(clock.Instant, uint64) exchange.Changes {
 	// The version is read before the state, so that a change in between is sent twice and not never.
 	to := x.Version()
@@ -203,7 +205,7 @@
 
 // Digests of the cache index. Only a router that has just started needs the entries of another one.
 const (
-	digestCold = 1
+	digestCold = 0
 	digestWarm = 2
 )
 
@@ -251,6 +253,8 @@
 	return exchange.Changes{To: to, Data: encode(affinity.Pack(entries))}, true
 }
 
+func (x cacheSection) Bulky() bool { return false }
+
 func (x cacheSection) Full(now clock.Instant, digest uint64) exchange.Changes {
 	to := x.Version()
 	if digest != digestCold || !x.s.HasCacheEntries() {
@@ -347,6 +351,8 @@
 	return exchange.Changes{To: x.s.tree.queries.log.version(), Data: encodeIDs(ids)}, true
 }
 
+func (x querySection) Bulky() bool { return false }
+
 func (x querySection) Full(now clock.Instant, _ uint64) exchange.Changes {
 	to := x.Version()
 	x.s.mu.Lock()
--- a/router/internal/routers/table.go
+++ b/router/internal/routers/table.go
@@ -216,19 +216,24 @@
 	return x.s.tree.table.urgent
 }
 
-// Digest covers which routers run which process.
+// Digest covers which routers run which process. It is 0 at a router that knows no other.
 func (x routerSection) Digest() uint64 {
 	x.s.mu.Lock()
 	defer x.s.mu.Unlock()
-	sum := digestOf(x.s.Address, xxhash.Sum64String(string(x.s.Incarnation)))
+	sum := uint64(0)
 	for address, r := range x.s.routers {
 		if r.beat != 0 && r.reachable() {
 			sum += digestOf(address, xxhash.Sum64String(string(r.incarnation)))
 		}
 	}
-	return sum
+	if sum == 0 {
+		return 0
+	}
+	return sum + digestOf(x.s.Address, xxhash.Sum64String(string(x.s.Incarnation)))
 }
 
+func (x routerSection) Bulky() bool { return false }
+
 func (x routerSection) Resume(clock.Instant) peer.StateVersion { return x.Version() }
 
 func (x routerSection) Since(_ clock.Instant, after peer.StateVersion, receiver string) (exchange.Changes, bool) {
--- a/router/internal/routers/tree.go
+++ b/router/internal/routers/tree.go
@@ -18,6 +18,11 @@
 	// smallFleet is the number below which they are exchanged directly again.
 	largeFleet = 41
 	smallFleet = 33
+	// manyInstances is the number of instances from which on a fleet of any size counts as large, since their complete list is too long
+	// to send it to everyone: 3,000 are 300 KB, a quarter of a second on the slowest links. Routers that start together know of the
+	// instances before they know of each other. fewInstances is the number below which that ends.
+	manyInstances = 600
+	fewInstances  = 500
 	// mixedFleet is the number up to which some routers may still exchange directly while others use the tree.
 	mixedFleet = 80
 )
@@ -49,15 +54,16 @@
 // reviewTree decides whether the fleet is large, states that this router runs, and finds out which others do not. The caller holds the
 // lock.
 func (s *Service) reviewTree(now clock.Instant) {
+	instances := len(s.Members.IDs())
 	switch n := len(s.routers); {
-	case !s.tree.large && n >= largeFleet:
+	case !s.tree.large && (n >= largeFleet || instances >= manyInstances):
 		s.tree.large = true
 		s.backlog, s.backlogTimes = nil, nil
 		for _, r := range s.routers {
 			r.cacheUpdates, r.updateTimes, r.memberChanges, r.fullStateSent = nil, nil, nil, false
 		}
-		s.Log.Info("states spread over a tree", "routers", n)
-	case s.tree.large && n < smallFleet:
+		s.Log.Info("states spread over a tree", "routers", n, "instances", instances)
+	case s.tree.large && n < smallFleet && instances < fewInstances:
 		s.tree.large = false
 		s.Log.Info("states are exchanged directly", "routers", n)
 	}
@@ -88,7 +94,7 @@
 	if r.version < peer.StateExchangeVersion {
 		return r.version != 0
 	}
-	return len(s.routers) <= mixedFleet && r.lastReceived != 0 && s.Clock.Now().Sub(r.lastReceived) < directTime
+	return len(s.routers) <= mixedFleet && len(s.Members.IDs()) < manyInstances && r.lastReceived != 0 && s.Clock.Now().Sub(r.lastReceived) < directTime
 }
 
 func (s *Service) exchangesDirectly(r *router) bool {
