--- a/router/internal/exchange/section.go
+++ b/router/internal/exchange/section.go
@@ -44,6 +44,8 @@
 	exchanging  bool
 	// lastExchange is when the latest exchange ended, lastStart when the latest one that this router began started.
 	lastExchange, lastStart clock.Instant
+	// timeouts is the number of exchanges in a row that got no reply in time.
+	timeouts int
 	// began reports that the neighbour began the latest exchange, over link.
 	began bool
 	link  *peer.Link
--- a/router/internal/exchange/service.go
+++ b/router/internal/exchange/service.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
 	"github.com/uber-go/tally/v4"
 
 	"rattantrack.dev/core/clock"
@@ -22,9 +23,12 @@
 	// urgentInterval is the time between two exchanges while there are urgent changes.
 	urgentInterval = 80 * time.Millisecond
 	// requestTimeout bounds an exchange.
-	requestTimeout = 700 * time.Millisecond
+	requestTimeout = 500 * time.Millisecond
 	// lostTime is how long after its last exchange a router counts as lost whose link has ended.
 	lostTime = 2 * interval
+	// maxTimeouts is the number of exchanges in a row without a reply after which a router counts as lost. A router that has little CPU may
+	// miss one while many start; a closed connection counts at once.
+	maxTimeouts = 2
 	// settleTime is how long the states of two routers that have just met may differ before they are sent completely.
 	settleTime = time.Second
 	// keepTime is how long the place of a router without exchanges is kept.
@@ -168,13 +172,23 @@
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
 	reply, link, err := s.request(ctx, p, n, link)
+	timedOut := errors.Is(err, context.DeadlineExceeded)
 	s.mu.Lock()
 	n.exchanging, n.lastExchange = false, s.Clock.Now()
+	if timedOut {
+		n.timeouts++
+	} else {
+		n.timeouts = 0
+	}
+	lost := !timedOut || n.timeouts >= maxTimeouts
 	s.mu.Unlock()
 	if err != nil {
-		if ctx.Err() == nil || context.Cause(ctx) == context.DeadlineExceeded {
-			s.Scope.Counter("state_exchange_failures").Inc(1)
-			s.Log.Debug("cannot exchange state", "router", p.Address, "error", err)
+		if errors.Is(err, context.Canceled) {
+			return
+		}
+		s.Scope.Counter("state_exchange_failures").Inc(1)
+		s.Log.Debug("cannot exchange state", "router", p.Address, "error", err)
+		if lost {
 			s.Routers.Lost(p.Address)
 		}
 		return
--- a/router/internal/routers/table.go
+++ b/router/internal/routers/table.go
@@ -144,7 +144,7 @@
 	if e.Beat < r.beat || (e.Beat == r.beat && (!e.Lost || r.claimedLost)) {
 		return
 	}
-	changed := r.entry()
+	before, wasLost := r.entry(), r.lost
 	r.id, r.incarnation, r.dataCentre, r.version, r.cores = e.ID, e.Incarnation, e.DataCentre, e.Version, e.Cores
 	r.hasCacheEntries, r.directoryFailing = e.HasCacheEntries, e.DirectoryFailing
 	r.beat, r.claimedLost, r.source = e.Beat, e.Lost, source
@@ -153,9 +153,9 @@
 	} else {
 		s.believeAlive(now, r)
 	}
-	changed.Beat = r.beat
+	before.Beat = r.beat
 	r.beaten = t.next()
-	if changed != r.entry() {
+	if before != r.entry() || wasLost != r.lost {
 		r.changed = r.beaten
 		t.urgent = r.beaten
 	}
@@ -192,7 +192,8 @@
 	}
 	r.beat, r.source = beat, source
 	r.beaten = s.tree.table.next()
-	if r.claimedLost {
+	if r.claimedLost || r.lost {
+		// Others may have left it out of their complete lists.
 		r.claimedLost, r.changed = false, r.beaten
 	}
 	s.believeAlive(now, r)
@@ -216,20 +217,17 @@
 	return x.s.tree.table.urgent
 }
 
-// Digest covers which routers run which process. It is 0 at a router that knows no other.
+// Digest covers which routers run which process, this one too.
 func (x routerSection) Digest() uint64 {
 	x.s.mu.Lock()
 	defer x.s.mu.Unlock()
-	sum := uint64(0)
+	sum := digestOf(x.s.Address, xxhash.Sum64String(string(x.s.Incarnation)))
 	for address, r := range x.s.routers {
 		if r.beat != 0 && r.reachable() {
 			sum += digestOf(address, xxhash.Sum64String(string(r.incarnation)))
 		}
 	}
-	if sum == 0 {
-		return 0
-	}
-	return sum + digestOf(x.s.Address, xxhash.Sum64String(string(x.s.Incarnation)))
+	return sum
 }
 
 func (x routerSection) Bulky() bool { return false }
--- a/router/internal/routers/tree.go
+++ b/router/internal/routers/tree.go
@@ -36,6 +36,9 @@
 	lostBeats     = 4
 	// unknownDelay is how long a router of which only the address is known is left to the tree, which brings the rest.
 	unknownDelay = time.Second
+	// lostRetryInterval is the time between two attempts to reach lost routers, so that the roots do not add to an overload in which many
+	// seem lost.
+	lostRetryInterval = 200 * time.Millisecond
 	// directTime is how long a router that exchanged directly is taken to go on so.
 	directTime = 2 * time.Second
 )
@@ -44,6 +47,8 @@
 type tree struct {
 	// large is set in a large fleet, root if this router is the root of its data centre.
 	large, root bool
+	// retriedAt is when this router last tried to reach a lost one.
+	retriedAt clock.Instant
 
 	table   table
 	members memberChanges
@@ -111,7 +116,11 @@
 	case !s.tree.large:
 		return true
 	case r.version >= peer.StateExchangeVersion:
-		return r.lost && s.tree.root
+		if !r.lost || !s.tree.root || now.Sub(r.since) < retryPause || now.Sub(s.tree.retriedAt) < lostRetryInterval {
+			return false
+		}
+		s.tree.retriedAt = now
+		return true
 	case r.version == 0:
 		return r.seed || now.Sub(r.since) >= unknownDelay
 	}
@@ -164,6 +173,7 @@
 	}
 	if r.lost {
 		s.Log.Info("router met", "router", address, "lost", true)
+		r.changed = s.tree.table.next()
 	}
 	r.lost = false
 	r.dataCentre, r.version = link.Remote().DataCentre, link.Version()
--- a/router/internal/routers/tree_test.go
+++ b/router/internal/routers/tree_test.go
@@ -128,6 +128,11 @@
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
+	for _, n := range nodes {
+		if !ok(n) {
+			t.Logf("%s at %s reaches %d", n.service.ID, n.service.Address, len(n.service.Reachable()))
+		}
+	}
 	t.Fatalf("not at every router: %s", what)
 }
 
