--- a/router/internal/exchange/service.go
+++ b/router/internal/exchange/service.go
@@ -263,6 +263,10 @@
 		}
 	}
 	if !settled {
+		// The latest changes do not wait. They leave the receiver's place as it is.
+		if changes, ok := section.Since(now, section.Resume(now), receiver); ok {
+			part.Data = changes.Data
+		}
 		return part
 	}
 	changes := section.Full(now, at.digest)
--- a/router/internal/routers/changelog.go
+++ b/router/internal/routers/changelog.go
@@ -38,6 +38,15 @@
 	}
 }
 
+// resume returns the version of the latest change before a time.
+func (l *changeLog[T]) resume(from clock.Instant) peer.StateVersion {
+	i := len(l.items)
+	for i > 0 && l.items[i-1].at >= from {
+		i--
+	}
+	return 1 + l.dropped + peer.StateVersion(i)
+}
+
 // since returns the changes after a version, or false if they are no longer held or have never been.
 func (l *changeLog[T]) since(after peer.StateVersion) ([]logged[T], bool) {
 	if after <= l.dropped || after > l.version() {
--- a/router/internal/routers/sections.go
+++ b/router/internal/routers/sections.go
@@ -41,12 +41,12 @@
 }
 
 // add records changes that a router has sent, or this one has found out itself.
-func (m *memberChanges) add(source string, changes []members.Change) {
+func (m *memberChanges) add(now clock.Instant, source string, changes []members.Change) {
 	if m.hashes == nil {
 		m.hashes = make(map[settings.UpstreamID]uint64)
 	}
 	for _, c := range changes {
-		m.log.add(0, source, c, maxMemberChanges)
+		m.log.add(now, source, c, maxMemberChanges)
 		m.digest -= m.hashes[c.ID]
 		delete(m.hashes, c.ID)
 		if c.Removed {
@@ -81,7 +81,7 @@
 	if complete && !m.complete {
 		// An empty change brings the others the word that the list is complete.
 		m.complete = true
-		m.log.add(0, "", members.Change{}, maxMemberChanges)
+		m.log.add(x.s.Clock.Now(), "", members.Change{}, maxMemberChanges)
 	}
 	return m.log.version()
 }
@@ -98,7 +98,12 @@
 	return x.s.tree.members.digest
 }
 
-func (x memberSection) Resume(clock.Instant) peer.StateVersion { return x.Version() }
+// Resume covers the changes that another partner may not have passed on.
+func (x memberSection) Resume(now clock.Instant) peer.StateVersion {
+	x.s.mu.Lock()
+	defer x.s.mu.Unlock()
+	return x.s.tree.members.log.resume(now.Add(-resumeTime))
+}
 
 func (x memberSection) Since(_ clock.Instant, after peer.StateVersion, receiver string) (exchange.Changes, bool) {
 	x.s.mu.Lock()
@@ -220,12 +225,7 @@
 func (x cacheSection) Resume(now clock.Instant) peer.StateVersion {
 	x.s.mu.Lock()
 	defer x.s.mu.Unlock()
-	l := &x.s.tree.caches.log
-	i := len(l.items)
-	for i > 0 && now.Sub(l.items[i-1].at) < resumeTime {
-		i--
-	}
-	return 1 + l.dropped + peer.StateVersion(i)
+	return x.s.tree.caches.log.resume(now.Add(-resumeTime))
 }
 
 func (x cacheSection) Since(now clock.Instant, after peer.StateVersion, receiver string) (exchange.Changes, bool) {
--- a/router/internal/routers/state.go
+++ b/router/internal/routers/state.go
@@ -60,7 +60,7 @@
 func (s *Service) broadcast(source string, changes []members.Change) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.tree.members.add(source, changes)
+	s.tree.members.add(s.Clock.Now(), source, changes)
 	for _, r := range s.routers {
 		if !s.direct(r) {
 			continue
--- a/router/internal/routers/tree.go
+++ b/router/internal/routers/tree.go
@@ -34,8 +34,12 @@
 	beatInterval  = 3 * time.Second
 	beatPerRouter = 20 * time.Millisecond
 	lostBeats     = 4
+	// joinTime is how long after its start a router asks only for the others, since the few that it knows first are those of all.
+	joinTime = 600 * time.Millisecond
 	// unknownDelay is how long a router of which only the address is known is left to the tree, which brings the rest.
-	unknownDelay = time.Second
+	// unknownInterval is the time between two attempts to reach such routers. Older programs begin exchanges themselves.
+	unknownDelay    = time.Second
+	unknownInterval = 200 * time.Millisecond
 	// lostRetryInterval is the time between two attempts to reach lost routers, so that the roots do not add to an overload in which many
 	// seem lost.
 	lostRetryInterval = 200 * time.Millisecond
@@ -47,8 +51,8 @@
 type tree struct {
 	// large is set in a large fleet, root if this router is the root of its data centre.
 	large, root bool
-	// retriedAt is when this router last tried to reach a lost one.
-	retriedAt clock.Instant
+	// retriedAt is when this router last tried to reach a lost one, triedAt one of which it knew only the address.
+	retriedAt, triedAt clock.Instant
 
 	table   table
 	members memberChanges
@@ -122,7 +126,12 @@
 		s.tree.retriedAt = now
 		return true
 	case r.version == 0:
-		return r.seed || now.Sub(r.since) >= unknownDelay
+		if !r.seed && (now.Sub(r.since) < unknownDelay || now.Sub(s.tree.triedAt) < unknownInterval) {
+			return false
+		}
+		if !r.seed {
+			s.tree.triedAt = now
+		}
 	}
 	return true
 }
@@ -152,7 +161,7 @@
 			unknown++
 		}
 	}
-	joining := 2*unknown > len(s.routers)
+	joining := 2*unknown > len(s.routers) || s.Clock.Now().Sub(s.started) < joinTime
 	parents, root := relay.Parents(relay.Router{Address: s.Address, DataCentre: s.DataCentre, Cores: s.Cores}, list)
 	s.tree.root = root
 	partners := make([]exchange.Partner, 0, len(parents))
--- a/router/internal/routers/tree_test.go
+++ b/router/internal/routers/tree_test.go
@@ -40,7 +40,7 @@
 }
 
 // startTreeNode starts a router in one of three data centres whose settings name some seeds. Old routers speak an older protocol.
-func startTreeNode(t *testing.T, i int, ln net.Listener, seeds []string, old bool) *treeNode {
+func startTreeNode(t testing.TB, i int, ln net.Listener, seeds []string, old bool) *treeNode {
 	c := qt.New(t)
 	n := &treeNode{scope: tally.NewTestScope("", nil)}
 	id, dataCentre := fmt.Sprintf("router-%d", i), settings.DataCentre(fmt.Sprint(i%3))
@@ -92,7 +92,7 @@
 }
 
 // startTree starts n routers at once whose settings name the first three, and the last old ones with an older program.
-func startTree(t *testing.T, n, old int) []*treeNode {
+func startTree(t testing.TB, n, old int) []*treeNode {
 	c := qt.New(t)
 	var listeners []net.Listener
 	var seeds []string
@@ -112,7 +112,7 @@
 }
 
 // all waits until a condition holds at each router.
-func all(t *testing.T, what string, nodes []*treeNode, ok func(n *treeNode) bool) {
+func all(t testing.TB, what string, nodes []*treeNode, ok func(n *treeNode) bool) {
 	t.Helper()
 	start := time.Now()
 	for time.Since(start) < 20*time.Second {
