fix(exchange): a few latest changes are not the complete list of instances; no counts before it is known

Cause: the latest changes that a router gets before the states have settled said that the list was complete, so a router that started took requests with the instances among them. Counts of routers with other lists carry all names, 39 KB a message with 3,000 upstreams, from each of 75 routers to a relay each 80 ms.

--- a/router/internal/exchange/section.go
+++ b/router/internal/exchange/section.go
@@ -33,8 +33,8 @@
 	Full(now clock.Instant, digest uint64) Changes
 	// Bulky reports that the complete state is so large that two routers whose digests differ wait whether these become the same.
 	Bulky() bool
-	// Apply applies what another router has sent.
-	Apply(now clock.Instant, sender string, full bool, data []byte) error
+	// Apply applies what another router has sent. Without To in the part, the sender may know more.
+	Apply(now clock.Instant, sender string, part peer.StateSection) error
 }
 
 // neighbour is the state of the exchange with one router.
--- a/router/internal/exchange/service.go
+++ b/router/internal/exchange/service.go
@@ -298,7 +298,7 @@
 		applied := true
 		if len(part.Data) > 0 {
 			s.count(section, "in", part)
-			if err := section.Apply(now, address, part.Full, part.Data); err != nil {
+			if err := section.Apply(now, address, part); err != nil {
 				applied = false
 				s.Log.Warn("cannot decode the state of a router", "router", m.Router, "section", section.Name(), "error", err)
 			}
--- a/router/internal/exchange/service_test.go
+++ b/router/internal/exchange/service_test.go
@@ -36,7 +36,7 @@
 	return Changes{To: n.version, Data: []byte("full")}
 }
 
-func (n *numbers) Apply(clock.Instant, string, bool, []byte) error { return nil }
+func (n *numbers) Apply(clock.Instant, string, peer.StateSection) error { return nil }
 
 // TestWhatAReceiverGets guards against complete states for routers that need only the changes, and against changes that are never sent.
 func TestWhatAReceiverGets(t *testing.T) {
--- a/router/internal/routers/table.go
+++ b/router/internal/routers/table.go
@@ -280,9 +280,9 @@
 	return encode(&d)
 }
 
-func (x routerSection) Apply(now clock.Instant, sender string, _ bool, data []byte) error {
+func (x routerSection) Apply(now clock.Instant, sender string, part peer.StateSection) error {
 	var d routerData
-	if err := decode(data, &d); err != nil {
+	if err := decode(part.Data, &d); err != nil {
 		return err
 	}
 	x.s.mu.Lock()
--- a/router/internal/routers/view.go
+++ b/router/internal/routers/view.go
@@ -61,8 +61,13 @@
 // Relays returns the reachable routers that can relay counts, and whether the fleet is so large that the exchange of states is
 // slower than the given interval.
 func (s *Service) Relays(interval time.Duration) (list []relay.Router, slow bool) {
+	complete := s.Members.Complete()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.tree.large && (!complete || s.Clock.Now().Sub(s.started) < joinTime) {
+		// Counts for other lists of upstreams carry all their names, and those of a fleet that starts would fill the links of the relays.
+		return nil, false
+	}
 	for address, r := range s.routers {
 		if address != s.Address && r.reachable() && r.version >= peer.LoadReportVersion {
 			list = append(list, relay.Router{Address: address, DataCentre: r.dataCentre, Cores: r.cores})
