--- a/core/affinity/index_test.go
+++ b/core/affinity/index_test.go
@@ -116,3 +116,18 @@
 	c.Assert(cached(late, "engine-1"), qt.Equals, settings.Tokens(500))
 	c.Assert(cached(late, "engine-0"), qt.Equals, settings.Tokens(0))
 }
+
+// TestKnownUsesAreNotNews guards against cache entries that circle between routers for ever.
+func TestKnownUsesAreNotNews(t *testing.T) {
+	c := qt.New(t)
+	var ix Index
+	now := clock.Instant(time.Hour)
+	entry := CacheEntry{Block: 7, Upstream: "e1"}
+	c.Assert(ix.Merge(now, []CacheEntry{entry}), qt.HasLen, 1)
+	delayed := entry
+	delayed.Age = 500 * time.Millisecond
+	c.Assert(ix.Merge(now.Add(time.Second), []CacheEntry{entry, delayed}), qt.HasLen, 0)
+	c.Assert(ix.Merge(now.Add(renewInterval), []CacheEntry{entry}), qt.HasLen, 1)
+	ix.RecordUse(now.Add(renewInterval), []call.PromptBlock{{ID: 8, Tokens: 10}}, "e1")
+	c.Assert(ix.Merge(now.Add(renewInterval+time.Second), []CacheEntry{{Block: 8, Upstream: "e1"}}), qt.HasLen, 0)
+}
--- a/router/internal/crashes/service_test.go
+++ b/router/internal/crashes/service_test.go
@@ -27,6 +27,8 @@
 	t     *testing.T
 	mu    sync.Mutex
 	nodes map[string]*node
+	// requests is the number of requests for all evidence by the router that sent them.
+	requests map[inflight.RouterID]int
 }
 
 // node is one router of a fleet.
@@ -50,9 +52,30 @@
 }
 
 func (n *node) Serve(ctx context.Context, st *peer.Stream, m peer.Message) {
+	if e, ok := m.(*peer.CrashEvidence); ok && e.WantsAll {
+		n.fleet.mu.Lock()
+		if n.fleet.requests == nil {
+			n.fleet.requests = make(map[inflight.RouterID]int)
+		}
+		n.fleet.requests[e.Router]++
+		n.fleet.mu.Unlock()
+	}
 	n.service.Serve(ctx, st, m)
 }
 
+// TestStartedRouterAsksFewOthers guards against a router that, once started, opens links to all others of a large fleet at once.
+func TestStartedRouterAsksFewOthers(t *testing.T) {
+	f := &fleet{t: t}
+	for range 20 {
+		f.start()
+	}
+	started := f.start()
+	time.Sleep(2 * minInterval)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	qt.Assert(t, f.requests[started.service.ID], qt.Equals, sources)
+}
+
 // start starts a router that the others know at once.
 func (f *fleet) start() *node {
 	c := qt.New(f.t)
