--- a/core/evacuation/tracker.go
+++ b/core/evacuation/tracker.go
@@ -39,6 +39,8 @@
 type Tracker struct {
 	mu     sync.Mutex
 	states map[settings.DataCentre]state
+	// version counts the changes of states.
+	version uint64
 }
 
 // Apply applies changes where they are newer than what is known, and returns those that evacuate a data centre or take it back.
@@ -90,6 +92,7 @@
 		t.forgetOldest()
 	}
 	t.states[name] = s
+	t.version++
 }
 
 // forgetOldest forgets the data centre that was taken back first or, without any, the one that was evacuated first.
@@ -104,6 +107,13 @@
 	delete(t.states, oldest)
 }
 
+// Version counts the changes that were applied.
+func (t *Tracker) Version() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.version
+}
+
 // Active reports whether any data centre is evacuated.
 func (t *Tracker) Active() bool {
 	t.mu.Lock()
--- a/core/peer/control.go
+++ b/core/peer/control.go
@@ -20,7 +20,7 @@
 // ProtocolVersion is the latest version of the protocol, and minProtocolVersion the oldest that a process still speaks. Version 2
 // added LoadReport and LoadTotals, version 3 CrashEvidence, version 4 UsageReport and UsageTotals, version 5 digests in
 // CrashEvidence, versions of instances in RouterState, StreamOrigins, OriginQuery and OriginReply, version 6 evacuations in RouterState,
-// listings of upstreams in CacheEntries, WorkReport and WorkTotals.
+// listings of upstreams in CacheEntries, WorkReport, WorkTotals and StateExchange.
 const (
 	ProtocolVersion    = 6
 	minProtocolVersion = 1
@@ -53,6 +53,9 @@
 // WorkReportVersion is the first version with WorkReport and WorkTotals.
 const WorkReportVersion = 6
 
+// StateExchangeVersion is the first version with StateExchange.
+const StateExchangeVersion = 6
+
 // Hello is the first message in each direction of a link.
 type Hello struct {
 	Protocol    int
--- a/core/peer/message.go
+++ b/core/peer/message.go
@@ -42,6 +42,7 @@
 	KindOriginReply
 	KindWorkReport
 	KindWorkTotals
+	KindStateExchange
 )
 
 // Message is one typed message of the protocol.
@@ -129,6 +130,8 @@
 		return &WorkReport{}
 	case KindWorkTotals:
 		return &WorkTotals{}
+	case KindStateExchange:
+		return &StateExchange{}
 	}
 	return nil
 }
--- a/router/internal/direct/dispatch.go
+++ b/router/internal/direct/dispatch.go
@@ -90,6 +90,9 @@
 	KnownRouters func() int
 	// ColdLimit returns how long the upstreams of a service are cold, and the requests a second that one bears meanwhile, 0 for any.
 	ColdLimit func(name settings.ServiceName) (time.Duration, float64)
+	// FleetSize returns the number of routers of a large fleet, whose routers do not report their open requests to each other. Nil or 0
+	// stands for a small fleet.
+	FleetSize func() int
 	// OnLeaving is called when an upstream states in an answer that it is leaving.
 	OnLeaving func(inst members.Instance)
 	Log       *log.Logger
@@ -201,12 +204,21 @@
 // takeRetry takes a retry from the fleet's budget, and reports whether that had one.
 func (ex *exchange) takeRetry(inst members.Instance, reason string) bool {
 	now := ex.dispatcher.Clock.Now()
-	routers := ex.dispatcher.InFlight.RouterCount(now)
+	routers := ex.dispatcher.routerCount(now)
 	ok := ex.dispatcher.Budget.Allow(now, ex.Service, routers)
 	ex.dispatcher.Log.Info("repeat", "request", ex.ID, "upstream", inst.ID, "ending", reason, "routers", routers, "allowed", ok)
 	return ok
 }
 
+// routerCount returns the number of routers that send requests, with this one.
+func (d *Dispatcher) routerCount(now clock.Instant) int {
+	n := d.InFlight.RouterCount(now)
+	if d.FleetSize != nil {
+		n = max(n, d.FleetSize())
+	}
+	return n
+}
+
 // nextUpstream chooses the upstream of the next attempt and waits for room if the service is full. It returns false if
 // the request has ended.
 func (ex *exchange) nextUpstream(ctx context.Context) (members.Instance, bool) {
--- a/router/internal/direct/place.go
+++ b/router/internal/direct/place.go
@@ -160,7 +160,7 @@
 	now clock.Instant, r *Request, request *placement.Request, c *placement.Candidate, candidates int,
 ) bool {
 	wanted := d.Placements.Record(now, r.Service)
-	routers := d.InFlight.RouterCount(now)
+	routers := d.routerCount(now)
 	if routers <= 1 {
 		return true
 	}
