--- a/router/internal/exchange/service.go
+++ b/router/internal/exchange/service.go
@@ -16,8 +16,9 @@
 
 // Times of the exchange.
 const (
-	// tick is how often the service looks for exchanges that are due.
-	tick = 40 * time.Millisecond
+	// tick is how often the service looks for exchanges that are due, idleTick while there are none to begin.
+	tick     = 40 * time.Millisecond
+	idleTick = 200 * time.Millisecond
 	// interval is the time between two exchanges with one router. Urgent changes do not wait for it.
 	interval = 240 * time.Millisecond
 	// urgentInterval is the time between two exchanges while there are urgent changes.
@@ -85,22 +86,21 @@
 // Run exchanges state until ctx ends.
 func (s *Service) Run(ctx context.Context, ready func()) error {
 	ready()
-	t := time.NewTicker(tick)
-	defer t.Stop()
 	defer s.wg.Wait()
 	for {
-		select {
-		case <-ctx.Done():
+		pause := idleTick
+		if s.startDue(ctx) {
+			pause = tick
+		}
+		if !clock.Sleep(ctx, pause) {
 			return nil
-		case <-t.C:
-			s.startDue(ctx)
 		}
 	}
 }
 
 // startDue begins the exchanges that are due: with the partners at each interval, and with these and the routers that have begun
-// exchanges here as soon as there is something urgent.
-func (s *Service) startDue(ctx context.Context) {
+// exchanges here as soon as there is something urgent. It reports whether there are any.
+func (s *Service) startDue(ctx context.Context) bool {
 	partners := s.Routers.Partners()
 	now := s.Clock.Now()
 	urgent := s.urgent()
@@ -133,6 +133,7 @@
 			s.begin(ctx, now, Partner{Address: address}, n, n.link)
 		}
 	}
+	return len(s.neighbours) > 0
 }
 
 // urgent returns the sum of the sections' urgent versions.
--- a/router/internal/routers/state.go
+++ b/router/internal/routers/state.go
@@ -21,8 +21,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.tree.caches.add(now, updates, len(s.routers))
-	if !s.tree.large {
+	if s.tree.large {
+		s.tree.caches.add(now, updates, len(s.routers))
+	} else {
 		s.addBacklog(now, updates)
 	}
 	for _, r := range s.routers {
