--- a/core/call/call.go
+++ b/core/call/call.go
@@ -50,6 +50,14 @@
 // ContinuesStream reports whether the client already has events of the stream.
 func (r *Request) ContinuesStream() bool { return r.LastEvent != "" || r.FirstAttempt != "" }
 
+// OwnBlock returns the last block of the prompt, zero for a prompt without blocks.
+func (r *Request) OwnBlock() PromptBlock {
+	if len(r.PromptBlocks) == 0 {
+		return PromptBlock{}
+	}
+	return r.PromptBlocks[len(r.PromptBlocks)-1]
+}
+
 // EventID identifies an event of a stream.
 type EventID string
 
@@ -117,6 +125,8 @@
 	RetryAfter time.Duration
 	// RateLimit is the rate of requests that an overloaded upstream takes from all routers together, nil if not stated.
 	RateLimit *Rate
+	// Cold is how much longer the upstream is cold, 0 if it is not or does not state it.
+	Cold time.Duration
 	// IdleTime is how long the upstream keeps an idle connection open, 0 if not stated.
 	IdleTime time.Duration
 }
--- a/core/peer/receive.go
+++ b/core/peer/receive.go
@@ -91,7 +91,8 @@
 func opensStream(m Message) bool {
 	switch m.(type) {
 	case *Submit, *AttemptQuery, *IssueTicket, *ChatServed, *LoadExchange, *Announce, *Pull, *Claim, *Handover, *Leaving,
-		*FetchPrefix, *RouterState, *LoadReport, *CrashEvidence, *UsageReport, *WorkReport, *StreamOrigins, *OriginQuery:
+		*FetchPrefix, *RouterState, *LoadReport, *CrashEvidence, *UsageReport, *WorkReport, *StreamOrigins, *OriginQuery,
+		*StateExchange:
 		return true
 	}
 	return false
--- a/router/internal/app/direct.go
+++ b/router/internal/app/direct.go
@@ -15,7 +15,9 @@
 	"rattantrack.dev/core/affinity"
 	"rattantrack.dev/core/backoff"
 	"rattantrack.dev/core/clock"
+	"rattantrack.dev/core/cold"
 	"rattantrack.dev/core/cost"
+	"rattantrack.dev/core/evacuation"
 	"rattantrack.dev/core/fairshare"
 	"rattantrack.dev/core/gossip"
 	"rattantrack.dev/core/kernel"
@@ -34,6 +36,7 @@
 	"rattantrack.dev/router/internal/crashes"
 	"rattantrack.dev/router/internal/directory"
 	"rattantrack.dev/router/internal/engines"
+	"rattantrack.dev/router/internal/exchange"
 	"rattantrack.dev/router/internal/loads"
 	"rattantrack.dev/router/internal/origins"
 	"rattantrack.dev/router/internal/routers"
@@ -76,9 +79,11 @@
 	backoff      *backoff.Tracker
 	quarantine   *quarantine.Tracker
 	rateLimits   *ratelimit.Tracker
+	shares       *fairshare.Tracker
+	evacuations  *evacuation.Tracker
+	cold         *cold.Tracker
 	costs        *cost.Estimator
 	work         *work.Tracker
-	shares       *fairshare.Tracker
 	connections  *upstream.Pool
 	endpoint     *peer.Endpoint
 	loads        *loads.Service
@@ -86,6 +91,7 @@
 	origins      *origins.Service
 	gossip       *gossip.Service
 	routers      *routers.Service
+	exchange     *exchange.Service
 	client       *client.Server
 	watcher      *directory.Watcher
 	warmup       *engines.Warmup
@@ -109,9 +115,10 @@
 		backoff:      &backoff.Tracker{},
 		quarantine:   &quarantine.Tracker{},
 		rateLimits:   &ratelimit.Tracker{},
+		shares:       &fairshare.Tracker{},
+		evacuations:  &evacuation.Tracker{},
 		costs:        &cost.Estimator{},
 		work:         &work.Tracker{},
-		shares:       &fairshare.Tracker{},
 	}
 	var incarnation peer.Incarnation
 	var err error
@@ -201,8 +208,8 @@
 
 // Serve passes a peer's message to the service that handles it.
 func (d *Direct) Serve(ctx context.Context, st *peer.Stream, m peer.Message) {
-	if d.routers.Serve(ctx, st, m) || d.loads.Serve(ctx, st, m) || d.crashes.Serve(ctx, st, m) || d.origins.Serve(ctx, st, m) ||
-		d.gossip.Serve(ctx, st, m) {
+	if d.routers.Serve(ctx, st, m) || d.exchange.Serve(ctx, st, m) || d.loads.Serve(ctx, st, m) || d.crashes.Serve(ctx, st, m) ||
+		d.origins.Serve(ctx, st, m) || d.gossip.Serve(ctx, st, m) {
 		return
 	}
 	d.log.Warn("unexpected message", "kind", m.Kind(), "peer", st.Link().Remote().ID)
@@ -224,14 +231,16 @@
 			Ready:   d.ready,
 			Dumpers: []operator.Dumper{
 				d.client, d.watcher, d.members, &pauses{tracker: d.backoff}, &suspects{tracker: d.quarantine},
-				&rateLimits{tracker: d.rateLimits}, &workload{costs: d.costs, work: d.work, members: d.members},
-				&teamShares{tracker: d.shares}, d.origins, d.routers, d.gossip, &operator.Links{Endpoint: d.endpoint},
+				&rateLimits{tracker: d.rateLimits}, &evacuations{tracker: d.evacuations}, &coldUpstreams{tracker: d.cold},
+				&teamShares{tracker: d.shares}, &workload{costs: d.costs, work: d.work, members: d.members},
+				d.origins, d.routers, d.exchange, d.gossip, &operator.Links{Endpoint: d.endpoint},
 			},
 		},
 		d.readiness,
 		&peer.Listener{Address: d.cfg.Peer, Endpoint: d.endpoint, IdleTimeout: idleLinkTimeout},
 		d.connections,
 		d.routers,
+		d.exchange,
 		d.loads,
 		d.crashes,
 		d.origins,
--- a/router/internal/app/services.go
+++ b/router/internal/app/services.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"rattantrack.dev/core/clock"
+	"rattantrack.dev/core/cold"
 	"rattantrack.dev/core/gossip"
 	"rattantrack.dev/core/inflight"
 	"rattantrack.dev/core/members"
@@ -22,6 +23,7 @@
 	"rattantrack.dev/router/internal/direct"
 	"rattantrack.dev/router/internal/directory"
 	"rattantrack.dev/router/internal/engines"
+	"rattantrack.dev/router/internal/exchange"
 	"rattantrack.dev/router/internal/loads"
 	"rattantrack.dev/router/internal/origins"
 	"rattantrack.dev/router/internal/routers"
@@ -39,6 +41,7 @@
 		ID:              inflight.RouterID(d.cfg.ID),
 		Address:         d.cfg.Advertise,
 		Incarnation:     incarnation,
+		DataCentre:      d.cfg.DataCentre,
 		Cores:           d.cfg.Direct.Cores,
 		Seeds:           d.cfg.Peers,
 		Dialer:          d.endpoint,
@@ -46,6 +49,7 @@
 		Unresponsive:    d.unresponsive,
 		Affinity:        d.affinity,
 		Members:         d.members,
+		Evacuations:     d.evacuations,
 		Clock:           clock.Boot{},
 		Log:             d.log,
 		Scope:           scope,
@@ -53,6 +57,18 @@
 		DirectoryState:  func() (time.Duration, bool) { return d.watcher.State() },
 		CacheQueried:    func() []settings.UpstreamID { return d.warmup.Queried() },
 		OnEvents:        d.applyMemberEvents,
+		OnEvacuations:   d.recordEvacuations,
+	}
+	d.exchange = &exchange.Service{
+		ID:          inflight.RouterID(d.cfg.ID),
+		Address:     d.cfg.Advertise,
+		Incarnation: incarnation,
+		Routers:     d.routers,
+		Dialer:      d.endpoint,
+		Sections:    d.routers.Sections(),
+		Clock:       clock.Boot{},
+		Log:         d.log,
+		Scope:       scope,
 	}
 	d.loads = &loads.Service{
 		ID: inflight.RouterID(d.cfg.ID),
@@ -85,6 +101,8 @@
 		FirstStart:   d.cfg.Direct.FirstStart,
 		Routers:      d.routers,
 		Dialer:       d.endpoint,
+		Caches:       d.affinity,
+		Demand:       func(name settings.ServiceName) { d.warmup.Demand(name) },
 		DirectoryAge: d.directoryAge,
 		KnownRouters: d.routers.Known,
 		Clock:        clock.Boot{},
@@ -93,17 +111,19 @@
 	}
 	d.gossip = &gossip.Service{Store: d.store, Dialer: d.endpoint, Log: d.log, Candidates: d.routers.Addresses}
 	d.watcher = &directory.Watcher{
-		Self:      polling.Candidate{Address: d.cfg.Advertise, Cores: d.cfg.Direct.Cores},
-		Routers:   directoryRouters{Service: d.routers, loads: d.loads},
-		Source:    &platform.Store{URL: d.cfg.Direct.Directory, HTTP: directoryClient()},
-		Store:     d.store,
-		Offer:     d.gossip,
-		Members:   d.members,
-		Clock:     clock.Boot{},
-		Log:       d.log,
-		Scope:     scope,
-		OnEvents:  d.applyMemberEvents,
-		Broadcast: d.routers.Broadcast,
+		Self:          polling.Candidate{Address: d.cfg.Advertise, Cores: d.cfg.Direct.Cores},
+		Routers:       directoryRouters{Service: d.routers, loads: d.loads},
+		Source:        &platform.Store{URL: d.cfg.Direct.Directory, HTTP: directoryClient()},
+		Store:         d.store,
+		Offer:         d.gossip,
+		Members:       d.members,
+		Evacuations:   d.evacuations,
+		Clock:         clock.Boot{},
+		Log:           d.log,
+		Scope:         scope,
+		OnEvents:      d.applyMemberEvents,
+		Broadcast:     d.routers.Broadcast,
+		OnEvacuations: d.recordEvacuations,
 	}
 	d.warmup = &engines.Warmup{
 		Address:    d.cfg.Advertise,
@@ -118,10 +138,15 @@
 		Log:        d.log,
 		Scope:      scope,
 	}
+	limits := d.cfg.Direct.Cold
+	d.cold = &cold.Tracker{
+		Limits: cold.Limits{Overage: limits.Overage, Slack: limits.Slack}, Self: d.cfg.Advertise, Routers: d.routers.KnownAddresses, OnCold: d.logCold,
+	}
 	budget := d.cfg.Direct.RetryBudget
 	dispatcher := &direct.Dispatcher{
 		DataCentre:   d.cfg.DataCentre,
 		Members:      d.members,
+		Evacuations:  d.evacuations,
 		InFlight:     inFlight,
 		Affinity:     d.affinity,
 		Outliers:     d.outliers,
@@ -129,6 +154,8 @@
 		Backoff:      d.backoff,
 		Quarantine:   d.quarantine,
 		RateLimits:   d.rateLimits,
+		Cold:         d.cold,
+		ColdLimit:    d.coldLimit,
 		Costs:        d.costs,
 		Work:         d.work,
 		Origins:      d.origins,
@@ -136,6 +163,7 @@
 		Refusals:     &waiting.Refusals{},
 		RunTimes:     &waiting.Durations{}, Residence: &waiting.Durations{},
 		Demand:       &waiting.Demand{},
+		Placements:   &waiting.Rates{},
 		FairShare:    d.shares,
 		Budget:       &retry.FleetBudget{Limits: retry.Limits{Ratio: budget.Ratio, Slack: budget.Slack, Window: budget.Window}},
 		Connections:  d.connections,
@@ -143,6 +171,7 @@
 		Warmup:       d.warmup,
 		Clock:        clock.Boot{},
 		KnownRouters: d.routers.Known,
+		FleetSize:    d.routers.FleetSize,
 		Log:          d.log,
 		Scope:        scope,
 	}
--- a/router/internal/direct/dispatch.go
+++ b/router/internal/direct/dispatch.go
@@ -17,7 +17,9 @@
 	"rattantrack.dev/core/backoff"
 	"rattantrack.dev/core/call"
 	"rattantrack.dev/core/clock"
+	"rattantrack.dev/core/cold"
 	"rattantrack.dev/core/cost"
+	"rattantrack.dev/core/evacuation"
 	"rattantrack.dev/core/fairshare"
 	"rattantrack.dev/core/inflight"
 	"rattantrack.dev/core/members"
@@ -60,6 +62,7 @@
 type Dispatcher struct {
 	DataCentre   settings.DataCentre
 	Members      *members.Registry
+	Evacuations  *evacuation.Tracker
 	InFlight     *inflight.Tracker
 	Affinity     *affinity.Index
 	Outliers     *outlier.Detector
@@ -67,6 +70,7 @@
 	Backoff      *backoff.Tracker
 	Quarantine   *quarantine.Tracker
 	RateLimits   *ratelimit.Tracker
+	Cold         *cold.Tracker
 	Costs        *cost.Estimator
 	Work         *work.Tracker
 	Origins      Origins
@@ -75,6 +79,7 @@
 	RunTimes     *waiting.Durations
 	Residence    *waiting.Durations
 	Demand       *waiting.Demand
+	Placements   *waiting.Rates
 	FairShare    *fairshare.Tracker
 	Budget       *retry.FleetBudget
 	Connections  Connections
@@ -83,6 +88,11 @@
 	Clock        Clock
 	// KnownRouters returns the number of routers that may send requests to the upstreams, with this one.
 	KnownRouters func() int
+	// ColdLimit returns how long the upstreams of a service are cold, and the requests a second that one bears meanwhile, 0 for any.
+	ColdLimit func(name settings.ServiceName) (time.Duration, float64)
+	// FleetSize returns the number of routers of a large fleet, whose routers do not report their open requests to each other. Nil or 0
+	// stands for a small fleet.
+	FleetSize func() int
 	// OnLeaving is called when an upstream states in an answer that it is leaving.
 	OnLeaving func(inst members.Instance)
 	Log       *log.Logger
@@ -101,6 +111,8 @@
 	noUpstreamPoll = 20 * time.Millisecond
 	// defaultRetryAfter is when the client may retry a request that found no upstream.
 	defaultRetryAfter = 500 * time.Millisecond
+	// evacuatedRetryAfter is when the client may retry a request all upstreams of which are evacuated.
+	evacuatedRetryAfter = 2 * time.Second
 	// warmupWait is how long a request with a long shared prompt waits for the cache warm-up after a restart of the router.
 	// An engine needs about as long to process such a prompt again.
 	warmupWait = 250 * time.Millisecond
@@ -116,6 +128,8 @@
 	stalled bool
 	// waiter keeps the request's place in the queue while it is placed again, nil before it has waited.
 	waiter *waiting.Waiter
+	// reservedAt is when the upstream of the last attempt was chosen.
+	reservedAt clock.Instant
 	// answeredAt is when the upstream began to answer the last attempt, 0 if it did not.
 	answeredAt clock.Instant
 	// eventsBefore is the number of events of earlier attempts. survived reports that the last attempt got past the beginning
@@ -146,7 +160,7 @@
 }
 
 func (ex *exchange) run(ctx context.Context) {
-	if ex.RouteConfig.Kind == settings.RouteStream && ex.ContinuesStream() && !ex.findOrigin(ctx) {
+	if ex.RouteConfig.Kind == settings.RouteStream && !ex.chooseVersion(ctx) {
 		return
 	}
 	if ex.RouteConfig.Affinity && ex.SharedTokens() >= enginePolicy.LongPrefix {
@@ -190,12 +204,21 @@
 // takeRetry takes a retry from the fleet's budget, and reports whether that had one.
 func (ex *exchange) takeRetry(inst members.Instance, reason string) bool {
 	now := ex.dispatcher.Clock.Now()
-	routers := ex.dispatcher.InFlight.RouterCount(now)
+	routers := ex.dispatcher.routerCount(now)
 	ok := ex.dispatcher.Budget.Allow(now, ex.Service, routers)
 	ex.dispatcher.Log.Info("repeat", "request", ex.ID, "upstream", inst.ID, "ending", reason, "routers", routers, "allowed", ok)
 	return ok
 }
 
+// routerCount returns the number of routers that send requests, with this one.
+func (d *Dispatcher) routerCount(now clock.Instant) int {
+	n := d.InFlight.RouterCount(now)
+	if d.FleetSize != nil {
+		n = max(n, d.FleetSize())
+	}
+	return n
+}
+
 // nextUpstream chooses the upstream of the next attempt and waits for room if the service is full. It returns false if
 // the request has ended.
 func (ex *exchange) nextUpstream(ctx context.Context) (members.Instance, bool) {
@@ -215,6 +238,7 @@
 		switch {
 		case choice.Reason == placement.Chosen:
 			ex.recordRoom(now)
+			ex.reservedAt = now
 			ex.res.QueueTime += now.Sub(start)
 			return instance, true
 		case choice.Reason == placement.NoUpstream && ex.res.Attempts > 0:
@@ -232,6 +256,10 @@
 func (ex *exchange) waitForRoom(ctx context.Context, reason placement.Reason, start clock.Instant) bool {
 	now := ex.dispatcher.Clock.Now()
 	if reason == placement.NoUpstream {
+		if ex.dispatcher.allEvacuated(ex.Service) {
+			ex.giveUp(ctx, CodeEvacuated, evacuatedRetryAfter)
+			return false
+		}
 		if ex.dispatcher.pauseLeft(now, ex.Service) > 0 {
 			ex.giveUp(ctx, CodePaused, ex.retryAfter(defaultRetryAfter))
 			return false
@@ -262,7 +290,7 @@
 		case <-waiter.Ready():
 			return true
 		case <-poll.C:
-			if ex.dispatcher.RateLimits.Active(ex.dispatcher.Clock.Now()) {
+			if now := ex.dispatcher.Clock.Now(); ex.dispatcher.RateLimits.Active(now) || ex.dispatcher.Cold.Limiting(now) {
 				ex.dispatcher.Queues.WakeFirst(ex.Service)
 			}
 			continue
--- a/router/internal/direct/place.go
+++ b/router/internal/direct/place.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"encoding/binary"
 	"slices"
 	"time"
 
@@ -102,6 +103,9 @@
 			return inst, choice
 		}
 		if d.RateLimits.Admit(now, inst.ID, known) {
+			if _, rate := d.ColdLimit(inst.Service); rate > 0 {
+				d.Cold.Begin(now, inst.ID)
+			}
 			d.InFlight.Begin(inst.ID)
 			return inst, choice
 		}
@@ -113,7 +117,7 @@
 func (d *Dispatcher) place(
 	now clock.Instant, r *Request, tried *triedUpstreams, refused []settings.UpstreamID,
 ) (members.Instance, placement.Choice) {
-	serving := d.Members.Serving(r.Service)
+	serving := d.serving(r.Service)
 	if len(serving) == 0 {
 		return members.Instance{}, placement.Choice{Reason: placement.NoUpstream}
 	}
@@ -125,7 +129,7 @@
 	for i := range candidates {
 		candidates[i].Excluded = candidates[i].Excluded || slices.Contains(tried.unusable, ids[i])
 		candidates[i].Failed = slices.Contains(tried.failed, ids[i])
-		candidates[i].Refused = slices.Contains(refused, ids[i])
+		candidates[i].Refused = candidates[i].Refused || slices.Contains(refused, ids[i])
 	}
 	policy := &plainPolicy
 	if r.RouteConfig.Affinity {
@@ -137,12 +141,40 @@
 	}
 	d.addWork(now, r, request, candidates, ids)
 	choice := placement.Choose(policy, request, candidates)
+	if choice.Reason == placement.Chosen && r.RouteConfig.Affinity &&
+		!d.takesPart(now, r, request, &candidates[choice.Index], len(candidates)) {
+		choice.Reason = placement.Full
+	}
 	if choice.Reason != placement.Chosen {
 		return members.Instance{}, choice
 	}
 	return serving[choice.Index], choice
 }
 
+// exchangeAge is how old the counts of other routers are when they arrive.
+const exchangeAge = 80 * time.Millisecond
+
+// takesPart reports whether a request is among those that may use the room of the chosen engine. Other routers see the same room. The
+// counts of plain services are older than their requests last, so they say nothing about a single slot.
+func (d *Dispatcher) takesPart(
+	now clock.Instant, r *Request, request *placement.Request, c *placement.Candidate, candidates int,
+) bool {
+	wanted := d.Placements.Record(now, r.Service)
+	routers := d.routerCount(now)
+	if routers <= 1 {
+		return true
+	}
+	room := waiting.Room{
+		Load: float64(c.Load), Limit: request.Overcommit * float64(c.Slots),
+		Residence: d.Residence.Mean(r.Service, d.runTime(r)), Age: d.InFlight.Age(now) + exchangeAge,
+		Wanted: wanted * float64(routers) / float64(candidates),
+	}
+	h := xxhash.New()
+	_, _ = h.WriteString(string(r.ID))
+	_, _ = h.Write(binary.BigEndian.AppendUint64(nil, uint64(now)))
+	return float64(h.Sum64()>>11)/(1<<53) < room.Share()
+}
+
 func (d *Dispatcher) candidates(
 	now clock.Instant, r *Request, serving []members.Instance, ids []settings.UpstreamID,
 ) []placement.Candidate {
@@ -165,7 +197,10 @@
 		cachedTokens = d.Affinity.CachedTokens(now, r.sharedBlocks(), ids)
 	}
 	candidates := make([]placement.Candidate, len(serving))
+	coldTime, coldRate := d.ColdLimit(r.Service)
 	for i := range serving {
+		isCold := serving[i].ColdRemaining > 0 && d.Members.ColdRemaining(now, ids[i]) > 0 ||
+			coldRate > 0 && d.Evacuations.TakenBackWithin(now, serving[i].DataCentre, coldTime)
 		candidates[i] = placement.Candidate{
 			ID:          ids[i],
 			DataCentre:  serving[i].DataCentre,
@@ -173,7 +208,8 @@
 			Slots:       serving[i].Slots,
 			Primary:     i == primary,
 			Order:       order[i],
-			Cold:        serving[i].ColdRemaining > 0 && d.Members.ColdRemaining(now, ids[i]) > 0,
+			Cold:        isCold,
+			Refused:     isCold && coldRate > 0 && !d.hasColdRoom(now, ids[i], coldRate),
 			RateLimited: limited[i],
 			Wanted:      wanted[i],
 			Excluded:    excluded[i],
@@ -185,12 +221,43 @@
 	return candidates
 }
 
+// hasColdRoom reports whether a cold upstream may get a request of this router now.
+func (d *Dispatcher) hasColdRoom(now clock.Instant, id settings.UpstreamID, perSecond float64) bool {
+	ok := d.Cold.Room(now, id, perSecond)
+	if !ok {
+		d.Scope.Counter("cold_upstreams_full").Inc(1)
+	}
+	return ok
+}
+
 // pauseLeft returns the time until the first upstream of a service wants requests again, 0 if one wants requests now.
 func (d *Dispatcher) pauseLeft(now clock.Instant, name settings.ServiceName) time.Duration {
-	_, soonest := d.Backoff.Paused(now, d.Members.Serving(name))
+	_, soonest := d.Backoff.Paused(now, d.serving(name))
 	return soonest
 }
 
+// serving returns the upstreams of a service that may get new requests, without those in evacuated data centres. Since these are no
+// candidates at all, each prompt that is cached there gets the next upstream in its own order at once, which spreads the prompts, and the
+// mean load is that of the others.
+func (d *Dispatcher) serving(name settings.ServiceName) []members.Instance {
+	all := d.Members.Serving(name)
+	if !d.Evacuations.Active() {
+		return all
+	}
+	outside := make([]members.Instance, 0, len(all))
+	for _, inst := range all {
+		if !d.Evacuations.Evacuated(inst.DataCentre) {
+			outside = append(outside, inst)
+		}
+	}
+	return outside
+}
+
+// allEvacuated reports whether a service has upstreams, all of them in data centres that are evacuated.
+func (d *Dispatcher) allEvacuated(name settings.ServiceName) bool {
+	return len(d.serving(name)) == 0 && len(d.Members.Serving(name)) > 0
+}
+
 // excluded reports for each upstream whether it should not get the request now, because it fails more than others, is unresponsive
 // or barred. If that excludes all of them, failures do not count.
 func (d *Dispatcher) excluded(now clock.Instant, ids []settings.UpstreamID, barred []bool) []bool {
--- a/router/internal/origins/find.go
+++ b/router/internal/origins/find.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
 
+	"rattantrack.dev/core/affinity"
 	"rattantrack.dev/core/call"
 	"rattantrack.dev/core/clock"
 	"rattantrack.dev/core/members"
@@ -25,39 +27,42 @@
 	graceTime = 60 * time.Millisecond
 	// maxSources is how many routers one that has started asks for their history at a time.
 	maxSources = 3
+	// cachesTimeout is how long a stream waits for the lists of the engines' caches.
+	cachesTimeout = time.Second
+	// demandPause is the time between two demands for the lists of a service.
+	demandPause = 5 * time.Second
 	// maxDirectoryAge is the age of the directory from which on a router may have missed a version.
 	maxDirectoryAge = 2500 * time.Millisecond
 )
 
-// Find returns where a stream may go on that the client has events of. attempt is the client's attempt that brought the first one, empty
-// if the client does not state it, and name the service that the request would go to.
-func (s *Service) Find(ctx context.Context, attempt call.ID, name settings.ServiceName) (origin.Origin, origin.Verdict) {
+// Find returns where a stream may go on that the client has events of.
+func (s *Service) Find(ctx context.Context, q *origin.Question) (origin.Origin, origin.Verdict) {
 	now := s.Clock.Now()
 	var id origin.StreamID
 	var k origin.Knowledge
-	if attempt != "" {
-		id = origin.NewStreamID(attempt)
+	if q.FirstAttempt != "" {
+		id = origin.NewStreamID(q.FirstAttempt)
 		if o, ok := s.remembered(now, id); ok {
 			k.Found = &o
 		}
 	}
 	asked, replies := 0, 0
 	if k.Found == nil {
-		asked, replies = s.askFor(ctx, id, name, &k)
+		asked, replies = s.askFor(ctx, id, q, &k)
 	}
-	version, verdict := origin.Decide(&k)
+	o, verdict := origin.Decide(q.Service, &k)
 	for n := 1; verdict == origin.Unknown && (n == 1 || (asked == 0 && n <= maxEarlyAsks)) && clock.Sleep(ctx, askPause); n++ {
-		asked, replies = s.askFor(ctx, id, name, &k)
-		version, verdict = origin.Decide(&k)
+		asked, replies = s.askFor(ctx, id, q, &k)
+		o, verdict = origin.Decide(q.Service, &k)
 	}
-	o := origin.Origin{Service: name, Version: version}
-	if k.Found != nil {
-		o = *k.Found
+	if verdict == origin.Unknown && s.demands(q, &k) {
+		o, verdict = s.waitForCaches(ctx, q, &k)
 	}
 	s.Scope.Tagged(map[string]string{"verdict": string(verdict)}).Counter("streams_taken_up").Inc(1)
 	if verdict == origin.Unknown {
-		s.Log.Warn("origin of a stream unknown", "first_attempt", attempt, "service", name, "asked", asked, "replies", replies,
-			"versions", versionsOf(k.Versions), "complete", k.Complete, "fresh", k.Fresh)
+		s.Log.Warn("origin of a stream unknown", "first_attempt", q.FirstAttempt, "service", q.Service, "asked", asked,
+			"replies", replies, "versions", versionsOf(k.Versions), "complete", k.Complete, "fresh", k.Fresh,
+			"cached_at", cachedAt(k.Listings), "caches_unread", unread(k.Engines), "listings_complete", k.ListingsComplete)
 	}
 	return o, verdict
 }
@@ -72,8 +77,107 @@
 	return slices.Compact(list)
 }
 
+// cachedAt formats listings for a log line.
+func cachedAt(listings []origin.Listing) []string {
+	list := make([]string, len(listings))
+	for i, l := range listings {
+		list[i] = fmt.Sprintf("%s:%.0f", l.Origin.Version, l.Tokens)
+	}
+	return list
+}
+
+// unread returns the number of instances that have not listed their caches.
+func unread(engines []origin.Engine) int {
+	n := 0
+	for _, e := range engines {
+		if !e.HasListed {
+			n++
+		}
+	}
+	return n
+}
+
+// addCaches adds what the engines have listed when the routers started.
+func (s *Service) addCaches(now clock.Instant, q *origin.Question, k *origin.Knowledge) {
+	k.Own, k.Listings, k.Engines = q.Own.Tokens, nil, nil
+	if q.Own.ID == 0 {
+		return
+	}
+	var listed []affinity.Listed
+	listed, k.ListingsComplete = s.Caches.Listed(now, q.Own.ID)
+	for _, l := range listed {
+		k.Listings = append(k.Listings, origin.Listing{Origin: originOf(l), Tokens: settings.Tokens(l.Tokens)})
+	}
+	if len(versionsOf(k.Versions)) < 2 {
+		return
+	}
+	for _, p := range s.history.Processes(q.Service) {
+		k.Engines = append(k.Engines, origin.Engine{Origin: p.Origin, HasListed: s.Caches.WasRead(now, p.ID, p.Incarnation)})
+	}
+}
+
+// demands reports whether what engines have not listed yet may tell where a stream began: several versions have served, and some of
+// their instances have not been read.
+func (s *Service) demands(q *origin.Question, k *origin.Knowledge) bool {
+	return q.Own.ID != 0 && k.Fresh && unread(k.Engines) > 0
+}
+
+// demand demands the lists of a service's engines and returns until when a stream may wait for them. Engines that have not listed by
+// then may never do so, so that the streams that come later are not held for them.
+func (s *Service) demand(name settings.ServiceName) clock.Instant {
+	now := s.Clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at, ok := s.demandedAt[name]
+	if !ok || now.Sub(at) >= demandPause {
+		if s.demandedAt == nil {
+			s.demandedAt = make(map[settings.ServiceName]clock.Instant)
+		}
+		at = now
+		s.demandedAt[name] = at
+		s.Demand(name)
+	}
+	return at.Add(cachesTimeout)
+}
+
+// waitForCaches demands the lists of the engines and waits for them. It returns as soon as they tell where a stream began, or all
+// have come.
+func (s *Service) waitForCaches(ctx context.Context, q *origin.Question, k *origin.Knowledge) (origin.Origin, origin.Verdict) {
+	until := s.demand(q.Service)
+	for {
+		now := s.Clock.Now()
+		s.addCaches(now, q, k)
+		if o, verdict := origin.Decide(q.Service, k); verdict != origin.Unknown || unread(k.Engines) == 0 || now >= until {
+			return o, verdict
+		}
+		if !clock.Sleep(ctx, askPause/2) {
+			return origin.Origin{}, origin.Unknown
+		}
+	}
+}
+
+func originOf(l affinity.Listed) origin.Origin {
+	return origin.Origin{Service: l.Service, Version: l.Version}
+}
+
+// CachedAt returns the only version with a block in its caches, if several versions serve. A request that was sent to it and began
+// nothing there that the client knows of goes there again, so that its block stays with one version.
+func (s *Service) CachedAt(name settings.ServiceName, block call.PromptBlock) (members.Version, bool) {
+	now := s.Clock.Now()
+	listed, complete := s.Caches.Listed(now, block.ID)
+	if len(listed) == 0 || !complete || !s.history.Mixed(now, name) {
+		return "", false
+	}
+	for _, l := range listed {
+		if l.Service != name || l.Version != listed[0].Version {
+			return "", false
+		}
+	}
+	return listed[0].Version, listed[0].Version != ""
+}
+
 // askFor adds what this router and those that may hold the record know.
-func (s *Service) askFor(ctx context.Context, id origin.StreamID, name settings.ServiceName, k *origin.Knowledge) (asked, replies int) {
+func (s *Service) askFor(ctx context.Context, id origin.StreamID, q *origin.Question, k *origin.Knowledge) (asked, replies int) {
 	s.mu.Lock()
 	var addresses []string
 	if s.holders != nil {
@@ -85,7 +189,7 @@
 		addresses = s.holders.Asked(key, s.Address)
 	}
 	s.mu.Unlock()
-	for r := range s.ask(ctx, addresses, &peer.OriginQuery{Stream: id, Service: name}) {
+	for r := range s.ask(ctx, addresses, &peer.OriginQuery{Stream: id, Service: q.Service}) {
 		replies++
 		k.Versions = append(k.Versions, r.Seen...)
 		k.Complete = k.Complete || r.Complete
@@ -95,8 +199,11 @@
 		}
 	}
 	now := s.Clock.Now()
-	k.Versions = append(k.Versions, s.history.Seen(now, name)...)
-	k.Complete = k.Complete || s.history.Complete(now) || s.history.Settled(time.Now(), name)
+	k.Versions = append(k.Versions, s.history.Seen(now, q.Service)...)
+	k.Complete = k.Complete || s.history.Complete(now) || s.history.Settled(time.Now(), q.Service)
+	if k.Found == nil {
+		s.addCaches(now, q, k)
+	}
 	k.Fresh = replies > 0 || s.DirectoryAge() < maxDirectoryAge || s.KnownRouters() <= 1
 	return len(addresses), replies
 }
--- a/router/internal/origins/service.go
+++ b/router/internal/origins/service.go
@@ -10,6 +10,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/uber-go/tally/v4"
 
+	"rattantrack.dev/core/affinity"
 	"rattantrack.dev/core/call"
 	"rattantrack.dev/core/clock"
 	"rattantrack.dev/core/inflight"
@@ -49,6 +50,14 @@
 	Dial(ctx context.Context, address string) (*peer.Link, error)
 }
 
+// Caches holds what engines have listed of their caches.
+type Caches interface {
+	// Listed returns which upstreams have listed a block, false if some may be missing.
+	Listed(now clock.Instant, block call.PromptBlockID) ([]affinity.Listed, bool)
+	// WasRead reports whether the cache of a process has been read.
+	WasRead(now clock.Instant, id settings.UpstreamID, incarnation members.Incarnation) bool
+}
+
 // Clock returns the current instant.
 type Clock interface {
 	Now() clock.Instant
@@ -63,6 +72,9 @@
 	FirstStart bool
 	Routers    Routers
 	Dialer     Dialer
+	Caches     Caches
+	// Demand asks for the lists of the caches of a service's engines; it does not wait for them.
+	Demand func(name settings.ServiceName)
 	// DirectoryAge returns the age of the newest directory read that this router knows of.
 	DirectoryAge func() time.Duration
 	// KnownRouters returns the number of routers that may be running, with this one.
@@ -83,7 +95,9 @@
 	inherited bool
 	inheritAt clock.Instant
 	wake      chan struct{}
-	wg        sync.WaitGroup
+	// demandedAt is when the caches of a service's engines were last demanded.
+	demandedAt map[settings.ServiceName]clock.Instant
+	wg         sync.WaitGroup
 }
 
 // String returns the service's name.
