fix(affinity,engines): a list tells for 15 s what an engine lacks

Change: a reading counts for 15 s, and a process may be read on demand again after that. The test fails on the code before (readingTime).

--- a/core/affinity/listing.go
+++ b/core/affinity/listing.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"rattantrack.dev/core/call"
 	"rattantrack.dev/core/clock"
@@ -12,6 +13,9 @@
 // readMark is the block id of an entry without a block, which tells that the cache of the upstream has been read.
 const readMark call.PromptBlockID = 0
 
+// readingTime is how long the list of a cache tells what the cache lacks. Streams that begin later are not in it.
+const readingTime = 15 * time.Second
+
 // maxListings bounds the listings of one block. A block that belongs to one request or session alone has few.
 const maxListings = 4
 
@@ -134,12 +138,12 @@
 	return !ix.readings.evicted && (at == 0 || now.Sub(at) >= entryLifetime)
 }
 
-// WasRead reports whether the cache of a process has been read within the lifetime of the entries.
+// WasRead reports whether the cache of a process has been read within readingTime.
 func (ix *Index) WasRead(now clock.Instant, id settings.UpstreamID, incarnation members.Incarnation) bool {
 	ix.mu.Lock()
 	defer ix.mu.Unlock()
 	l, ok := ix.readings.read[id]
-	return ok && l.Incarnation == incarnation && now.Sub(l.at) < entryLifetime
+	return ok && l.Incarnation == incarnation && now.Sub(l.at) < readingTime
 }
 
 // isListing reports whether an owner was recorded by its listing alone.
--- a/core/affinity/listing_test.go
+++ b/core/affinity/listing_test.go
@@ -52,7 +52,9 @@
 		c.Assert(ix.WasRead(now, "c", 7), qt.IsFalse)
 		c.Assert(ix.CachedTokens(now, []call.PromptBlock{{ID: 1, Tokens: 300}}, []settings.UpstreamID{"a", "b"}),
 			qt.DeepEquals, []settings.Tokens{300, 0})
-		c.Assert(ix.WasRead(now.Add(entryLifetime), "a", 7), qt.IsFalse)
+		// A second loss of routers follows: what has begun since is not in the list.
+		c.Assert(ix.WasRead(now.Add(readingTime-1), "a", 7), qt.IsTrue)
+		c.Assert(ix.WasRead(now.Add(readingTime), "a", 7), qt.IsFalse)
 		list, _ = ix.Listed(now.Add(entryLifetime), 2)
 		c.Assert(list, qt.HasLen, 0)
 	}
--- a/router/internal/engines/demand.go
+++ b/router/internal/engines/demand.go
@@ -17,7 +17,7 @@
 	// demandTime is how long a demand lasts.
 	demandTime = 2 * time.Second
 	// rereadTime is the time within which a process is read at most once on demand, also if it did not respond.
-	rereadTime = time.Minute
+	rereadTime = 15 * time.Second
 )
 
 // process identifies a process of an engine.
--- a/router/internal/engines/warmup_test.go
+++ b/router/internal/engines/warmup_test.go
@@ -190,5 +190,5 @@
 	}
 	time.Sleep(warmup.TakeoverDelay + 5*pollInterval)
 	_, again := queries()
-	c.Assert(again <= 12, qt.IsTrue, qt.Commentf("a process is queried once a minute by a router"))
+	c.Assert(again <= 12, qt.IsTrue, qt.Commentf("a process is queried once in rereadTime by a router"))
 }
