--- a/router/internal/directory/watcher.go
+++ b/router/internal/directory/watcher.go
@@ -25,6 +25,9 @@
 	watchWait = 900 * time.Millisecond
 	// watchPause is the pause between two watch calls, so that one call returns several changes in quick succession.
 	watchPause = 150 * time.Millisecond
+	// othersTime is how long a router of a large fleet that has started leaves the directory to others after its read has failed: the
+	// complete directory for all at once can take longer than readTimeout, and then all would begin again.
+	othersTime = 2 * time.Second
 	// readTimeout bounds a read of the complete directory.
 	readTimeout = 2 * time.Second
 	// minRetryPause and maxRetryPause bound the pause after a failed call, which doubles with each failure.
@@ -81,6 +84,8 @@
 	// OnEvents is called with instance events, Broadcast with the changes to send to the other routers.
 	OnEvents  func(source string, events []members.Event)
 	Broadcast func(changes []members.Change)
+	// LeaveToOthers reports that other routers can bring what this one could not read. Nil stands for no.
+	LeaveToOthers func() bool
 
 	// complete reports that changes after position are enough, without a read of the complete directory.
 	complete   bool
@@ -93,6 +98,8 @@
 	lastRead, lastOwnRead clock.Instant
 	failing               bool
 	polling               bool
+	// failedAt is when a read last failed.
+	failedAt clock.Instant
 }
 
 // String returns the service's name.
@@ -128,9 +135,13 @@
 	anyRead := w.lastRead != 0
 	w.mu.Unlock()
 	_, declarations := w.Store.Current()
-	poll := !anyRead || declarations == nil || !w.Members.Complete() ||
+	lacks := declarations == nil || !w.Members.Complete()
+	poll := !anyRead || lacks ||
 		polling.Selected(polling.State{Self: w.Self, Others: w.Routers.Pollers(), UpdateAge: now.Sub(othersRead)})
 	w.mu.Lock()
+	if lacks && w.failedAt != 0 && now.Sub(w.failedAt) < othersTime && w.LeaveToOthers != nil && w.LeaveToOthers() {
+		poll = false
+	}
 	changed := poll != w.polling
 	w.polling = poll
 	w.mu.Unlock()
@@ -263,6 +274,7 @@
 	}
 	now := w.Clock.Now()
 	w.mu.Lock()
+	w.failedAt = now
 	if !w.failing {
 		w.Log.Warn("directory lost", "error", err)
 		w.failing = true
