--- a/router/internal/directory/watcher.go
+++ b/router/internal/directory/watcher.go
@@ -138,10 +138,10 @@
 	lacks := declarations == nil || !w.Members.Complete()
 	poll := !anyRead || lacks ||
 		polling.Selected(polling.State{Self: w.Self, Others: w.Routers.Pollers(), UpdateAge: now.Sub(othersRead)})
-	w.mu.Lock()
-	if lacks && w.failedAt != 0 && now.Sub(w.failedAt) < othersTime && w.LeaveToOthers != nil && w.LeaveToOthers() {
+	if lacks && w.hasFailed(now) && w.LeaveToOthers != nil && w.LeaveToOthers() {
 		poll = false
 	}
+	w.mu.Lock()
 	changed := poll != w.polling
 	w.polling = poll
 	w.mu.Unlock()
@@ -154,6 +154,13 @@
 	return poll
 }
 
+// hasFailed reports whether a read has failed within othersTime.
+func (w *Watcher) hasFailed(now clock.Instant) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.failedAt != 0 && now.Sub(w.failedAt) < othersTime
+}
+
 // updateAge returns the age of the latest directory read of the others, 0 if there is none.
 func updateAge(now, othersRead clock.Instant) time.Duration {
 	if othersRead == 0 {
