--- a/router/internal/directory/watcher_test.go
+++ b/router/internal/directory/watcher_test.go
@@ -29,18 +29,18 @@
 // and again, each time too slowly for all.
 func TestFailedReadsOfALargeFleetAreNotRepeatedByAll(t *testing.T) {
 	c := qt.New(t)
-	time := &fixedClock{now: clock.Instant(time.Hour)}
+	clk := &fixedClock{now: clock.Instant(time.Hour)}
 	others := true
 	w := &Watcher{
-		Routers: noRouters{}, Store: &revision.Store{}, Members: &members.Registry{}, Clock: time, Log: log.New(io.Discard),
+		Routers: noRouters{}, Store: &revision.Store{}, Members: &members.Registry{}, Clock: clk, Log: log.New(io.Discard),
 		LeaveToOthers: func() bool { return others },
 	}
 	c.Assert(w.shouldPoll(), qt.IsTrue)
-	w.failedAt = time.now
+	w.failedAt = clk.now
 	c.Assert(w.shouldPoll(), qt.IsFalse)
 	others = false
 	c.Assert(w.shouldPoll(), qt.IsTrue)
 	others = true
-	time.now = time.now.Add(othersTime)
+	clk.now = clk.now.Add(othersTime)
 	c.Assert(w.shouldPoll(), qt.IsTrue)
 }
