--- a/router/internal/app/services.go
+++ b/router/internal/app/services.go
@@ -116,8 +116,6 @@
 		Scope:     scope,
 		OnEvents:  d.applyMemberEvents,
 		Broadcast: d.routers.Broadcast,
-
-		LeaveToOthers: d.routers.LeavesDirectory,
 	}
 	d.warmup = &engines.Warmup{
 		Address:    d.cfg.Advertise,
--- a/router/internal/directory/watcher.go
+++ b/router/internal/directory/watcher.go
@@ -25,9 +25,6 @@
 	watchWait = 900 * time.Millisecond
 	// watchPause is the pause between two watch calls, so that one call returns several changes in quick succession.
 	watchPause = 150 * time.Millisecond
-	// othersTime is how long a router of a large fleet that has started leaves the directory to others after its read has failed: the
-	// complete directory for all at once can take longer than readTimeout, and then all would begin again.
-	othersTime = 2 * time.Second
 	// readTimeout bounds a read of the complete directory.
 	readTimeout = 2 * time.Second
 	// minRetryPause and maxRetryPause bound the pause after a failed call, which doubles with each failure.
@@ -84,8 +81,6 @@
 	// OnEvents is called with instance events, Broadcast with the changes to send to the other routers.
 	OnEvents  func(source string, events []members.Event)
 	Broadcast func(changes []members.Change)
-	// LeaveToOthers reports that other routers can bring what this one could not read. Nil stands for no.
-	LeaveToOthers func() bool
 
 	// complete reports that changes after position are enough, without a read of the complete directory.
 	complete   bool
@@ -98,8 +93,6 @@
 	lastRead, lastOwnRead clock.Instant
 	failing               bool
 	polling               bool
-	// failedAt is when a read last failed.
-	failedAt clock.Instant
 }
 
 // String returns the service's name.
@@ -135,12 +128,8 @@
 	anyRead := w.lastRead != 0
 	w.mu.Unlock()
 	_, declarations := w.Store.Current()
-	lacks := declarations == nil || !w.Members.Complete()
-	poll := !anyRead || lacks ||
+	poll := !anyRead || declarations == nil || !w.Members.Complete() ||
 		polling.Selected(polling.State{Self: w.Self, Others: w.Routers.Pollers(), UpdateAge: now.Sub(othersRead)})
-	if lacks && w.hasFailed(now) && w.LeaveToOthers != nil && w.LeaveToOthers() {
-		poll = false
-	}
 	w.mu.Lock()
 	changed := poll != w.polling
 	w.polling = poll
@@ -154,13 +143,6 @@
 	return poll
 }
 
-// hasFailed reports whether a read has failed within othersTime.
-func (w *Watcher) hasFailed(now clock.Instant) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.failedAt != 0 && now.Sub(w.failedAt) < othersTime
-}
-
 // updateAge returns the age of the latest directory read of the others, 0 if there is none.
 func updateAge(now, othersRead clock.Instant) time.Duration {
 	if othersRead == 0 {
@@ -281,7 +263,6 @@
 	}
 	now := w.Clock.Now()
 	w.mu.Lock()
-	w.failedAt = now
 	if !w.failing {
 		w.Log.Warn("directory lost", "error", err)
 		w.failing = true
--- a/router/internal/routers/tree.go
+++ b/router/internal/routers/tree.go
@@ -8,7 +8,6 @@
 
 	"rattantrack.dev/core/clock"
 	"rattantrack.dev/core/peer"
-	"rattantrack.dev/core/polling"
 	"rattantrack.dev/core/relay"
 	"rattantrack.dev/router/internal/exchange"
 )
@@ -222,14 +221,6 @@
 	return n
 }
 
-// LeavesDirectory reports that the fleet is large and that other routers are better placed to read the directory.
-func (s *Service) LeavesDirectory() bool {
-	s.mu.Lock()
-	large := s.tree.large
-	s.mu.Unlock()
-	return large && !polling.Selected(polling.State{Self: polling.Candidate{Address: s.Address, Cores: s.Cores}, Others: s.Pollers()})
-}
-
 // Sections returns the state that spreads over the tree.
 func (s *Service) Sections() []exchange.Section {
 	return []exchange.Section{routerSection{s}, memberSection{s}, cacheSection{s}, querySection{s}}
