--- /dev/null
+++ b/review/standin/case_prompts.go
@@ -0,0 +1,129 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// badPart is the part of a prompt that crashes each runner that begins to write an answer on it.
+const badPart = "badbad01"
+
+func init() { cases["prompts-together"] = promptsTogether }
+
+// crowd is a set of runners that come back some seconds after a crash, each time as a new process with a new id.
+type crowd struct {
+	rec   *record
+	store *store
+	back  time.Duration
+	next  atomic.Int64
+	make  func(id string) *runner
+
+	mu      sync.Mutex
+	crashes []time.Time
+}
+
+func (c *crowd) start(address string) {
+	r := c.make(fmt.Sprintf("i-%04d", c.next.Add(1)))
+	r.rec, r.store = c.rec, c.store
+	r.onCrash = func(r *runner) {
+		c.mu.Lock()
+		c.crashes = append(c.crashes, time.Now())
+		c.mu.Unlock()
+		time.AfterFunc(c.back, func() { c.start(r.address) })
+	}
+	r.start(address)
+}
+
+func (c *crowd) crashed() []time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]time.Time(nil), c.crashes...)
+}
+
+// promptsTogether: requests with a part that crashes runners come together at all routers, again and again some seconds apart.
+func promptsTogether(rec *record, trouble bool) fault {
+	const routers, runners, together, stable = 3, 16, 8, 3 * time.Second
+	f := newFleet(rec)
+	current = f
+	f.store.put("op/config", configuration(7, []route{streamRoute("r-letters", "/letters/", "letterhouse", true, 2)}, engineService("letterhouse", 64)))
+	c := &crowd{rec: rec, store: f.store, back: 3 * time.Second, make: func(id string) *runner {
+		return &runner{id: id, service: "letterhouse", zone: "kano", version: "v1", slots: 64, queue: 192, events: 12, gap: 30 * time.Millisecond,
+			crashes: func(r *http.Request) bool { return strings.Contains(r.Header.Get("Prompt-Prefix"), badPart) }}
+	}}
+	for range runners {
+		c.start("")
+	}
+	for n := 1; n <= routers; n++ {
+		f.start(n, true)
+	}
+	if !f.waitReady(10*time.Second, 1, 2, 3) {
+		cannotRun("the routers are not ready")
+	}
+	time.Sleep(2 * time.Second)
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	var sent, served atomic.Int64
+	ask := func(router int, prefix, what string) {
+		defer wg.Done()
+		t := &try{id: newID(), method: http.MethodPost, path: "/letters/new", prefix: prefix, body: fmt.Appendf(nil, "%s %0800d", prefix, rand.Uint64()), left: 12 * time.Second}
+		rec.add("request %s sent to router %d: %s, prompt %s", t.id, router, what, prefix)
+		res := send(ctx, f.front(router), t)
+		rec.add("request %s answered: %s, status %d, %d events, whole %v, error %v", t.id, what, res.status, len(res.events), res.whole, res.err)
+		if what == "sound" {
+			sent.Add(1)
+			if res.whole && res.status == http.StatusOK {
+				served.Add(1)
+			}
+		}
+	}
+	// Sound requests share the first part and their document with the bad ones.
+	document := func(i int) string { return fmt.Sprintf("d0c%05x:900", i) }
+	go func() {
+		for i := 0; ctx.Err() == nil; i++ {
+			wg.Add(1)
+			go ask(1+i%routers, fmt.Sprintf("5c1e07a2:512,%s,%08x:200", document(i%40), rand.Uint32()), "sound")
+			time.Sleep(50 * time.Millisecond)
+		}
+	}()
+	time.Sleep(6 * time.Second)
+	if trouble {
+		for burst := range 4 {
+			for i := range together {
+				wg.Add(1)
+				// All of a group come within 40 ms.
+				time.Sleep(time.Duration(rand.IntN(5)) * time.Millisecond)
+				go ask(1+i%routers, fmt.Sprintf("5c1e07a2:512,%s:300,%s,%08x:200", badPart, document(burst*together+i), rand.Uint32()), "bad part")
+			}
+			time.Sleep(4500 * time.Millisecond)
+		}
+	}
+	time.Sleep(4 * time.Second)
+	cancel()
+	wg.Wait()
+	crashes := c.crashed()
+	rec.add("%d crashes of runners; %d of %d sound requests served", len(crashes), served.Load(), sent.Load())
+	if len(crashes) < 5 {
+		return ""
+	}
+	bound := crashes[4].Add(stable)
+	late := map[string]bool{}
+	arrivals := 0
+	for _, a := range rec.all() {
+		if strings.Contains(a.prefix, badPart) && a.at.After(bound) {
+			late[a.id] = true
+			arrivals++
+		}
+	}
+	rec.add("fifth crash at %.3f; later than %v after it %d requests with the part reached runners, in %d runs",
+		crashes[4].Sub(rec.began).Seconds(), stable, len(late), arrivals)
+	if len(late) > 3 {
+		return fault(fmt.Sprintf("BUDGET: %d requests with the part that crashes runners reached runners later than stable-ms after the fifth crash; allowed 3; %d crashes", len(late), len(crashes)))
+	}
+	return ""
+}
