--- a/review/standin/case_prompts.go
+++ b/review/standin/case_prompts.go
@@ -92,16 +92,16 @@
 		}
 	}()
 	time.Sleep(6 * time.Second)
-	if trouble {
-		for burst := range 4 {
+	for burst := range 4 {
+		if trouble {
 			for i := range together {
 				wg.Add(1)
 				// All of a group come within 40 ms.
 				time.Sleep(time.Duration(rand.IntN(5)) * time.Millisecond)
 				go ask(1+i%routers, fmt.Sprintf("5c1e07a2:512,%s:300,%s,%08x:200", badPart, document(burst*together+i), rand.Uint32()), "bad part")
 			}
-			time.Sleep(4500 * time.Millisecond)
 		}
+		time.Sleep(4500 * time.Millisecond)
 	}
 	time.Sleep(4 * time.Second)
 	cancel()
