--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -26,6 +26,8 @@
 	work   time.Duration
 	// crashes reports whether the runner's process ends as it begins to write an answer to the request.
 	crashes func(r *http.Request) bool
+	// crashesPlain reports the same for a request without a prompt.
+	crashesPlain func(r *http.Request) bool
 	// fails reports whether the run ends with the runner's own 500.
 	fails func(r *http.Request) bool
 	// spoils returns the bytes that a faulty runner sends in place of its answer, nil for a sound answer.
@@ -169,6 +171,10 @@
 	w.Header().Set("Response-Seal", fmt.Sprintf("%s.%s.%d", r.id, id, run))
 	if req.Header.Get("Prompt-Prefix") == "" {
 		time.Sleep(r.work)
+		if r.crashesPlain != nil && r.crashesPlain(req) {
+			r.crash("begins to run " + id)
+			panic(http.ErrAbortHandler)
+		}
 		if r.ended.Load() {
 			panic(http.ErrAbortHandler)
 		}
