--- a/review/standin/record.go
+++ b/review/record.go
@@ -18,7 +18,6 @@
 	version string
 	prefix  string
 	last    string
-	path    string
 }
 
 // record holds what was sent, answered and run, and writes it to record.txt.
@@ -54,7 +53,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	a := arrival{at: time.Now(), id: id, runner: at.id, version: at.version,
-		prefix: req.Header.Get("Prompt-Prefix"), last: req.Header.Get("Last-Event-Id"), path: req.URL.Path}
+		prefix: req.Header.Get("Prompt-Prefix"), last: req.Header.Get("Last-Event-Id")}
 	r.arrivals = append(r.arrivals, a)
 	n := 0
 	for _, o := range r.arrivals {
--- a/review/standin/runner.go
+++ b/review/runner.go
@@ -26,14 +26,6 @@
 	work   time.Duration
 	// crashes reports whether the runner's process ends as it begins to write an answer to the request.
 	crashes func(r *http.Request) bool
-	// crashesPlain reports the same for a request without a prompt.
-	crashesPlain func(r *http.Request) bool
-	// fails reports whether the run ends with the runner's own 500.
-	fails func(r *http.Request) bool
-	// spoils returns the bytes that a faulty runner sends in place of its answer, nil for a sound answer.
-	spoils func(r *http.Request) []byte
-	// idle is after how long an idle channel is closed, 0 for never.
-	idle time.Duration
 	// onCrash is called once the process has ended.
 	onCrash func(r *runner)
 
@@ -70,7 +62,7 @@
 		cannotRun("runner %s: %v", r.id, err)
 	}
 	r.address, r.born, r.down, r.parts = ln.Addr().String(), time.Now().UnixMilli(), make(chan struct{}), map[string]int{}
-	r.srv = &http.Server{Handler: r, IdleTimeout: r.idle}
+	r.srv = &http.Server{Handler: r}
 	go func() { _ = r.srv.Serve(ln) }()
 	r.rec.add("runner %s (%s %s) starts at %s", r.id, r.service, r.version, r.address)
 	r.register()
@@ -145,9 +137,6 @@
 	id := req.Header.Get("Attempt-Id")
 	w.Header().Set("Attempt-Id", id)
 	w.Header().Set("Instance-Id", r.id)
-	if r.idle > 0 {
-		w.Header().Set("Keep-Alive", fmt.Sprintf("timeout=%d", int(r.idle.Seconds())))
-	}
 	body, err := io.ReadAll(req.Body)
 	if err != nil {
 		return
@@ -171,27 +160,9 @@
 	w.Header().Set("Response-Seal", fmt.Sprintf("%s.%s.%d", r.id, id, run))
 	if req.Header.Get("Prompt-Prefix") == "" {
 		time.Sleep(r.work)
-		if r.crashesPlain != nil && r.crashesPlain(req) {
-			r.crash("begins to run " + id)
-			panic(http.ErrAbortHandler)
-		}
 		if r.ended.Load() {
 			panic(http.ErrAbortHandler)
 		}
-		if r.fails != nil && r.fails(req) {
-			w.WriteHeader(http.StatusInternalServerError)
-			return
-		}
-		if r.spoils != nil {
-			if bytes := r.spoils(req); bytes != nil {
-				r.rec.add("request %s: %s sends %d bytes that are not its answer", id, r.id, len(bytes))
-				if conn, _, err := w.(http.Hijacker).Hijack(); err == nil {
-					_, _ = conn.Write(bytes)
-					_ = conn.Close()
-				}
-				return
-			}
-		}
 		text := fmt.Sprintf("%s %s done by %s", req.Method, req.URL.RequestURI(), r.id)
 		w.Header().Set("Content-Length", strconv.Itoa(len(text)))
 		_, _ = io.WriteString(w, text)
@@ -201,10 +172,6 @@
 }
 
 func (r *runner) serveStream(w http.ResponseWriter, req *http.Request, id string) {
-	if r.fails != nil && r.fails(req) {
-		w.WriteHeader(http.StatusInternalServerError)
-		return
-	}
 	r.keep(req.Header.Get("Prompt-Prefix"))
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Weight-Versions", "1")
