feat(retry): log what a retry was decided from

The repeat line says which requests and retries the router had counted, which slack it took and for how long it has counted; a counter and the dump tell the rest. Without these fields a process that has forgotten its retries, a router that spends what it saved and a wrong number of routers look the same where requests end with their process. Decisions are unchanged.

--- a/core/retry/fleetbudget.go
+++ b/core/retry/fleetbudget.go
@@ -1,6 +1,8 @@
 package retry
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -40,6 +42,8 @@
 // add to the overload that makes many requests fail at once.
 type FleetBudget struct {
 	Limits Limits
+	// Started is when this router began to count.
+	Started clock.Instant
 
 	mu       sync.Mutex
 	services map[settings.ServiceName]*counter
@@ -87,17 +91,48 @@
 	b.counter(name).step(b.stepNumber(now)).requests++
 }
 
-// Allow reports whether one more retry may be made, and counts it if so. The slack is divided by routers, the number of
-// routers in the fleet.
-func (b *FleetBudget) Allow(now clock.Instant, name settings.ServiceName, routers int) bool {
+// Decision is the answer to a router that asks for one more retry, with what it was decided from.
+type Decision struct {
+	Allowed bool
+	// Requests and Retries are those of this router in the window. Retries includes the one that was asked for, if allowed.
+	Requests, Retries int
+	// Slack is the part of the fleet's slack that this router may use.
+	Slack float64
+	// Counting is how long this router has counted.
+	Counting time.Duration
+}
+
+// Allow decides on one more retry, and counts it if it is allowed. The slack is divided by routers, the number of routers in the fleet.
+func (b *FleetBudget) Allow(now clock.Instant, name settings.ServiceName, routers int) Decision {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c, number := b.counter(name), b.stepNumber(now)
-	requests, retries := c.sum(number)
-	allowed := b.Limits.Ratio*float64(requests) + dividedSlackShare*b.Limits.Slack/float64(max(1, routers))
-	if float64(retries+1) > allowed {
-		return false
+	d := Decision{Slack: dividedSlackShare * b.Limits.Slack / float64(max(1, routers)), Counting: now.Sub(b.Started)}
+	d.Requests, d.Retries = c.sum(number)
+	if float64(d.Retries+1) > b.Limits.Ratio*float64(d.Requests)+d.Slack {
+		return d
 	}
 	c.step(number).retries++
-	return true
+	d.Allowed = true
+	d.Retries++
+	return d
+}
+
+// Status is what a router has counted for one service in the window.
+type Status struct {
+	Service  settings.ServiceName `json:"service"`
+	Requests int                  `json:"requests"`
+	Retries  int                  `json:"retries"`
+}
+
+// Statuses returns the counts of all services in the order of their names.
+func (b *FleetBudget) Statuses(now clock.Instant) []Status {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	list := make([]Status, 0, len(b.services))
+	for _, name := range slices.Sorted(maps.Keys(b.services)) {
+		requests, retries := b.services[name].sum(b.stepNumber(now))
+		list = append(list, Status{Service: name, Requests: requests, Retries: retries})
+	}
+	return list
 }
--- a/core/retry/fleetbudget_test.go
+++ b/core/retry/fleetbudget_test.go
@@ -29,7 +29,7 @@
 				b.RecordRequest(now, "desk")
 				sum.requests++
 				for range 3 {
-					if b.Allow(now, "desk", routers) {
+					if b.Allow(now, "desk", routers).Allowed {
 						sum.retries++
 					}
 				}
@@ -53,9 +53,9 @@
 	c := qt.New(t)
 	b := FleetBudget{Limits: Limits{Ratio: 0.2, Slack: 58, Window: 10 * time.Second}}
 	n := 0
-	for b.Allow(clock.Instant(time.Second), "desk", 5) {
+	for b.Allow(clock.Instant(time.Second), "desk", 5).Allowed {
 		n++
 	}
 	c.Assert(n, qt.Equals, 8)
-	c.Assert(b.Allow(clock.Instant(30*time.Second), "desk", 5), qt.IsTrue)
+	c.Assert(b.Allow(clock.Instant(30*time.Second), "desk", 5).Allowed, qt.IsTrue)
 }
--- a/router/internal/app/direct.go
+++ b/router/internal/app/direct.go
@@ -27,6 +27,7 @@
 	"rattantrack.dev/core/peer"
 	"rattantrack.dev/core/quarantine"
 	"rattantrack.dev/core/ratelimit"
+	"rattantrack.dev/core/retry"
 	"rattantrack.dev/core/revision"
 	"rattantrack.dev/core/routing"
 	"rattantrack.dev/core/settings"
@@ -80,6 +81,7 @@
 	quarantine   *quarantine.Tracker
 	rateLimits   *ratelimit.Tracker
 	shares       *fairshare.Tracker
+	budget       *retry.FleetBudget
 	evacuations  *evacuation.Tracker
 	cold         *cold.Tracker
 	costs        *cost.Estimator
@@ -232,7 +234,7 @@
 			Dumpers: []operator.Dumper{
 				d.client, d.watcher, d.members, &pauses{tracker: d.backoff}, &suspects{tracker: d.quarantine},
 				&rateLimits{tracker: d.rateLimits}, &evacuations{tracker: d.evacuations}, &coldUpstreams{tracker: d.cold},
-				&teamShares{tracker: d.shares}, &workload{costs: d.costs, work: d.work, members: d.members},
+				&teamShares{tracker: d.shares}, &retries{budget: d.budget}, &workload{costs: d.costs, work: d.work, members: d.members},
 				d.origins, d.routers, d.exchange, d.gossip, &operator.Links{Endpoint: d.endpoint},
 			},
 		},
--- a/router/internal/app/services.go
+++ b/router/internal/app/services.go
@@ -143,6 +143,10 @@
 		Limits: cold.Limits{Overage: limits.Overage, Slack: limits.Slack}, Self: d.cfg.Advertise, Routers: d.routers.KnownAddresses, OnCold: d.logCold,
 	}
 	budget := d.cfg.Direct.RetryBudget
+	d.budget = &retry.FleetBudget{
+		Limits:  retry.Limits{Ratio: budget.Ratio, Slack: budget.Slack, Window: budget.Window},
+		Started: clock.Boot{}.Now(),
+	}
 	dispatcher := &direct.Dispatcher{
 		DataCentre:   d.cfg.DataCentre,
 		Members:      d.members,
@@ -165,7 +169,7 @@
 		Demand:       &waiting.Demand{},
 		Placements:   &waiting.Rates{},
 		FairShare:    d.shares,
-		Budget:       &retry.FleetBudget{Limits: retry.Limits{Ratio: budget.Ratio, Slack: budget.Slack, Window: budget.Window}},
+		Budget:       d.budget,
 		Connections:  d.connections,
 		Dialect:      platform.Dialect{},
 		Warmup:       d.warmup,
--- a/router/internal/direct/dispatch.go
+++ b/router/internal/direct/dispatch.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -203,11 +204,15 @@
 
 // takeRetry takes a retry from the fleet's budget, and reports whether that had one.
 func (ex *exchange) takeRetry(inst members.Instance, reason string) bool {
-	now := ex.dispatcher.Clock.Now()
-	routers := ex.dispatcher.routerCount(now)
-	ok := ex.dispatcher.Budget.Allow(now, ex.Service, routers)
-	ex.dispatcher.Log.Info("repeat", "request", ex.ID, "upstream", inst.ID, "ending", reason, "routers", routers, "allowed", ok)
-	return ok
+	d := ex.dispatcher
+	now := d.Clock.Now()
+	routers := d.routerCount(now)
+	decision := d.Budget.Allow(now, ex.Service, routers)
+	d.Scope.Tagged(map[string]string{"allowed": strconv.FormatBool(decision.Allowed)}).Counter("retries").Inc(1)
+	d.Log.Info("repeat", "request", ex.ID, "service", ex.Service, "upstream", inst.ID, "ending", reason, "routers", routers,
+		"allowed", decision.Allowed, "window_requests", decision.Requests, "window_retries", decision.Retries, "slack", decision.Slack,
+		"counting_ms", decision.Counting.Milliseconds())
+	return decision.Allowed
 }
 
 // routerCount returns the number of routers that send requests, with this one.
