--- a/core/retry/fleet_sim_test.go
+++ b/core/retry/fleet_sim_test.go
@@ -32,8 +32,8 @@
 	weight float64
 	// backlog is the number of requests that wait for a frozen router.
 	backlog int
-	// met reports that the router has heard another one since its start.
-	met bool
+	// heard is the number of routers that the router hears, with itself, 0 as long as it has heard no other one.
+	heard int
 }
 
 // simFleet is a fleet whose requests fail. Retries fail too, and each request makes as many as it may.
@@ -69,27 +69,27 @@
 
 // restart replaces the process of a router by one that remembers nothing.
 func (f *simFleet) restart(r *simRouter) {
-	r.budget, r.started, r.backlog, r.met = f.newBudget(), f.now+simStart, 0, false
+	r.budget, r.started, r.backlog, r.heard = f.newBudget(), f.now+simStart, 0, 0
 	r.budget.Started = simInstant(r.started)
 	r.downUntil, r.frozenUntil = r.started, 0
 }
 
-// heard returns the number of routers that a router hears, with itself, 0 if it has heard none since its start.
-func (f *simFleet) heard(r *simRouter) int {
-	if f.now < r.started+simMeeting {
-		return 0
-	}
-	n := 1
-	for _, other := range f.routers {
-		if other != r && other.side == r.side && f.now >= max(other.downUntil, other.frozenUntil) {
-			n++
+// updateHeard updates the number of routers that each router hears, with itself: 0 as long as it has heard no other one.
+func (f *simFleet) updateHeard() {
+	running := make(map[int]int)
+	for _, r := range f.routers {
+		if f.now >= max(r.downUntil, r.frozenUntil) {
+			running[r.side]++
 		}
 	}
-	r.met = r.met || n > 1
-	if !r.met {
-		return 0
+	for _, r := range f.routers {
+		n := running[r.side]
+		if f.now < r.started+simMeeting || n <= 1 && r.heard == 0 {
+			r.heard = 0
+			continue
+		}
+		r.heard = max(1, n)
 	}
-	return n
 }
 
 // run plays the fleet at perSecond requests a second, of which the part failing ends in a failure. before is called ahead of each tick.
@@ -97,6 +97,7 @@
 	due := 0.0
 	for f.now = 0; f.now < simLength; f.now += simTick {
 		before(f.now)
+		f.updateHeard()
 		f.requests, f.retries = append(f.requests, 0), append(f.retries, 0)
 		for due += perSecond * simTick.Seconds(); due >= 1; due-- {
 			f.send(failing)
@@ -146,7 +147,7 @@
 			return
 		}
 		f.asked++
-		if !r.budget.Allow(now, "desk", f.heard(r)).Allowed {
+		if !r.budget.Allow(now, "desk", r.heard).Allowed {
 			return
 		}
 		f.allowed++
@@ -212,6 +213,13 @@
 	}
 }
 
+func seconds(list ...float64) (times []time.Duration) {
+	for _, s := range list {
+		times = append(times, time.Duration(s*float64(time.Second)))
+	}
+	return times
+}
+
 // partition splits the fleet into sides from the first failure on, for the given time.
 func partition(sides int, length time.Duration) disturbance {
 	return func(f *simFleet) func(now time.Duration) {
@@ -308,6 +316,7 @@
 // checkFleets plays a disturbance in fleets of all sizes, and fails if the retries of some window exceed the fleet's limit.
 func checkFleets(t *testing.T, name string, d disturbance) {
 	t.Run(name, func(t *testing.T) {
+		t.Parallel()
 		for _, size := range simSizes {
 			for _, failing := range []float64{0.3, 1} {
 				f := newSimFleet(1, size.routers, Limits{Ratio: 0.2, Slack: size.slack, Window: 10 * time.Second})
@@ -329,19 +338,13 @@
 	checkFleets(t, "two sides", partition(2, 5*time.Second))
 	checkFleets(t, "five sides for longer than lost routers are known", partition(5, 38*time.Second))
 	checkFleets(t, "each router alone", partition(1000, 5*time.Second))
+	checkFleets(t, "restarts behind a partition", together(partition(1000, 20*time.Second), restartAll(0.5, seconds(2, 6)...)))
 }
 
 func TestStartedRoutersRetryOnRequestsAlreadyPaidWith(t *testing.T) {
-	seconds := func(list ...float64) (times []time.Duration) {
-		for _, s := range list {
-			times = append(times, time.Duration(s*float64(time.Second)))
-		}
-		return times
-	}
 	checkFleets(t, "all restart once", restartAll(1, seconds(4)...))
 	checkFleets(t, "all restart three times", restartAll(1, seconds(3, 5.5, 8)...))
 	checkFleets(t, "half restart six times", restartAll(0.5, seconds(1, 2, 3, 4, 5, 6)...))
-	checkFleets(t, "restarts behind a partition", together(partition(1000, 20*time.Second), restartAll(0.5, seconds(2, 6)...)))
 	checkFleets(t, "twice as many routers", join)
 	checkFleets(t, "all freeze for four seconds", freezeAll(1, 4*time.Second))
 	checkFleets(t, "clients move each second", moveClients(time.Second))
--- a/core/retry/fleetbudget_test.go
+++ b/core/retry/fleetbudget_test.go
@@ -50,12 +50,32 @@
 }
 
 func TestSlackAllowsRetriesWithoutRequests(t *testing.T) {
-	c := qt.New(t)
-	b := FleetBudget{Limits: Limits{Ratio: 0.2, Slack: 58, Window: 10 * time.Second}}
-	n := 0
-	for b.Allow(clock.Instant(time.Second), "desk", 5).Allowed {
-		n++
+	const window = 10 * time.Second
+	start := clock.Instant(time.Hour)
+	tests := []struct {
+		name    string
+		after   time.Duration
+		routers int
+		// want and wantNext are the retries that are allowed at first, and after another window.
+		want, wantNext int
+	}{
+		{"an earlier process may have taken it", window - time.Second, 5, 0, 5},
+		{"a window after the start", window, 5, 5, 5},
+		{"the fleet is not known", 3 * window, 0, 0, 0},
+		{"a single router", 3 * window, 1, 29, 29},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			b := FleetBudget{Limits: Limits{Ratio: 0.2, Slack: 58, Window: window}, Started: start}
+			allowed := func(after time.Duration) (n int) {
+				for b.Allow(start.Add(after), "desk", tt.routers).Allowed {
+					n++
+				}
+				return n
+			}
+			c.Assert(allowed(tt.after), qt.Equals, tt.want)
+			c.Assert(allowed(tt.after+window+time.Second), qt.Equals, tt.wantNext)
+		})
 	}
-	c.Assert(n, qt.Equals, 8)
-	c.Assert(b.Allow(clock.Instant(30*time.Second), "desk", 5).Allowed, qt.IsTrue)
 }
--- a/router/internal/direct/dispatch.go
+++ b/router/internal/direct/dispatch.go
@@ -210,7 +210,7 @@
 	decision := d.Budget.Allow(now, ex.Service, routers)
 	d.Scope.Tagged(map[string]string{"allowed": strconv.FormatBool(decision.Allowed)}).Counter("retries").Inc(1)
 	d.Log.Info("repeat", "request", ex.ID, "service", ex.Service, "upstream", inst.ID, "ending", reason, "routers", routers,
-		"allowed", decision.Allowed, "window_requests", decision.Requests, "window_retries", decision.Retries, "slack", decision.Slack,
+		"allowed", decision.Allowed, "window_requests", decision.Requests, "window_retries", decision.Retries, "slack", decision.Slack, "left", decision.Left,
 		"counting_ms", decision.Counting.Milliseconds())
 	return decision.Allowed
 }
