fix(retry): divide the slack by the fleet, not by the routers that are heard

Callers saw failing upstreams get more retries than the fleet may make (BUDGET) while routers were cut off from each other.

Cause: each router divided the slack by the number of routers whose counts it had received within 1.5 s. In a partition each side divides by its own number, and shortly after a start by the few that it has met, so that together they take the slack several times.

Now a router divides by the largest number of routers that it has known for ten minutes, told once a second by the exchange, also without requests. One that has met no other since its start takes no slack. Two sides whose processes have all started anew take the divided half twice, which is the slack.

--- a/core/retry/fleet_sim_test.go
+++ b/core/retry/fleet_sim_test.go
@@ -84,11 +84,15 @@
 	}
 	for _, r := range f.routers {
 		n := running[r.side]
-		if f.now < r.started+simMeeting || n <= 1 && r.heard == 0 {
-			r.heard = 0
+		switch {
+		case f.now < max(r.downUntil, r.frozenUntil):
 			continue
+		case f.now < r.started+simMeeting || n <= 1 && r.heard == 0:
+			r.heard = 0
+		default:
+			r.heard = n
 		}
-		r.heard = max(1, n)
+		r.budget.RecordFleet(simInstant(f.now), r.heard)
 	}
 }
 
@@ -147,7 +151,7 @@
 			return
 		}
 		f.asked++
-		if !r.budget.Allow(now, "desk", r.heard).Allowed {
+		if !r.budget.Allow(now, "desk").Allowed {
 			return
 		}
 		f.allowed++
--- a/core/retry/fleetbudget.go
+++ b/core/retry/fleetbudget.go
@@ -31,13 +31,17 @@
 	// dividedSlackShare is the part of the fleet's slack that the routers divide among themselves. The rest covers routers that do not
 	// know of each other, and retries that reach upstreams later than they were allowed.
 	dividedSlackShare = 0.5
+	// fleetMemory is for how long, at least, the slack is divided by the largest number of routers known: those that are out of sight
+	// may still be retrying.
+	fleetMemory = 10 * time.Minute
 )
 
 // FleetBudget limits the retries of one router so that those of all routers stay within the fleet's limits. Without a limit, retries
 // would add to the overload that makes many requests fail at once.
 //
 // Each retry is paid for, in every window that it will be part of, by requests to this router that count in that window already. So the
-// sum over all routers holds whichever of them start, end, freeze or get other routers' clients.
+// sum over all routers holds whichever of them start, end, freeze, lose sight of each other or get other
+// routers' clients.
 type FleetBudget struct {
 	Limits Limits
 	// Started is when this router began to count.
@@ -45,6 +49,7 @@
 
 	mu       sync.Mutex
 	services map[settings.ServiceName]*counter
+	fleet    peak
 }
 
 // Decision is the answer to a router that asks for one more retry, with what it was decided from.
@@ -54,8 +59,9 @@
 	Left float64
 	// Requests and Retries are those of this router in the window that ends now, without the retry that was asked for.
 	Requests, Retries int
-	// Slack is the part of the fleet's slack that this router may use.
-	Slack float64
+	// Slack is the part of the fleet's slack that this router may use, Routers the number by which it is divided, 0 if it is unknown.
+	Slack   float64
+	Routers int
 	// Counting is how long this router has counted.
 	Counting time.Duration
 }
@@ -74,12 +80,20 @@
 	b.counter(name).step(b.stepNumber(now)).requests++
 }
 
-// Allow decides on one more retry, and counts it if it is allowed. routers is the number of routers in the fleet, 0 if it is unknown.
-func (b *FleetBudget) Allow(now clock.Instant, name settings.ServiceName, routers int) Decision {
+// RecordFleet records how many routers the fleet has, as far as this router knows, 0 if it knows no other one although there are some. It
+// is called all the time, so that the number from before a partition is known.
+func (b *FleetBudget) RecordFleet(now clock.Instant, routers int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.fleet.record(now, routers)
+}
+
+// Allow decides on one more retry, and counts it if it is allowed.
+func (b *FleetBudget) Allow(now clock.Instant, name settings.ServiceName) Decision {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c, number := b.counter(name), b.stepNumber(now)
-	d := Decision{Slack: b.slack(now, routers), Counting: now.Sub(b.Started)}
+	d := Decision{Slack: b.slack(now), Routers: b.fleet.largest(), Counting: now.Sub(b.Started)}
 	h := c.history(number)
 	d.Requests, d.Retries = h.current()
 	d.Left = h.left(b.Limits.Ratio) + d.Slack
@@ -107,7 +121,8 @@
 
 // slack returns this router's part of the fleet's slack. A started router takes none until what an earlier process in its place may have
 // taken has left the window, and none while it does not know the fleet.
-func (b *FleetBudget) slack(now clock.Instant, routers int) float64 {
+func (b *FleetBudget) slack(now clock.Instant) float64 {
+	routers := b.fleet.largest()
 	if routers == 0 || now.Sub(b.Started) < b.Limits.Window {
 		return 0
 	}
@@ -129,3 +144,19 @@
 func (b *FleetBudget) stepNumber(now clock.Instant) int64 {
 	return int64(now) / max(1, int64(b.Limits.Window)/stepsPerWindow)
 }
+
+// peak keeps the largest number recorded within fleetMemory or a little longer.
+type peak struct {
+	since             clock.Instant
+	current, previous int
+}
+
+// record records a number.
+func (p *peak) record(now clock.Instant, n int) {
+	if now.Sub(p.since) >= fleetMemory {
+		p.since, p.previous, p.current = now, p.current, 0
+	}
+	p.current = max(p.current, n)
+}
+
+func (p *peak) largest() int { return max(p.current, p.previous) }
--- a/core/retry/fleetbudget_test.go
+++ b/core/retry/fleetbudget_test.go
@@ -18,6 +18,7 @@
 	budgets := make([]*FleetBudget, routers)
 	for i := range budgets {
 		budgets[i] = &FleetBudget{Limits: limits}
+		budgets[i].RecordFleet(0, routers)
 	}
 	type second struct{ requests, retries int }
 	var history []second
@@ -29,7 +30,7 @@
 				b.RecordRequest(now, "desk")
 				sum.requests++
 				for range 3 {
-					if b.Allow(now, "desk", routers).Allowed {
+					if b.Allow(now, "desk").Allowed {
 						sum.retries++
 					}
 				}
@@ -68,8 +69,9 @@
 		t.Run(tt.name, func(t *testing.T) {
 			c := qt.New(t)
 			b := FleetBudget{Limits: Limits{Ratio: 0.2, Slack: 58, Window: window}, Started: start}
+			b.RecordFleet(start, tt.routers)
 			allowed := func(after time.Duration) (n int) {
-				for b.Allow(start.Add(after), "desk", tt.routers).Allowed {
+				for b.Allow(start.Add(after), "desk").Allowed {
 					n++
 				}
 				return n
@@ -79,3 +81,24 @@
 		})
 	}
 }
+
+func TestSlackGrowsWhileLostRoutersMayRetry(t *testing.T) {
+	c := qt.New(t)
+	b := FleetBudget{Limits: Limits{Ratio: 0.2, Slack: 58, Window: 10 * time.Second}}
+	start := clock.Instant(time.Hour)
+	for after := time.Duration(0); after < 3*fleetMemory; after += time.Second {
+		now := start.Add(after)
+		routers := 5
+		if after >= time.Minute {
+			routers = 1
+		}
+		b.RecordFleet(now, routers)
+		slack := b.Allow(now, "desk").Slack
+		if after < time.Minute+fleetMemory {
+			c.Assert(slack, qt.Equals, 5.8)
+		}
+		if after > time.Minute+2*fleetMemory {
+			c.Assert(slack, qt.Equals, 29.0)
+		}
+	}
+}
--- a/router/internal/app/direct.go
+++ b/router/internal/app/direct.go
@@ -224,6 +224,7 @@
 	stop := d.reloadOnHangup()
 	defer stop()
 	k := &kernel.Kernel{}
+	retryBudget := &retries{budget: d.budget, routers: d.routers}
 	// The client server starts before gossip, which is ready only with declarations, so that an early client gets a
 	// failure response with Retry-After instead of a refused connection.
 	k.Add(
@@ -234,7 +235,7 @@
 			Dumpers: []operator.Dumper{
 				d.client, d.watcher, d.members, &pauses{tracker: d.backoff}, &suspects{tracker: d.quarantine},
 				&rateLimits{tracker: d.rateLimits}, &evacuations{tracker: d.evacuations}, &coldUpstreams{tracker: d.cold},
-				&teamShares{tracker: d.shares}, &retries{budget: d.budget}, &workload{costs: d.costs, work: d.work, members: d.members},
+				&teamShares{tracker: d.shares}, retryBudget, &workload{costs: d.costs, work: d.work, members: d.members},
 				d.origins, d.routers, d.exchange, d.gossip, &operator.Links{Endpoint: d.endpoint},
 			},
 		},
@@ -242,6 +243,7 @@
 		&peer.Listener{Address: d.cfg.Peer, Endpoint: d.endpoint, IdleTimeout: idleLinkTimeout},
 		d.connections,
 		d.routers,
+		retryBudget,
 		d.exchange,
 		d.loads,
 		d.crashes,
--- a/router/internal/direct/dispatch.go
+++ b/router/internal/direct/dispatch.go
@@ -206,10 +206,9 @@
 func (ex *exchange) takeRetry(inst members.Instance, reason string) bool {
 	d := ex.dispatcher
 	now := d.Clock.Now()
-	routers := d.routerCount(now)
-	decision := d.Budget.Allow(now, ex.Service, routers)
+	decision := d.Budget.Allow(now, ex.Service)
 	d.Scope.Tagged(map[string]string{"allowed": strconv.FormatBool(decision.Allowed)}).Counter("retries").Inc(1)
-	d.Log.Info("repeat", "request", ex.ID, "service", ex.Service, "upstream", inst.ID, "ending", reason, "routers", routers,
+	d.Log.Info("repeat", "request", ex.ID, "service", ex.Service, "upstream", inst.ID, "ending", reason, "routers", decision.Routers,
 		"allowed", decision.Allowed, "window_requests", decision.Requests, "window_retries", decision.Retries, "slack", decision.Slack, "left", decision.Left,
 		"counting_ms", decision.Counting.Milliseconds())
 	return decision.Allowed
--- a/router/internal/direct/dispatch_test.go
+++ b/router/internal/direct/dispatch_test.go
@@ -258,6 +258,7 @@
 		Connections: pool,
 		Dialect:     testDialect{}, Warmup: noWarmup{}, Clock: clock.Boot{}, Log: log.New(io.Discard), Scope: tally.NoopScope,
 	}}
+	b.Budget.RecordFleet(b.Clock.Now(), 1)
 	b.OnLeaving = func(inst members.Instance) { b.Members.MarkLeaving(inst) }
 	var list []members.Change
 	for i, script := range upstreams {
--- a/router/internal/direct/overload_sim_test.go
+++ b/router/internal/direct/overload_sim_test.go
@@ -206,6 +206,7 @@
 			Budget:       &retry.FleetBudget{Limits: retry.Limits{Ratio: 0.2, Slack: 84 / float64(scale), Window: 10 * time.Second}},
 			Clock:        s, Log: log.New(io.Discard), Scope: tally.NoopScope,
 		}}
+		r.Budget.RecordFleet(s.now, simRouters)
 		r.Members.Replace(s.now, 1, changes)
 		r.Affinity.Merge(s.now, entries)
 		s.routers = append(s.routers, r)
