--- a/core/retry/fleetbudget_test.go
+++ b/core/retry/fleetbudget_test.go
@@ -102,3 +102,50 @@
 		}
 	}
 }
+
+// TestBudgetRefusesWhatTheFleetMayRetry plays one of 22 routers with 13 requests a second.
+func TestBudgetRefusesWhatTheFleetMayRetry(t *testing.T) {
+	const perSecond = 13
+	tests := []struct {
+		name string
+		// age is how long the router has run. A part of its requests fails from then on, after burst requests at once.
+		age     time.Duration
+		failing float64
+		burst   int
+		// want is the number of retries that the fleet's limit leaves for this router in the next ten seconds.
+		want int
+	}{
+		{"one in six for ten seconds", time.Minute, 1.0 / 6, 0, 21},
+		{"the open requests of a crashed upstream", time.Minute, 0, 18, 18},
+		{"all requests", time.Minute, 1, 0, 25},
+		{"one in twenty at a router that has just started", 0, 1.0 / 20, 0, 6},
+		{"all at a router that has just started", 0, 1, 0, 6},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			start := clock.Instant(time.Hour)
+			b := FleetBudget{Limits: Limits{Ratio: 0.2, Slack: 84, Window: 10 * time.Second}, Started: start}
+			b.RecordFleet(start, 22)
+			allowed, due := 0, 0.0
+			for n := range int((tt.age + 10*time.Second).Seconds() * perSecond) {
+				at := time.Duration(float64(n) / perSecond * float64(time.Second))
+				b.RecordRequest(start.Add(at), "desk")
+				if at < tt.age {
+					continue
+				}
+				for due += tt.failing; due > 0.999; due-- {
+					if b.Allow(start.Add(at), "desk").Allowed {
+						allowed++
+					}
+				}
+				for ; tt.burst > 0; tt.burst-- {
+					if b.Allow(start.Add(at), "desk").Allowed {
+						allowed++
+					}
+				}
+			}
+			c.Assert(allowed >= tt.want, qt.IsTrue, qt.Commentf("%d retries allowed, %d wanted", allowed, tt.want))
+		})
+	}
+}
