fix(origin): a cut-off router takes no version for the only one

A router that is cut off from the others took the only version that it knew for the one that began a stream, as long as its news from the directory were younger than 2.5 s, or as soon as any router on its side of the cut replied. A version that had joined beyond the cut meanwhile was not in its record.

TestCutOffRouterMixesVersions failed before: "only_version" v1 for a stream that began at v2.

Now a router decides on a version only if all routers that it asked have replied and none was out of reach since the newest news, or after a read of the directory that began after the client came. Watcher.Refresh makes that read at once, in one call for all that wait; it interrupts a watch. A router that had no news for 2.5 s while others were out of reach no longer counts its history as complete, since an instance may have joined and ended meanwhile. A frozen router gets the others' replies, as before.

Cost: while a router is out of reach, a stream whose origin nobody remembers waits for one read of the directory, and is refused where that cannot be read.

--- a/core/origin/decide.go
+++ b/core/origin/decide.go
@@ -39,8 +39,8 @@
 	Versions []Seen
 	// Complete reports that Versions has all that may have begun the stream.
 	Complete bool
-	// Fresh reports that this router is not cut off: others have replied, or it has news from the directory, or there are no others.
-	Fresh bool
+	// Contact tells whether another version may have joined unnoticed.
+	Contact Contact
 	// Own is the size of the prompt's own block. Listings tell who has it cached, Engines are the instances in the directory that may
 	// have begun the stream. ListingsComplete reports that no listing was dropped.
 	Own              settings.Tokens
@@ -49,6 +49,22 @@
 	ListingsComplete bool
 }
 
+// Contact is what a router knows of the others and of the directory as a client takes up a stream.
+type Contact struct {
+	// Asked is the number of routers that it has asked about the stream, Replies of those that have replied.
+	Asked, Replies int
+	// Whole reports that no router that it knows has been out of reach since the newest news from the directory.
+	Whole bool
+	// Refreshed reports that it has read the directory since the client came.
+	Refreshed bool
+}
+
+// Current reports whether the router knows all versions at which a stream can have begun before the client came. A router out of reach may
+// have begun it at an instance that this one has not heard of.
+func (c Contact) Current() bool {
+	return c.Refreshed || c.Asked > 0 && c.Replies == c.Asked && c.Whole
+}
+
 // Verdict is where a stream may go on.
 type Verdict string
 
@@ -71,7 +87,7 @@
 	if k.Found != nil {
 		return *k.Found, Remembered
 	}
-	if !k.Fresh {
+	if !k.Contact.Current() {
 		return Origin{}, Unknown
 	}
 	if o, ok := onlyVersion(service, k); ok {
--- a/core/origin/history.go
+++ b/core/origin/history.go
@@ -46,6 +46,13 @@
 	}
 }
 
+// Interrupt records that versions may have come and gone unnoticed.
+func (h *History) Interrupt(now clock.Instant) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.completeAt = now.Add(KeepTime)
+}
+
 // Complete reports whether the history has all versions of the last KeepTime.
 func (h *History) Complete(now clock.Instant) bool {
 	h.mu.Lock()
--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -22,6 +22,8 @@
 	}}
 }
 
+var inTouch = Contact{Asked: 5, Replies: 5, Whole: true}
+
 // TestStreamOfUnknownOriginGoesOnOnlyWhereItIsCertain covers what a router may know when no router remembers a stream.
 func TestStreamOfUnknownOriginGoesOnOnlyWhereItIsCertain(t *testing.T) {
 	one := []Seen{{Service: "letters", Version: "v1"}, {Service: "letters", Version: "v1", Age: time.Second}}
@@ -34,13 +36,17 @@
 		verdict Verdict
 	}{
 		{"remembered, whatever serves", Knowledge{Found: &Origin{Version: "v0"}, Versions: two}, "v0", Remembered},
-		{"one version", Knowledge{Versions: one, Complete: true, Fresh: true}, "v1", OnlyVersion},
-		{"another one has left", Knowledge{Versions: two, Complete: true, Fresh: true}, "", Unknown},
-		{"another one may have left", Knowledge{Versions: one, Fresh: true}, "", Unknown},
+		{"one version", Knowledge{Versions: one, Complete: true, Contact: inTouch}, "v1", OnlyVersion},
+		{"another one has left", Knowledge{Versions: two, Complete: true, Contact: inTouch}, "", Unknown},
+		{"another one may have left", Knowledge{Versions: one, Contact: inTouch}, "", Unknown},
 		{"another one may have come", Knowledge{Versions: one, Complete: true}, "", Unknown},
-		{"no instances", Knowledge{Complete: true, Fresh: true}, "", Unknown},
+		{"a router out of reach", Knowledge{Versions: one, Complete: true, Contact: Contact{Asked: 5, Replies: 5}}, "", Unknown},
+		{"one has not replied", Knowledge{Versions: one, Complete: true, Contact: Contact{Asked: 5, Replies: 4, Whole: true}}, "", Unknown},
+		{"alone", Knowledge{Versions: one, Complete: true, Contact: Contact{Whole: true}}, "", Unknown},
+		{"alone, with the directory", Knowledge{Versions: one, Complete: true, Contact: Contact{Refreshed: true}}, "v1", OnlyVersion},
+		{"no instances", Knowledge{Complete: true, Contact: inTouch}, "", Unknown},
 		{"only version, and another one has its prompt", Knowledge{
-			Versions: one, Complete: true, Fresh: true, Own: 50, Listings: []Listing{{Origin: v2, Tokens: 80}}, ListingsComplete: true,
+			Versions: one, Complete: true, Contact: inTouch, Own: 50, Listings: []Listing{{Origin: v2, Tokens: 80}}, ListingsComplete: true,
 		}, "", Unknown},
 	}
 	for _, tt := range tests {
@@ -77,14 +83,14 @@
 		{"listings were dropped", func(k *Knowledge) { k.ListingsComplete = false }, Origin{}},
 		{"an engine of another version has not listed its cache", func(k *Knowledge) { k.Engines[0].HasListed = false }, Origin{}},
 		{"an engine of the version has not listed its cache", func(k *Knowledge) { k.Engines[1].HasListed = false }, v2},
-		{"the router is cut off", func(k *Knowledge) { k.Fresh = false }, Origin{}},
+		{"the router is cut off", func(k *Knowledge) { k.Contact.Whole = false }, Origin{}},
 		{"engines that name no version", func(k *Knowledge) { k.Listings[0].Origin.Version = "" }, Origin{}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			c := qt.New(t)
 			k := Knowledge{
-				Versions: []Seen{{Service: "letters", Version: "v1"}, {Service: "letters", Version: "v2"}}, Fresh: true, Own: 50,
+				Versions: []Seen{{Service: "letters", Version: "v1"}, {Service: "letters", Version: "v2"}}, Contact: inTouch, Own: 50,
 				Listings: []Listing{{Origin: v2, Tokens: 80}}, Engines: slices.Clone(engines), ListingsComplete: true,
 			}
 			tt.change(&k)
--- a/router/internal/app/direct.go
+++ b/router/internal/app/direct.go
@@ -159,6 +159,17 @@
 	return min(age, clock.Boot{}.Now().Sub(read))
 }
 
+// originRouters are the routers that are asked for the origins of streams.
+type originRouters struct {
+	*routers.Service
+	directoryAge func() time.Duration
+}
+
+// InTouch reports that no known router has been out of reach since the newest news from the directory.
+func (r originRouters) InTouch() bool {
+	return r.InTouchSince(clock.Boot{}.Now().Add(-r.directoryAge()))
+}
+
 // cachingServices returns the services whose upstreams cache prompts, nil while there are no declarations.
 func (d *Direct) cachingServices() []settings.ServiceName {
 	_, declarations := d.store.Current()
--- a/router/internal/app/services.go
+++ b/router/internal/app/services.go
@@ -1,6 +1,7 @@
 package app
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -99,12 +100,12 @@
 		ID:           inflight.RouterID(d.cfg.ID),
 		Address:      d.cfg.Advertise,
 		FirstStart:   d.cfg.Direct.FirstStart,
-		Routers:      d.routers,
+		Routers:      originRouters{Service: d.routers, directoryAge: d.directoryAge},
 		Dialer:       d.endpoint,
 		Caches:       d.affinity,
 		Demand:       func(name settings.ServiceName) { d.warmup.Demand(name) },
 		DirectoryAge: d.directoryAge,
-		KnownRouters: d.routers.Known,
+		Refresh:      func(ctx context.Context) error { return d.watcher.Refresh(ctx) },
 		Clock:        clock.Boot{},
 		Log:          d.log,
 		Scope:        scope,
--- a/router/internal/directory/watcher.go
+++ b/router/internal/directory/watcher.go
@@ -98,6 +98,9 @@
 	lastRead, lastOwnRead clock.Instant
 	failing               bool
 	polling               bool
+	// refreshes are those that wait for a read that begins after them; wake interrupts a watch or a pause for them.
+	refreshes []chan error
+	wake      chan struct{}
 }
 
 // String returns the service's name.
@@ -112,13 +115,17 @@
 		w.expire(ctx)
 	}()
 	for ctx.Err() == nil {
+		if waiting := w.takeRefreshes(); len(waiting) > 0 {
+			w.refresh(ctx, waiting)
+			continue
+		}
 		if w.shouldPoll() {
 			w.poll(ctx)
 			continue
 		}
 		// Changes from now on may be missed, so the next poll reads the complete directory.
 		w.complete = false
-		clock.Sleep(ctx, selectionInterval)
+		w.pause(ctx, selectionInterval)
 	}
 	<-done
 	return nil
@@ -202,14 +209,25 @@
 
 // poll makes one call and the pause after it.
 func (w *Watcher) poll(ctx context.Context) {
-	u, err := w.fetch(ctx)
-	if ctx.Err() != nil {
+	call, cancel := w.interruptible(ctx)
+	u, err := w.fetch(call, watchWait)
+	interrupted := call.Err() != nil
+	cancel()
+	if ctx.Err() != nil || (err != nil && interrupted) {
 		return
 	}
 	if err != nil {
 		w.failed(ctx, err)
 		return
 	}
+	w.record(u)
+	if !u.Complete {
+		w.pause(ctx, watchPause)
+	}
+}
+
+// record records a successful call with its update.
+func (w *Watcher) record(u *directory.Update) {
 	w.Scope.Counter("directory_reads").Inc(1)
 	readAt := w.succeeded()
 	w.apply(u)
@@ -217,14 +235,12 @@
 	w.lastOwnRead = readAt
 	w.lastRead = max(w.lastRead, readAt)
 	w.mu.Unlock()
-	if !u.Complete {
-		clock.Sleep(ctx, watchPause)
-	}
 }
 
-func (w *Watcher) fetch(ctx context.Context) (*directory.Update, error) {
+// fetch reads the complete directory, or its changes, for which it waits.
+func (w *Watcher) fetch(ctx context.Context, wait time.Duration) (*directory.Update, error) {
 	if w.complete {
-		return w.Source.Watch(ctx, w.position, watchWait)
+		return w.Source.Watch(ctx, w.position, wait)
 	}
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
--- a/router/internal/origins/find.go
+++ b/router/internal/origins/find.go
@@ -31,8 +31,11 @@
 	cachesTimeout = time.Second
 	// demandPause is the time between two demands for the lists of a service.
 	demandPause = 5 * time.Second
-	// maxDirectoryAge is the age of the directory from which on a router may have missed a version.
+	// maxDirectoryAge is the age of the directory from which on an instance may have joined and ended since it was read. Entries of
+	// instances that have ended stay for longer.
 	maxDirectoryAge = 2500 * time.Millisecond
+	// refreshTimeout bounds the read of the directory for a stream whose origin other routers may know that are out of reach.
+	refreshTimeout = 500 * time.Millisecond
 )
 
 // Find returns where a stream may go on that the client has events of.
@@ -46,13 +49,15 @@
 			k.Found = &o
 		}
 	}
-	asked, replies := 0, 0
 	if k.Found == nil {
-		asked, replies = s.askFor(ctx, id, q, &k)
+		s.askFor(ctx, id, q, &k)
 	}
 	o, verdict := origin.Decide(q.Service, &k)
-	for n := 1; verdict == origin.Unknown && (n == 1 || (asked == 0 && n <= maxEarlyAsks)) && clock.Sleep(ctx, askPause); n++ {
-		asked, replies = s.askFor(ctx, id, q, &k)
+	for n := 1; verdict == origin.Unknown && (n == 1 || (k.Contact.Asked == 0 && n <= maxEarlyAsks)) && clock.Sleep(ctx, askPause); n++ {
+		s.askFor(ctx, id, q, &k)
+		o, verdict = origin.Decide(q.Service, &k)
+	}
+	if verdict == origin.Unknown && !k.Contact.Current() && s.refresh(ctx, q, &k) {
 		o, verdict = origin.Decide(q.Service, &k)
 	}
 	if verdict == origin.Unknown && s.demands(q, &k) {
@@ -60,8 +65,9 @@
 	}
 	s.Scope.Tagged(map[string]string{"verdict": string(verdict)}).Counter("streams_taken_up").Inc(1)
 	if verdict == origin.Unknown {
-		s.Log.Warn("origin of a stream unknown", "first_attempt", q.FirstAttempt, "service", q.Service, "asked", asked,
-			"replies", replies, "versions", versionsOf(k.Versions), "complete", k.Complete, "fresh", k.Fresh,
+		s.Log.Warn("origin of a stream unknown", "first_attempt", q.FirstAttempt, "service", q.Service, "asked", k.Contact.Asked,
+			"replies", k.Contact.Replies, "versions", versionsOf(k.Versions), "complete", k.Complete, "whole", k.Contact.Whole,
+			"refreshed", k.Contact.Refreshed, "fresh", k.Contact.Current(),
 			"cached_at", cachedAt(k.Listings), "caches_unread", unread(k.Engines), "listings_complete", k.ListingsComplete)
 	}
 	return o, verdict
@@ -119,7 +125,7 @@
 // demands reports whether what engines have not listed yet may tell where a stream began: several versions have served, and some of
 // their instances have not been read.
 func (s *Service) demands(q *origin.Question, k *origin.Knowledge) bool {
-	return q.Own.ID != 0 && k.Fresh && unread(k.Engines) > 0
+	return q.Own.ID != 0 && k.Contact.Current() && unread(k.Engines) > 0
 }
 
 // demand demands the lists of a service's engines and returns until when a stream may wait for them. Engines that have not listed by
@@ -177,7 +183,8 @@
 }
 
 // askFor adds what this router and those that may hold the record know.
-func (s *Service) askFor(ctx context.Context, id origin.StreamID, q *origin.Question, k *origin.Knowledge) (asked, replies int) {
+func (s *Service) askFor(ctx context.Context, id origin.StreamID, q *origin.Question, k *origin.Knowledge) {
+	whole := s.Routers.InTouch()
 	s.mu.Lock()
 	var addresses []string
 	if s.holders != nil {
@@ -189,8 +196,9 @@
 		addresses = s.holders.Asked(key, s.Address)
 	}
 	s.mu.Unlock()
+	k.Contact = origin.Contact{Asked: len(addresses)}
 	for r := range s.ask(ctx, addresses, &peer.OriginQuery{Stream: id, Service: q.Service}) {
-		replies++
+		k.Contact.Replies++
 		k.Versions = append(k.Versions, r.Seen...)
 		k.Complete = k.Complete || r.Complete
 		if r.Found {
@@ -198,14 +206,31 @@
 			break
 		}
 	}
+	k.Contact.Whole = whole && s.Routers.InTouch()
+	s.addOwn(q, k)
+}
+
+// addOwn adds what this router knows.
+func (s *Service) addOwn(q *origin.Question, k *origin.Knowledge) {
 	now := s.Clock.Now()
 	k.Versions = append(k.Versions, s.history.Seen(now, q.Service)...)
 	k.Complete = k.Complete || s.history.Complete(now) || s.history.Settled(time.Now(), q.Service)
 	if k.Found == nil {
 		s.addCaches(now, q, k)
 	}
-	k.Fresh = replies > 0 || s.DirectoryAge() < maxDirectoryAge || s.KnownRouters() <= 1
-	return len(addresses), replies
+}
+
+// refresh reads the directory, which names all instances at which routers out of reach can have begun the stream.
+func (s *Service) refresh(ctx context.Context, q *origin.Question, k *origin.Knowledge) bool {
+	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
+	defer cancel()
+	if err := s.Refresh(ctx); err != nil {
+		s.Log.Info("directory not read for a stream", "first_attempt", q.FirstAttempt, "error", err)
+		return false
+	}
+	k.Contact.Refreshed = true
+	s.addOwn(q, k)
+	return true
 }
 
 // ask sends a query to routers at the same time and yields the replies as they come, until the time for them has passed.
--- a/router/internal/origins/send.go
+++ b/router/internal/origins/send.go
@@ -47,6 +47,7 @@
 	now := s.Clock.Now()
 	s.began.Expire(now)
 	s.held.Expire(now)
+	s.recordGap(now)
 	mixed := make(map[settings.ServiceName]bool)
 	for _, v := range s.history.Seen(now, "") {
 		_, several := mixed[v.Service]
@@ -106,6 +107,17 @@
 	}
 }
 
+// recordGap makes the history incomplete while an instance may join and end that only routers out of reach hear of.
+func (s *Service) recordGap(now clock.Instant) {
+	if s.DirectoryAge() <= maxDirectoryAge || s.Routers.InTouch() {
+		return
+	}
+	s.history.Interrupt(now)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.inherited = false
+}
+
 // inherit asks other routers for their history.
 func (s *Service) inherit(ctx context.Context, addresses []string) {
 	for r := range s.ask(ctx, addresses[:min(len(addresses), maxSources)], &peer.OriginQuery{}) {
--- a/router/internal/origins/service.go
+++ b/router/internal/origins/service.go
@@ -43,6 +43,8 @@
 // Routers reports the other routers that can be reached.
 type Routers interface {
 	OriginRouters() []Router
+	// InTouch reports that no known router has been out of reach since the newest news from the directory.
+	InTouch() bool
 }
 
 // Dialer provides links to addresses.
@@ -77,11 +79,11 @@
 	Demand func(name settings.ServiceName)
 	// DirectoryAge returns the age of the newest directory read that this router knows of.
 	DirectoryAge func() time.Duration
-	// KnownRouters returns the number of routers that may be running, with this one.
-	KnownRouters func() int
-	Clock        Clock
-	Log          *log.Logger
-	Scope        tally.Scope
+	// Refresh returns once a read of the directory has been applied that began after the call.
+	Refresh func(ctx context.Context) error
+	Clock   Clock
+	Log     *log.Logger
+	Scope   tally.Scope
 
 	history origin.History
 	// began holds the streams that began or went on here, held those of other routers.
--- a/router/internal/origins/service_test.go
+++ b/router/internal/origins/service_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
 	qt "github.com/frankban/quicktest"
 	"github.com/uber-go/tally/v4"
 
@@ -41,17 +42,35 @@
 	stop        func()
 	// blind means that the router has met no other one yet.
 	blind atomic.Bool
+	// cut means that the router and the others do not reach each other.
+	cut atomic.Bool
+	// refreshed is called for a read of the directory, nil if that cannot be read.
+	refreshed func()
 }
 
+// errUnreadable is the error of a directory that cannot be read.
+var errUnreadable = errors.New("the directory cannot be read")
+
+func (n *node) refresh() error {
+	if n.refreshed == nil {
+		return errUnreadable
+	}
+	n.refreshed()
+	return nil
+}
+
+// InTouch reports that the router reaches the others.
+func (n *node) InTouch() bool { return !n.cut.Load() }
+
 // OriginRouters returns the other routers that run.
 func (n *node) OriginRouters() (list []Router) {
-	if n.blind.Load() {
+	if n.blind.Load() || n.cut.Load() {
 		return nil
 	}
 	n.fleet.mu.Lock()
 	defer n.fleet.mu.Unlock()
 	for address, other := range n.fleet.nodes {
-		if address != n.address {
+		if address != n.address && !other.cut.Load() {
 			list = append(list, Router{Address: address, Incarnation: other.incarnation})
 		}
 	}
@@ -85,7 +104,7 @@
 	n.service = &Service{
 		ID: inflight.RouterID(n.address), Address: n.address, FirstStart: first, Routers: n, Dialer: endpoint, Clock: clock.Boot{},
 		Caches: &affinity.Index{}, Demand: func(settings.ServiceName) {},
-		DirectoryAge: func() time.Duration { return 0 }, KnownRouters: func() int { return f.size() },
+		DirectoryAge: func() time.Duration { return 0 }, Refresh: func(context.Context) error { return n.refresh() },
 		Log: log.New(io.Discard), Scope: tally.NoopScope,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -112,12 +131,6 @@
 	return n
 }
 
-func (f *fleet) size() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return len(f.nodes)
-}
-
 // list adds an instance of a version at a router.
 func (n *node) list(id string, version members.Version) {
 	n.service.Apply([]members.Event{{ID: settings.UpstreamID(id), Kind: members.EventAdded, Instance: members.Instance{
@@ -279,11 +292,59 @@
 	c.Assert(verdict, qt.Equals, origin.Unknown)
 }
 
+// TestCutOffRouterMixesVersions guards against a router that takes the only version that it knows for the one that began a stream, while
+// another version has joined beyond the cut.
+func TestCutOffRouterMixesVersions(t *testing.T) {
+	c := qt.New(t)
+	f := &fleet{t: t}
+	var nodes []*node
+	for range 4 {
+		n := f.start("", true)
+		n.list("a", "v1")
+		nodes = append(nodes, n)
+	}
+	time.Sleep(3 * reviewInterval)
+	cut, others := nodes[0], nodes[1:]
+	cut.cut.Store(true)
+	time.Sleep(3 * reviewInterval)
+	for _, n := range others {
+		n.list("b", "v2")
+	}
+	others[0].service.Begin("s", origin.Origin{Service: "letters", Version: "v2"})
+	_, verdict := cut.find("s")
+	c.Assert(verdict, qt.Equals, origin.Unknown)
+	// The directory names the other version.
+	cut.refreshed = func() { cut.list("b", "v2") }
+	_, verdict = cut.find("s")
+	c.Assert(verdict, qt.Equals, origin.Unknown)
+}
+
+// TestReachableRouterRefusesStreamsOfTheOnlyVersion guards against streams that are refused although no other version can have begun them.
+func TestReachableRouterRefusesStreamsOfTheOnlyVersion(t *testing.T) {
+	c := qt.New(t)
+	f := &fleet{t: t}
+	var nodes []*node
+	for range 4 {
+		n := f.start("", true)
+		n.list("a", "v1")
+		nodes = append(nodes, n)
+	}
+	time.Sleep(3 * reviewInterval)
+	_, verdict := nodes[0].find("s")
+	c.Assert(verdict, qt.Equals, origin.OnlyVersion)
+	nodes[0].cut.Store(true)
+	time.Sleep(3 * reviewInterval)
+	nodes[0].refreshed = func() {}
+	_, verdict = nodes[0].find("s")
+	c.Assert(verdict, qt.Equals, origin.OnlyVersion)
+}
+
 // TestStreamIsPlacedByItsPromptAfterAllRecordsAreLost covers the loss of all routers while two versions serve.
 func TestStreamIsPlacedByItsPromptAfterAllRecordsAreLost(t *testing.T) {
 	c := qt.New(t)
 	f := &fleet{t: t}
 	n := f.start("", false)
+	n.refreshed = func() {}
 	index := &affinity.Index{}
 	n.service.Caches = index
 	engine := func(id string, version members.Version, blocks ...call.PromptBlock) members.Instance {
--- a/router/internal/routers/service.go
+++ b/router/internal/routers/service.go
@@ -76,7 +76,7 @@
 	// when the router was added or, later, when an exchange last failed.
 	lastExchange, lastReceived, since clock.Instant
 	lost                              bool
-	// lostAt is when the router was last lost, valid while lost is set.
+	// lostAt is when the router was last lost.
 	lostAt     clock.Instant
 	exchanging bool
 	// hasCacheEntries reports that the cache warm-up of the router has ended, so that it can send its cache entries.
@@ -130,7 +130,9 @@
 	started clock.Instant
 	mu      sync.Mutex
 	routers map[string]*router
-	wg      sync.WaitGroup
+	// forgottenLostAt is when the last of the forgotten routers was lost.
+	forgottenLostAt clock.Instant
+	wg              sync.WaitGroup
 	// backlog holds the latest cache updates of this router, backlogTimes when each was added.
 	backlog      []affinity.CacheEntry
 	backlogTimes []clock.Instant
--- a/router/internal/routers/table.go
+++ b/router/internal/routers/table.go
@@ -103,6 +103,7 @@
 
 // forget removes a router. The caller holds the lock.
 func (s *Service) forget(r *router) {
+	s.forgottenLostAt = max(s.forgottenLostAt, r.lostAt)
 	delete(s.routers, r.address)
 	delete(s.tree.table.byHash, xxhash.Sum64String(r.address))
 }
--- a/router/internal/routers/view.go
+++ b/router/internal/routers/view.go
@@ -137,6 +137,22 @@
 	return others, alone
 }
 
+// InTouchSince reports whether no router that this one knows has been out of reach since the given time.
+func (s *Service) InTouchSince(t clock.Instant) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.forgottenLostAt > t {
+		return false
+	}
+	now := s.Clock.Now()
+	for address, r := range s.routers {
+		if address != s.Address && (r.lostAt > t || r.known(now) && !r.reachable()) {
+			return false
+		}
+	}
+	return true
+}
+
 // known reports whether the router may be running: it is reachable or, for forgetTime, it was lost or only heard of.
 func (r *router) known(now clock.Instant) bool {
 	silentSince := r.since
