fix(upstream): an answer that ends with its connection is whole only if the request was written

Cause: the kernel reports a reset once for each connection. If the blocked write of the body consumes the report, the read that follows sees a clean end. The error of that write was dropped, with the assumption that it shows as an early end; an unframed answer has no such mark. The same holds for a timeout of the connection.

--- a/router/internal/direct/attempt.go
+++ b/router/internal/direct/attempt.go
@@ -274,5 +274,5 @@
 // endsUnbegun reports whether a stream that has ended without an event was broken off. Without a length or chunks, nothing but the end
 // of the connection marks its end.
 func (ex *exchange) endsUnbegun(res *upstream.Response) bool {
-	return res.ContentLength < 0 && len(res.TransferEncoding) == 0 && ex.relay.events == 0 && ex.relay.lastEvent == ""
+	return res.Unframed() && ex.relay.events == 0 && ex.relay.lastEvent == ""
 }
--- a/router/internal/upstream/conn.go
+++ b/router/internal/upstream/conn.go
@@ -70,6 +70,9 @@
 // Drain discards the rest of the body, and reports whether it has ended, so that the connection can carry another request. It
 // gives up after maxDrainBytes or drainTimeout: a new connection costs less.
 func (r *Response) Drain() bool {
+	if r.Unframed() {
+		return false
+	}
 	if r.conn.SetReadDeadline(time.Now().Add(drainTimeout)) != nil {
 		return false
 	}
@@ -119,12 +122,11 @@
 type Conn struct {
 	Instance members.Instance
 
-	conn    *headReader
-	reader  *bufio.Reader
-	dialect Dialect
-	used    bool
-	// written is closed when the request has been written completely.
-	written   chan struct{}
+	conn      *headReader
+	reader    *bufio.Reader
+	dialect   Dialect
+	used      bool
+	write     *bodyWrite
 	idleSince time.Time
 	idleTime  time.Duration
 	// checked reports that the connection was checked for surplus bytes since it became idle.
@@ -230,14 +232,16 @@
 // send writes the request. A long body is written in its own goroutine, since an upstream may respond before it has read
 // the body.
 func (c *Conn) send(head, body []byte) error {
-	c.written = make(chan struct{})
+	w := &bodyWrite{done: make(chan struct{})}
+	c.write = w
 	if len(body) <= readBufferBytes {
-		n, err := c.conn.Write(append(head, body...))
-		close(c.written)
-		if err != nil && n == 0 {
-			return &NotSentError{Cause: err}
+		defer close(w.done)
+		var n int
+		n, w.err = c.conn.Write(append(head, body...))
+		if w.err != nil && n == 0 {
+			return &NotSentError{Cause: w.err}
 		}
-		return errors.Wrap(err, "sending the request")
+		return errors.Wrap(w.err, "sending the request")
 	}
 	if n, err := c.conn.Write(head); err != nil {
 		if n == 0 {
@@ -245,12 +249,9 @@
 		}
 		return errors.Wrap(err, "sending the head")
 	}
-	written := c.written
 	go func() {
-		// A failed write shows as an early end of the response. written then stays open, so the connection is not reused.
-		if _, err := c.conn.Write(body); err == nil {
-			close(written)
-		}
+		defer close(w.done)
+		_, w.err = c.conn.Write(body)
 	}()
 	return nil
 }
@@ -264,13 +265,20 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "reading the response")
 		}
-		if res.StatusCode >= http.StatusOK {
-			return res, nil
+		if res.StatusCode < http.StatusOK {
+			continue
+		}
+		if isUnframed(res) {
+			res.Body = &unframedBody{ReadCloser: res.Body, write: c.write}
 		}
+		return res, nil
 	}
 }
 
 func skipResponse(res *http.Response) error {
+	if isUnframed(res) {
+		return errors.New("the response ends with its connection")
+	}
 	n, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxMismatchedBytes))
 	if err != nil {
 		return err
@@ -290,11 +298,11 @@
 // reusable reports whether the connection can carry another request after a complete response.
 func (c *Conn) reusable(res *Response) bool {
 	select {
-	case <-c.written:
+	case <-c.write.done:
 	default:
 		return false
 	}
-	return !res.Close && c.reader.Buffered() == 0
+	return c.write.err == nil && !res.Close && c.reader.Buffered() == 0
 }
 
 // encode returns the request line and the header fields.
--- /dev/null
+++ b/router/internal/upstream/conn_test.go
@@ -0,0 +1,128 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"rattantrack.dev/core/call"
+	"rattantrack.dev/core/members"
+)
+
+type idDialect struct{}
+
+func (idDialect) ReadAnswer(_ int, h http.Header) call.Answer {
+	return call.Answer{ID: call.ID(h.Get("Id"))}
+}
+
+// serveOne serves one connection and returns the address.
+func serveOne(t *testing.T, serve func(conn *net.TCPConn, r *bufio.Reader)) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		tcp := conn.(*net.TCPConn)
+		_ = tcp.SetReadBuffer(16 << 10)
+		serve(tcp, bufio.NewReaderSize(conn, 16))
+	}()
+	t.Cleanup(func() { _ = ln.Close(); <-done })
+	return ln.Addr().String()
+}
+
+// readHead reads a request up to its body.
+func readHead(r *bufio.Reader) {
+	for {
+		line, err := r.ReadString('\n')
+		if err != nil || line == "\r\n" {
+			return
+		}
+	}
+}
+
+const (
+	longBody   = 4 << 20
+	wholeLines = 4000
+)
+
+// lines returns lines of an answer.
+func lines(n int) string { return strings.Repeat("a line of the answer\n", n) }
+
+// exchangeLong sends a request with a long body and reads the answer.
+func exchangeLong(t *testing.T, address string) (string, error) {
+	t.Helper()
+	c := qt.New(t)
+	p := &Pool{Dialect: idDialect{}}
+	conn, err := p.Get(context.Background(), members.Instance{ID: "i", Address: address}, true)
+	c.Assert(err, qt.IsNil)
+	defer conn.Close()
+	res, err := conn.Do(&Request{
+		ID: "r", Method: http.MethodPost, URI: "/", Host: "h", Header: http.Header{}, Body: make([]byte, longBody), HasBody: true,
+	})
+	if err != nil {
+		return "", err
+	}
+	body, err := io.ReadAll(res.Body)
+	return string(body), err
+}
+
+// TestResetAnswerLooksComplete guards against half of an answer without a length that is taken for the whole of it: a write of the request's
+// body can consume the only report of the reset.
+func TestResetAnswerLooksComplete(t *testing.T) {
+	for range 40 {
+		address := serveOne(t, func(conn *net.TCPConn, r *bufio.Reader) {
+			readHead(r)
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: r\r\n\r\n%s", lines(wholeLines/2))
+			time.Sleep(5 * time.Millisecond)
+			// Closing with unread bytes resets the connection.
+		})
+		body, err := exchangeLong(t, address)
+		qt.Assert(t, err, qt.IsNotNil, qt.Commentf("%d bytes of %d are the whole answer", len(body), len(lines(wholeLines))))
+	}
+}
+
+// TestEarlyAnswerWithoutLengthIsBrokenOff guards against whole answers that count as broken off because the upstream reads the body late.
+func TestEarlyAnswerWithoutLengthIsBrokenOff(t *testing.T) {
+	tests := []struct {
+		name  string
+		serve func(conn *net.TCPConn, r *bufio.Reader)
+	}{
+		{"body read before the end", func(conn *net.TCPConn, r *bufio.Reader) {
+			_, _ = io.WriteString(conn, lines(wholeLines/2))
+			_, _ = io.CopyN(io.Discard, r, longBody)
+			_, _ = io.WriteString(conn, lines(wholeLines/2))
+		}},
+		{"body read after the end", func(conn *net.TCPConn, r *bufio.Reader) {
+			_, _ = io.WriteString(conn, lines(wholeLines))
+			_ = conn.CloseWrite()
+			time.Sleep(20 * time.Millisecond)
+			_, _ = io.CopyN(io.Discard, r, longBody)
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			address := serveOne(t, func(conn *net.TCPConn, r *bufio.Reader) {
+				readHead(r)
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: r\r\n\r\n")
+				tt.serve(conn, r)
+			})
+			body, err := exchangeLong(t, address)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, len(body), qt.Equals, len(lines(wholeLines)))
+		})
+	}
+}
