fix(origin): the age of listed instances does not show that no version has left

Cause: a router that had just started took the listed versions for all that can have begun a stream if all listed instances were older than 30 s. An instance that ended without a replacement leaves no trace in that.

TestStreamOfLostVersionGoesOnAtAnother failed before ("only_version").

Now the only version is concluded from a complete history alone, this router's or another one's: evidence that covers the time of the stream's start. After the loss of all routers the engines' caches tell, also while one version is listed; their lists are demanded if they were not read. TestStreamGoesOnAfterAllRoutersWereLost passes.

History.Settled goes, and TestRecentInstancesAreNotSettled with it: what it checked is no longer concluded from at all.

--- a/core/origin/history.go
+++ b/core/origin/history.go
@@ -144,29 +144,6 @@
 	return len(h.Seen(now, name)) > 1
 }
 
-// settledTime is the age from which on the instances of a service show that none was replaced lately. A version that leaves is
-// replaced some seconds before, and a client returns within some seconds.
-const settledTime = 30 * time.Second
-
-// Settled reports whether all instances of a service have run for so long that no stream can have begun at others before them. wall is
-// the time of day, by which incarnations are named.
-func (h *History) Settled(wall time.Time, name settings.ServiceName) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	newest := wall.Add(-settledTime).UnixMilli()
-	found := false
-	for _, l := range h.instances {
-		if l.origin.Service != name {
-			continue
-		}
-		if l.incarnation == 0 || int64(l.incarnation) > newest {
-			return false
-		}
-		found = true
-	}
-	return found
-}
-
 // Process identifies a process of an instance, and what would begin there.
 type Process struct {
 	ID          settings.UpstreamID
--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -156,25 +156,6 @@
 	c.Assert(alone.Complete(at(60)), qt.IsTrue)
 }
 
-// TestRecentInstancesAreNotSettled covers a fleet that has lost all routers: a young instance may have replaced another version.
-func TestRecentInstancesAreNotSettled(t *testing.T) {
-	c := qt.New(t)
-	wall := time.UnixMilli(1_700_000_100_000)
-	var h History
-	c.Assert(h.Settled(wall, "letters"), qt.IsFalse)
-	instance := func(id string, incarnation members.Incarnation) members.Event {
-		e := event(members.EventAdded, id, "v1")
-		e.Instance.Incarnation = incarnation
-		return e
-	}
-	h.Apply(at(0), []members.Event{instance("a", 1_700_000_000_000), instance("b", 1_700_000_069_000)})
-	c.Assert(h.Settled(wall, "letters"), qt.IsTrue)
-	h.Apply(at(0), []members.Event{instance("c", 1_700_000_071_000)})
-	c.Assert(h.Settled(wall, "letters"), qt.IsFalse)
-	h.Apply(at(0), []members.Event{instance("c", 0)})
-	c.Assert(h.Settled(wall, "letters"), qt.IsFalse)
-}
-
 func TestRecordsAreBoundedAndExpire(t *testing.T) {
 	c := qt.New(t)
 	var r Records
--- a/router/internal/origins/find.go
+++ b/router/internal/origins/find.go
@@ -114,7 +114,7 @@
 	for _, l := range listed {
 		k.Listings = append(k.Listings, origin.Listing{Origin: originOf(l), Tokens: settings.Tokens(l.Tokens)})
 	}
-	if len(versionsOf(k.Versions)) < 2 {
+	if k.Complete && len(versionsOf(k.Versions)) < 2 {
 		return
 	}
 	for _, p := range s.history.Processes(q.Service) {
@@ -122,8 +122,8 @@
 	}
 }
 
-// demands reports whether what engines have not listed yet may tell where a stream began: several versions have served, and some of
-// their instances have not been read.
+// demands reports whether what engines have not listed yet may tell where a stream began: several versions may have served, and some
+// instances have not been read.
 func (s *Service) demands(q *origin.Question, k *origin.Knowledge) bool {
 	return q.Own.ID != 0 && k.Contact.Current() && unread(k.Engines) > 0
 }
@@ -214,7 +214,7 @@
 func (s *Service) addOwn(q *origin.Question, k *origin.Knowledge) {
 	now := s.Clock.Now()
 	k.Versions = append(k.Versions, s.history.Seen(now, q.Service)...)
-	k.Complete = k.Complete || s.history.Complete(now) || s.history.Settled(time.Now(), q.Service)
+	k.Complete = k.Complete || s.history.Complete(now)
 	if k.Found == nil {
 		s.addCaches(now, q, k)
 	}
--- a/router/internal/origins/service_test.go
+++ b/router/internal/origins/service_test.go
@@ -339,6 +339,33 @@
 	c.Assert(verdict, qt.Equals, origin.OnlyVersion)
 }
 
+// TestStreamOfLostVersionGoesOnAtAnother guards against a router that takes the only version in the directory for the one that began a
+// stream, after all routers and the only instance of another version were lost.
+func TestStreamOfLostVersionGoesOnAtAnother(t *testing.T) {
+	c := qt.New(t)
+	f := &fleet{t: t}
+	n := f.start("", false)
+	n.refreshed = func() {}
+	index := &affinity.Index{}
+	n.service.Caches = index
+	old := members.Instance{ID: "a", Service: "letters", Version: "v1", Incarnation: 1}
+	n.service.Apply([]members.Event{{ID: old.ID, Kind: members.EventAdded, Instance: old}})
+	n.service.Demand = func(settings.ServiceName) {
+		index.RecordListing(clock.Boot{}.Now(), []call.PromptBlock{{ID: 7, Tokens: 90}}, old)
+	}
+	find := func(own call.PromptBlock) (members.Version, origin.Verdict) {
+		o, verdict := n.service.Find(context.Background(), &origin.Question{FirstAttempt: "s", Service: "letters", Own: own})
+		return o.Version, verdict
+	}
+	_, verdict := find(call.PromptBlock{})
+	c.Assert(verdict, qt.Equals, origin.Unknown)
+	_, verdict = find(call.PromptBlock{ID: 9, Tokens: 50})
+	c.Assert(verdict, qt.Equals, origin.Unknown)
+	version, verdict := find(call.PromptBlock{ID: 7, Tokens: 50})
+	c.Assert(verdict, qt.Equals, origin.Cached)
+	c.Assert(version, qt.Equals, members.Version("v1"))
+}
+
 // TestStreamIsPlacedByItsPromptAfterAllRecordsAreLost covers the loss of all routers while two versions serve.
 func TestStreamIsPlacedByItsPromptAfterAllRecordsAreLost(t *testing.T) {
 	c := qt.New(t)
