fix(gossip): a version reaches all routers that run, whatever part of the fleet is lost

Cause: a router announces a version once, to four peers chosen from all routers that it has ever known and to at most eight that compared with it. Peers that do not answer were dropped and not replaced before the next comparison, one each 2 s.

Routers that are known to be lost are not told, and a comparison that fails tries another peer. A router that hears of a version and cannot pull it reads the directory itself.

--- a/core/gossip/service.go
+++ b/core/gossip/service.go
@@ -39,6 +39,8 @@
 	Log    *log.Logger
 	// Candidates returns the addresses of the processes that may become peers.
 	Candidates func() []string
+	// OnBehind is called when a peer has a newer version that could not be pulled from it; it may be nil.
+	OnBehind func(ctx context.Context, theirs settings.Revision)
 
 	peers overlay.PeerSet
 	mu    sync.Mutex
@@ -46,6 +48,8 @@
 	inbound []*peer.Link
 	wake    chan struct{}
 	once    sync.Once
+	// pending are the comparisons under way.
+	pending sync.WaitGroup
 }
 
 // Status is the state of the service in a dump.
@@ -66,9 +70,10 @@
 // ends.
 func (s *Service) Run(ctx context.Context, ready func()) error {
 	wake := s.wakeChannel()
+	defer s.pending.Wait()
 	for {
 		// A process that already has a version compares it first as well, since it may be old.
-		s.compareWithAll(ctx)
+		s.announce(ctx)
 		if s.hasVersion() {
 			break
 		}
@@ -95,8 +100,6 @@
 }
 
 func (s *Service) keepUpToDate(ctx context.Context, wake <-chan struct{}) {
-	var pending sync.WaitGroup
-	defer pending.Wait()
 	compare := time.NewTicker(jitter(compareInterval))
 	defer compare.Stop()
 	rotate := time.NewTicker(jitter(rotateInterval))
@@ -107,16 +110,16 @@
 			return
 		case <-wake:
 			// This runs beside the loop so that one slow peer does not delay the next version for the others.
-			pending.Add(1)
+			s.pending.Add(1)
 			go func() {
-				defer pending.Done()
+				defer s.pending.Done()
 				s.notifyInbound(ctx)
-				s.compareWithAll(ctx)
+				s.announce(ctx)
 			}()
 		case <-rotate.C:
 			s.peers.Rotate()
 		case <-compare.C:
-			s.compareWithOne(ctx, &pending)
+			s.compareWithOne(ctx)
 		}
 	}
 }
@@ -126,46 +129,22 @@
 	return d*3/4 + rand.N(d/2)
 }
 
-// compareWithOne starts a goroutine that compares versions with one peer.
-func (s *Service) compareWithOne(ctx context.Context, pending *sync.WaitGroup) {
-	address, ok := s.peers.Pick(s.Candidates())
-	if !ok {
-		return
-	}
-	pending.Add(1)
-	go func() {
-		defer pending.Done()
-		s.compare(ctx, address)
-	}()
-}
-
-func (s *Service) compareWithAll(ctx context.Context) {
-	var wg sync.WaitGroup
-	for _, address := range s.peers.Choose(s.Candidates()) {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			s.compare(ctx, address)
-		}()
-	}
-	wg.Wait()
-}
-
-// compare sends the version in force to one peer and pulls the peer's version if that is newer.
-func (s *Service) compare(ctx context.Context, address string) {
+// compare sends the version in force to one peer and pulls the peer's version if that is newer. It reports whether the peer has answered.
+func (s *Service) compare(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
 	link, err := s.Dialer.Dial(ctx, address)
 	if err != nil {
 		s.peers.Drop(address)
-		return
+		return false
 	}
 	theirs, err := peer.Request[*peer.Announce](ctx, link, s.announcement(), requestTimeout)
 	if err != nil {
 		s.peers.Drop(address)
-		return
+		return false
 	}
 	s.catchUp(ctx, link, theirs.Version)
+	return true
 }
 
 // maxInbound bounds the inbound links over which a new version is announced, in addition to the links to the peer set.
@@ -202,18 +181,25 @@
 	if theirs.Revision <= local.Revision || s.Store.Refused(theirs.Revision) {
 		return
 	}
-	since := local.Revision
+	if !s.pull(ctx, link, local.Revision) && s.OnBehind != nil {
+		s.OnBehind(ctx, theirs.Revision)
+	}
+}
+
+// pull pulls the changes since a revision and reports whether they were taken.
+func (s *Service) pull(ctx context.Context, link *peer.Link, since settings.Revision) bool {
 	for range 2 {
 		reply, err := peer.Request[*peer.DeltaReply](ctx, link, &peer.Pull{Since: since}, requestTimeout)
 		if err != nil {
-			return
+			return false
 		}
 		if s.Offer(reply.Delta) != revision.Gap {
-			return
+			return true
 		}
 		// The changes do not start at the version in force here, so the complete version is needed.
 		since = 0
 	}
+	return false
 }
 
 // Offer passes a version to the store and announces it to the peers if it was accepted.
--- a/core/gossip/service_test.go
+++ b/core/gossip/service_test.go
@@ -4,14 +4,18 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/charmbracelet/log"
 	qt "github.com/frankban/quicktest"
 
+	"rattantrack.dev/core/clock"
 	"rattantrack.dev/core/peer"
 	"rattantrack.dev/core/revision"
 	"rattantrack.dev/core/settings"
@@ -26,8 +30,15 @@
 
 	mu  sync.Mutex
 	cut map[string]bool
+	// lost means that the node has lost power: whoever dials it waits in vain.
+	lost atomic.Bool
+	// others are all nodes by their addresses, nil until nodes can be lost.
+	others map[string]*node
 }
 
+// dialTimeout is how long a dial of a lost node takes.
+const dialTimeout = 250 * time.Millisecond
+
 // Serve passes messages to the gossip service.
 func (n *node) Serve(ctx context.Context, st *peer.Stream, m peer.Message) {
 	n.service.Serve(ctx, st, m)
@@ -38,6 +49,10 @@
 	if n.isCut(address) {
 		return nil, &net.AddrError{Err: "cut off", Addr: address}
 	}
+	if n.unreachable(address) {
+		clock.Sleep(ctx, dialTimeout)
+		return nil, &net.AddrError{Err: "no answer", Addr: address}
+	}
 	link, err := n.endpoint.Dial(ctx, address)
 	if err == nil && n.isCut(address) {
 		// The address was cut off while the link was being made.
@@ -47,6 +62,14 @@
 	return link, err
 }
 
+// unreachable reports whether the node, or the one at an address, is lost.
+func (n *node) unreachable(address string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	other := n.others[address]
+	return n.lost.Load() || other != nil && other.lost.Load()
+}
+
 func (n *node) isCut(address string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -162,6 +185,47 @@
 	}
 }
 
+// TestVersionMissesNodesWhileMostAreLost guards against nodes that keep an old version since those that would have told them are lost.
+func TestVersionMissesNodesWhileMostAreLost(t *testing.T) {
+	for _, lost := range []int{15, 21, 27} {
+		t.Run(fmt.Sprintf("%d of 30", lost), func(t *testing.T) {
+			nodes := startNodes(t, 30)
+			waitInForce(t, 1, nodes...)
+			byAddress := make(map[string]*node)
+			for _, n := range nodes {
+				byAddress[n.address] = n
+			}
+			for _, n := range nodes {
+				n.mu.Lock()
+				n.others = byAddress
+				n.mu.Unlock()
+			}
+			// Which nodes compare with which others has become a matter of chance.
+			time.Sleep(compareInterval)
+			for r := settings.Revision(2); r < 6; r++ {
+				nodes := slices.Clone(nodes)
+				rand.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
+				for i, n := range nodes {
+					n.lost.Store(i < lost)
+					if i < lost {
+						n.endpoint.Close()
+					}
+				}
+				live := nodes[lost:]
+				start := time.Now()
+				offer(t, live[0], r)
+				waitInForce(t, r, live...)
+				took := time.Since(start)
+				for _, n := range nodes[:lost] {
+					n.lost.Store(false)
+				}
+				waitInForce(t, r, nodes...)
+				qt.Assert(t, took < 2*time.Second, qt.IsTrue, qt.Commentf("version %d in force after %v", r, took))
+			}
+		})
+	}
+}
+
 // setCut cuts or restores all links between two groups and, for a cut, closes the links of all their nodes.
 func setCut(a, b []*node, cut bool) {
 	for _, x := range a {
@@ -183,3 +247,33 @@
 	defer n.mu.Unlock()
 	n.cut[address] = cut
 }
+
+// TestVersionThatCannotBePulledIsMissed guards against a node that keeps an old version although it has heard of a newer one.
+func TestVersionThatCannotBePulledIsMissed(t *testing.T) {
+	c := qt.New(t)
+	nodes := startNodes(t, 1)
+	waitInForce(t, 1, nodes...)
+	behind := make(chan settings.Revision, 1)
+	nodes[0].service.OnBehind = func(_ context.Context, theirs settings.Revision) { behind <- theirs }
+	allow, err := peer.ParseNetworks(settings.DefaultAllow)
+	c.Assert(err, qt.IsNil)
+	// The other end announces a version and ends.
+	other := &peer.Endpoint{Handler: silent{}, Allow: allow, LocalHello: func() peer.Hello {
+		return peer.Hello{Protocol: peer.ProtocolVersion, ID: "other"}
+	}}
+	defer other.Close()
+	link, err := other.Dial(context.Background(), nodes[0].address)
+	c.Assert(err, qt.IsNil)
+	c.Assert(peer.Notify(context.Background(), link, &peer.Announce{Version: revision.Version{Revision: 9}}), qt.IsNil)
+	select {
+	case theirs := <-behind:
+		c.Assert(theirs, qt.Equals, settings.Revision(9))
+	case <-time.After(2 * requestTimeout):
+		t.Fatal("nothing reads the newer version")
+	}
+}
+
+// silent responds to nothing.
+type silent struct{}
+
+func (silent) Serve(context.Context, *peer.Stream, peer.Message) {}
--- a/router/internal/app/direct.go
+++ b/router/internal/app/direct.go
@@ -61,6 +61,9 @@
 	directoryIdleTimeout = 30 * time.Second
 )
 
+// refreshTimeout bounds the read of the directory for a version that another router could not pass on.
+const refreshTimeout = time.Second
+
 // linkDialTimeout bounds the dial of a link to another router of the region. A VM that is still starting drops the first
 // packet, and the kernel retransmits it only after 1 s (RFC 6298), so a new dial succeeds sooner.
 const linkDialTimeout = 250 * time.Millisecond
@@ -159,6 +162,22 @@
 	return min(age, clock.Boot{}.Now().Sub(read))
 }
 
+// gossipCandidates returns the routers that are told of a new version: the reachable ones, or all while none is.
+func (d *Direct) gossipCandidates() []string {
+	if reachable := d.routers.Reachable(); len(reachable) > 0 {
+		return reachable
+	}
+	return d.routers.Addresses()
+}
+
+// readDeclarations reads the directory, since another router has a newer version that it could not pass on.
+func (d *Direct) readDeclarations(ctx context.Context, newer settings.Revision) {
+	// The exchange with the router has used up its time.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), refreshTimeout)
+	defer cancel()
+	d.log.Warn("declarations read from the directory", "newer", newer, "error", d.watcher.Refresh(ctx))
+}
+
 // originRouters are the routers that are asked for the origins of streams.
 type originRouters struct {
 	*routers.Service
--- a/router/internal/app/services.go
+++ b/router/internal/app/services.go
@@ -110,7 +110,9 @@
 		Log:          d.log,
 		Scope:        scope,
 	}
-	d.gossip = &gossip.Service{Store: d.store, Dialer: d.endpoint, Log: d.log, Candidates: d.routers.Addresses}
+	d.gossip = &gossip.Service{
+		Store: d.store, Dialer: d.endpoint, Log: d.log, Candidates: d.gossipCandidates, OnBehind: d.readDeclarations,
+	}
 	d.watcher = &directory.Watcher{
 		Self:          polling.Candidate{Address: d.cfg.Advertise, Cores: d.cfg.Direct.Cores},
 		Routers:       directoryRouters{Service: d.routers, loads: d.loads},
