fix(quarantine): suspicion narrows to the blocks that no survivals have cleared

Cause: a finding kept away requests with all blocks that the crashed prompts have in common. One block less, and a request passed, crashed an upstream and took that one block from the suspicion.

Now, after five crashes, a request is also kept away if it has more than a quarter of the suspected blocks: those in all crashed prompts that survivals have not cleared. One that passes crashes an upstream and narrows the suspicion to a quarter, or survives and clears its blocks. Sound requests that share the other blocks clear them while the crashes come, and go on.

Open: sound requests that come only after the fifth crash and share most of the suspected blocks are refused until others have cleared these.

--- a/core/quarantine/decide.go
+++ b/core/quarantine/decide.go
@@ -23,6 +23,12 @@
 	evidenceTime = 5 * time.Minute
 	// maxFindings bounds the quarantined blocks.
 	maxFindings = 64
+	// minNarrowing is the number of crashes from which on requests are kept away that have only some of the suspected blocks.
+	// narrowingParts is into how many parts one more crash narrows the suspicion at least, so that few find the block.
+	minNarrowing   = 5
+	narrowingParts = 4
+	// clearingSurvivals is by how many survivals more a block is cleared that is in all crashed prompts.
+	clearingSurvivals = 2
 )
 
 // Finding is a request or a prompt block that explains crashes.
@@ -33,23 +39,35 @@
 	// a request with all of them is quarantined.
 	Block  call.PromptBlockID
 	Blocks []call.PromptBlockID
+	// Suspected are those of Blocks that no survivals have cleared. After several crashes, a request with many of them is quarantined too.
+	Suspected []call.PromptBlockID
 	// Crashes is the number of crashes that the finding explains, Survivals the number of requests that survived nevertheless.
 	Crashes, Survivals int
 	// Until is when the evidence will have expired.
 	Until clock.Instant
 }
 
-// matches reports whether a request is the one of the finding, or has all of its blocks.
+// matches reports whether a request is the one of the finding, has all of its blocks or, after several crashes, so many of the suspected ones
+// that letting it pass could not narrow the suspicion much.
 func (f *Finding) matches(r Request) bool {
 	if f.Digest != 0 {
 		return r.Digest == f.Digest
 	}
-	for _, id := range f.Blocks {
-		if !slices.ContainsFunc(r.Blocks, func(b call.PromptBlock) bool { return b.ID == id }) {
-			return false
+	if count(f.Blocks, r) == len(f.Blocks) {
+		return true
+	}
+	return f.Crashes >= minNarrowing && narrowingParts*count(f.Suspected, r) > len(f.Suspected)
+}
+
+// count returns how many of the blocks a request has.
+func count(blocks []call.PromptBlockID, r Request) int {
+	n := 0
+	for _, id := range blocks {
+		if slices.ContainsFunc(r.Blocks, func(b call.PromptBlock) bool { return b.ID == id }) {
+			n++
 		}
 	}
-	return true
+	return n
 }
 
 // trait returns what the finding is about.
@@ -178,7 +196,7 @@
 		best := slices.MinFunc(found, compare)
 		for _, c := range found {
 			if c == best || c.ties(best) {
-				findings = append(findings, explain(crashes, c))
+				findings = append(findings, explain(crashes, c, survivals))
 			}
 		}
 		for _, c := range crashes {
@@ -229,7 +247,7 @@
 }
 
 // explain returns the finding for a candidate.
-func explain(crashes []*crash, best *candidate) Finding {
+func explain(crashes []*crash, best *candidate, survivals func(trait) int) Finding {
 	f := Finding{Survivals: best.survivals}
 	if best.trait.repeat {
 		f.Digest = call.RequestDigest(best.trait.id)
@@ -245,6 +263,11 @@
 			f.Blocks = c.commonBlocks(best.trait, f.Blocks)
 		}
 	}
+	for _, id := range f.Blocks {
+		if survivals(trait{id: uint64(id)}) < best.survivals+clearingSurvivals {
+			f.Suspected = append(f.Suspected, id)
+		}
+	}
 	// The finding holds as long as the newest crashes suffice for it.
 	needed := minStrength + strengthPerSurvival*best.survivals
 	for _, s := range slices.Backward(best.supports) {
--- a/router/internal/app/suspects.go
+++ b/router/internal/app/suspects.go
@@ -18,6 +18,7 @@
 	Digest    string `json:"digest,omitempty"`
 	Block     string `json:"block,omitempty"`
 	Blocks    string `json:"blocks,omitempty"`
+	Suspected string `json:"suspected,omitempty"`
 	Crashes   int    `json:"crashes"`
 	Survivals int    `json:"survivals"`
 	LeftMS    int64  `json:"left_ms"`
@@ -35,7 +36,7 @@
 		if f.Digest != 0 {
 			status.Digest = f.Digest.String()
 		} else {
-			status.Block, status.Blocks = f.Block.String(), joinBlocks(f.Blocks)
+			status.Block, status.Blocks, status.Suspected = f.Block.String(), joinBlocks(f.Blocks), joinBlocks(f.Suspected)
 		}
 		list = append(list, status)
 	}
@@ -45,7 +46,7 @@
 // logFinding logs a request or a block that is quarantined or released.
 func (d *Direct) logFinding(f quarantine.Finding, quarantined bool) {
 	subject, counter := "prompt", "prompts_quarantined"
-	fields := []any{"block", f.Block.String(), "blocks", joinBlocks(f.Blocks)}
+	fields := []any{"block", f.Block.String(), "blocks", joinBlocks(f.Blocks), "suspected", joinBlocks(f.Suspected)}
 	if f.Digest != 0 {
 		subject, counter = "request", "requests_quarantined"
 		fields = []any{"digest", f.Digest.String()}
