fix(upstream): a success without the request's id is not an upstream's answer

Cause: the first answer on a connection counted without an id, whatever its status, since an upstream that cannot read a request refuses it without one.

TestSuccessWithoutIDIsPassedOn failed before on three of five answers. Now only failures count without an id; anything else is skipped as another request's, and the attempt is lost.

--- a/router/internal/upstream/conn.go
+++ b/router/internal/upstream/conn.go
@@ -218,7 +218,8 @@
 			return nil, err
 		}
 		answer := c.dialect.ReadAnswer(res.StatusCode, res.Header)
-		if answer.ID == r.ID || (answer.ID == "" && !reused) {
+		// An upstream that cannot read a request refuses it without an id. A success without one is not an upstream's answer.
+		if answer.ID == r.ID || (answer.ID == "" && !reused && res.StatusCode >= http.StatusBadRequest) {
 			c.setIdleTime(answer.IdleTime)
 			return &Response{Response: res, Answer: answer, conn: c.conn}, nil
 		}
--- a/router/internal/upstream/conn_test.go
+++ b/router/internal/upstream/conn_test.go
@@ -126,3 +126,32 @@
 		})
 	}
 }
+
+// TestSuccessWithoutIDIsPassedOn guards against a page of something else that counts as the answer to the first request on a connection.
+func TestSuccessWithoutIDIsPassedOn(t *testing.T) {
+	tests := []struct {
+		name, answer string
+		accepted     bool
+	}{
+		{"success", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", false},
+		{"success that ends with the connection", "HTTP/1.1 200 OK\r\n\r\nhi", false},
+		{"redirect", "HTTP/1.1 302 Found\r\nContent-Length: 0\r\n\r\n", false},
+		{"success with the id", "HTTP/1.1 200 OK\r\nId: r\r\nContent-Length: 2\r\n\r\nhi", true},
+		{"refusal of an unreadable request", "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n", true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			address := serveOne(t, func(conn *net.TCPConn, r *bufio.Reader) {
+				readHead(r)
+				_, _ = io.WriteString(conn, tt.answer)
+			})
+			p := &Pool{Dialect: idDialect{}}
+			conn, err := p.Get(context.Background(), members.Instance{ID: "i", Address: address}, true)
+			c.Assert(err, qt.IsNil)
+			defer conn.Close()
+			_, err = conn.Do(&Request{ID: "r", Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{}})
+			c.Assert(err == nil, qt.Equals, tt.accepted)
+		})
+	}
+}
