fix(settings): names may have capital letters

Cause: names had to be of small letters, and one that was not refused the whole version. The platform's pages rule out no capitals, so they are accepted, for teams, routes and services; refusing that team alone would have served all but its clients.

TestNameWithCapitalsRefusesTheConfiguration failed before for each of the three.

--- a/core/settings/validate.go
+++ b/core/settings/validate.go
@@ -21,9 +21,9 @@
 	maxTokenCount = Tokens(10_000_000)
 )
 
-var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
+var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
 
-const nameRule = "1 to 63 of a-z, 0-9, '.', '_' and '-', beginning with a letter or digit"
+const nameRule = "1 to 63 of a-z, A-Z, 0-9, '.', '_' and '-', beginning with a letter or digit"
 
 // checker collects the problems of a set of declarations.
 type checker struct {
