--- a/core/gossip/announce.go
+++ b/core/gossip/announce.go
@@ -14,19 +14,30 @@
 // announce compares the version in force with peers until enough of them have answered.
 func (s *Service) announce(ctx context.Context) {
 	before, _ := s.Store.Current()
-	var spread overlay.Spread
-	wave := spread.Begin(s.peers.Choose(s.Candidates()))
+	spread := s.compareWithPeers(ctx)
 	for {
-		for len(wave) > 0 {
-			wave = spread.Wave(s.compareWave(ctx, wave), s.Candidates())
-		}
-		if wave = spread.Round(s.Candidates()); len(wave) == 0 || !clock.Sleep(ctx, overlay.RoundPause) {
+		wave := spread.Round(s.Candidates())
+		if len(wave) == 0 || !clock.Sleep(ctx, overlay.RoundPause) {
 			return
 		}
 		if now, _ := s.Store.Current(); now.Revision > before.Revision {
 			// A newer version is announced already.
 			return
 		}
+		s.compareRound(ctx, spread, wave)
+	}
+}
+
+// compareWithPeers compares versions with the peers, or with others if these do not answer.
+func (s *Service) compareWithPeers(ctx context.Context) *overlay.Spread {
+	spread := &overlay.Spread{}
+	s.compareRound(ctx, spread, spread.Begin(s.peers.Choose(s.Candidates())))
+	return spread
+}
+
+func (s *Service) compareRound(ctx context.Context, spread *overlay.Spread, wave []string) {
+	for len(wave) > 0 && ctx.Err() == nil {
+		wave = spread.Wave(s.compareWave(ctx, wave), s.Candidates())
 	}
 }
 
--- a/core/gossip/service.go
+++ b/core/gossip/service.go
@@ -73,7 +73,7 @@
 	defer s.pending.Wait()
 	for {
 		// A process that already has a version compares it first as well, since it may be old.
-		s.announce(ctx)
+		s.compareWithPeers(ctx)
 		if s.hasVersion() {
 			break
 		}
--- a/core/retry/fleetbudget.go
+++ b/core/retry/fleetbudget.go
@@ -40,8 +40,7 @@
 // would add to the overload that makes many requests fail at once.
 //
 // Each retry is paid for, in every window that it will be part of, by requests to this router that count in that window already. So the
-// sum over all routers holds whichever of them start, end, freeze, lose sight of each other or get other
-// routers' clients.
+// sum over all routers holds whichever of them start, end, freeze, lose sight of each other or get other routers' clients.
 type FleetBudget struct {
 	Limits Limits
 	// Started is when this router began to count.
