fix(gossip): slow processes do not multiply the announcements

The announcement of replaced processes that had not answered within 150 ms by as many as it takes at the share that has answered.

Now replacements are as many as are missing, late answers count, an answer counts before the version is pulled, and a process tells 80 others at most. Who was lost shortly before is known after about a second, by the exchange of states, and further rounds tell those that run; they follow too if a peer is known to be lost.

--- a/core/gossip/announce.go
+++ b/core/gossip/announce.go
@@ -8,65 +8,77 @@
 	"rattantrack.dev/core/overlay"
 )
 
+// lateTime is how long results are collected that have come during a pause.
+const lateTime = 5 * time.Millisecond
+
 // maxComparisons bounds the peers that are tried for one comparison.
 const maxComparisons = 4
 
+// broadcast tells processes of the version in force.
+type broadcast struct {
+	*Service
+	spread overlay.Spread
+	// results are those of the comparisons, open is the number of those under way.
+	results chan bool
+	open    int
+}
+
 // announce compares the version in force with peers until enough of them have answered.
 func (s *Service) announce(ctx context.Context) {
 	before, _ := s.Store.Current()
-	spread := s.compareWithPeers(ctx)
-	for {
-		wave := spread.Round(s.Candidates())
-		if len(wave) == 0 || !clock.Sleep(ctx, overlay.RoundPause) {
-			return
-		}
+	b := s.compareWithPeers(ctx)
+	for clock.Sleep(ctx, overlay.RoundPause) {
 		if now, _ := s.Store.Current(); now.Revision > before.Revision {
 			// A newer version is announced already.
 			return
 		}
-		s.compareRound(ctx, spread, wave)
+		b.collect(ctx, lateTime)
+		wave := b.spread.Round(s.Candidates())
+		if len(wave) == 0 {
+			return
+		}
+		b.round(ctx, wave)
 	}
 }
 
 // compareWithPeers compares versions with the peers, or with others if these do not answer.
-func (s *Service) compareWithPeers(ctx context.Context) *overlay.Spread {
-	spread := &overlay.Spread{}
-	s.compareRound(ctx, spread, spread.Begin(s.peers.Choose(s.Candidates())))
-	return spread
+func (s *Service) compareWithPeers(ctx context.Context) *broadcast {
+	b := &broadcast{Service: s, results: make(chan bool, overlay.MaxTold)}
+	b.round(ctx, b.spread.Begin(&s.peers, s.Candidates()))
+	return b
 }
 
-func (s *Service) compareRound(ctx context.Context, spread *overlay.Spread, wave []string) {
+// round compares versions with the processes of a wave, and then with those of the next ones, until enough have answered.
+func (b *broadcast) round(ctx context.Context, wave []string) {
 	for len(wave) > 0 && ctx.Err() == nil {
-		wave = spread.Wave(s.compareWave(ctx, wave), s.Candidates())
+		for _, address := range wave {
+			b.open++
+			b.pending.Add(1)
+			go func() {
+				defer b.pending.Done()
+				b.compare(ctx, address, func(ok bool) { b.results <- ok })
+			}()
+		}
+		b.collect(ctx, overlay.WaveTime)
+		wave = b.spread.Wave(b.Candidates())
 	}
 }
 
-// compareWave compares versions with several processes and returns how many have answered in time. The others may still do so later.
-func (s *Service) compareWave(ctx context.Context, wave []string) int {
-	results := make(chan bool, len(wave))
-	for _, address := range wave {
-		s.pending.Add(1)
-		go func() {
-			defer s.pending.Done()
-			results <- s.compare(ctx, address)
-		}()
-	}
-	timer := time.NewTimer(overlay.WaveTime)
-	defer timer.Stop()
-	answered := 0
-	for range wave {
+// collect waits for results until enough have come or the time has passed. Later ones count the next time.
+func (b *broadcast) collect(ctx context.Context, limit time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	for b.open > 0 {
 		select {
-		case ok := <-results:
-			if ok {
-				answered++
+		case ok := <-b.results:
+			b.open--
+			if ok && b.spread.Answered() {
+				return
 			}
-		case <-timer.C:
-			return answered
 		case <-ctx.Done():
-			return answered
+			return
 		}
 	}
-	return answered
 }
 
 // compareWithOne starts a goroutine that compares versions with one peer, or with another one if that does not answer.
@@ -76,7 +88,11 @@
 		defer s.pending.Done()
 		for range maxComparisons {
 			address, ok := s.peers.Pick(s.Candidates())
-			if !ok || s.compare(ctx, address) || ctx.Err() != nil {
+			if !ok || ctx.Err() != nil {
+				return
+			}
+			answered := false
+			if s.compare(ctx, address, func(ok bool) { answered = ok }); answered {
 				return
 			}
 		}
--- a/core/gossip/service.go
+++ b/core/gossip/service.go
@@ -129,22 +129,22 @@
 	return d*3/4 + rand.N(d/2)
 }
 
-// compare sends the version in force to one peer and pulls the peer's version if that is newer. It reports whether the peer has answered.
-func (s *Service) compare(ctx context.Context, address string) bool {
+// compare sends the version in force to one peer and pulls the peer's version if that is newer. It calls answered once it is known whether
+// the peer has answered, before it pulls.
+func (s *Service) compare(ctx context.Context, address string, answered func(ok bool)) {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
 	link, err := s.Dialer.Dial(ctx, address)
-	if err != nil {
-		s.peers.Drop(address)
-		return false
+	var theirs *peer.Announce
+	if err == nil {
+		theirs, err = peer.Request[*peer.Announce](ctx, link, s.announcement(), requestTimeout)
 	}
-	theirs, err := peer.Request[*peer.Announce](ctx, link, s.announcement(), requestTimeout)
+	answered(err == nil)
 	if err != nil {
 		s.peers.Drop(address)
-		return false
+		return
 	}
 	s.catchUp(ctx, link, theirs.Version)
-	return true
 }
 
 // maxInbound bounds the inbound links over which a new version is announced, in addition to the links to the peer set.
--- a/core/overlay/peerset.go
+++ b/core/overlay/peerset.go
@@ -60,6 +60,13 @@
 	return "", false
 }
 
+// Lost reports whether a peer is no longer a candidate.
+func (s *PeerSet) Lost(candidates []string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.ContainsFunc(s.chosen, func(address string) bool { return !slices.Contains(candidates, address) })
+}
+
 // Drop removes a peer that cannot be reached, so that another one takes its place.
 func (s *PeerSet) Drop(address string) {
 	s.mu.Lock()
--- a/core/overlay/spread.go
+++ b/core/overlay/spread.go
@@ -9,67 +9,66 @@
 const (
 	// WaveTime is how long the processes of a wave have to answer before others are told instead. RoundPause is the pause between two
 	// rounds.
-	WaveTime   = 150 * time.Millisecond
-	RoundPause = 300 * time.Millisecond
-	// maxRounds is the number of rounds while processes do not answer. Where all answer, the first round suffices.
-	maxRounds = 4
-	// maxTold bounds the processes that are told of one version.
-	maxTold = 160
-	// maxWave bounds the processes that are told at once.
-	maxWave = 40
+	WaveTime   = 200 * time.Millisecond
+	RoundPause = 200 * time.Millisecond
+	// maxRounds is the number of rounds while processes do not answer, maxWaves that of the waves of a round. Where all answer, the first
+	// wave suffices.
+	maxRounds = 5
+	maxWaves  = 4
+	// MaxTold bounds the processes that are told of one version.
+	MaxTold = maxRounds * maxWaves * defaultSize
 )
 
 // Spread decides whom a process tells of a version, so that all that run hear of it soon whatever part of the fleet is lost. Those that do
-// not answer are replaced at once by as many others as it takes at the share that has answered so far; while some do not answer, more are
-// told in further rounds. Its zero value is ready to use.
+// not answer are replaced by others; while some do not answer, more are told in further rounds, by when it is known who is lost. A process
+// that is only slow must not cause many more messages, so replacements are as many as are missing. Its zero value is ready to use.
 type Spread struct {
-	told   map[string]bool
-	rounds int
-	// wanted is the number of processes that are still to answer in this round.
-	wanted int
-	// answered is the number of processes that have answered.
-	answered int
-	// failed reports that a process has not answered.
-	failed bool
+	told          map[string]bool
+	rounds, waves int
+	// answered is the number of processes that have answered, wanted how many shall have by the end of the round.
+	answered, wanted int
+	// lost reports that a peer has been lost since it was chosen.
+	lost bool
 }
 
 // Begin returns the first wave, the peers of the process.
-func (s *Spread) Begin(peers []string) []string {
-	s.told, s.rounds = make(map[string]bool, len(peers)), 1
+func (s *Spread) Begin(p *PeerSet, candidates []string) []string {
+	s.lost = p.Lost(candidates)
+	peers := p.Choose(candidates)
+	s.told, s.rounds, s.waves, s.wanted = make(map[string]bool, len(peers)), 1, 1, len(peers)
 	for _, address := range peers {
 		s.told[address] = true
 	}
-	s.wanted = len(peers)
 	return peers
 }
 
-// Wave returns who is told next, when a number of the last wave have answered. It returns nothing at the end of the round.
-func (s *Spread) Wave(answered int, candidates []string) []string {
-	s.wanted -= answered
-	s.answered += answered
-	if s.wanted <= 0 {
+// Answered records that a process has answered, in time or late, and reports whether enough have.
+func (s *Spread) Answered() bool {
+	s.answered++
+	return s.answered >= s.wanted
+}
+
+// Wave returns who is told instead of those that have not answered, nothing at the end of the round.
+func (s *Spread) Wave(candidates []string) []string {
+	if s.answered >= s.wanted || s.waves >= maxWaves {
 		return nil
 	}
-	s.failed = true
-	return s.choose(min(maxWave, s.wanted*len(s.told)/max(1, s.answered)), candidates)
+	s.waves++
+	return s.choose(s.wanted-s.answered, candidates)
 }
 
-// Round returns the first wave of the next round, nothing if there is none.
+// Round returns the first wave of the next round, nothing if all have answered by now and no peer was lost.
 func (s *Spread) Round(candidates []string) []string {
-	if !s.failed || s.rounds >= maxRounds {
+	if s.rounds >= maxRounds || s.answered >= len(s.told) && !s.lost {
 		return nil
 	}
 	s.rounds++
-	s.wanted = defaultSize
-	return s.choose(s.wanted, candidates)
+	s.waves, s.wanted = 1, s.answered+defaultSize
+	return s.choose(defaultSize, candidates)
 }
 
 // choose returns up to n random candidates that have not been told.
 func (s *Spread) choose(n int, candidates []string) []string {
-	n = min(n, maxTold-len(s.told))
-	if n <= 0 {
-		return nil
-	}
 	var list []string
 	for _, i := range rand.Perm(len(candidates)) {
 		if len(list) == n {
