--- a/router/internal/origins/service_test.go
+++ b/router/internal/origins/service_test.go
@@ -131,6 +131,17 @@
 	return n
 }
 
+// startServing starts routers of a new fleet, all of which list an instance a of version v1.
+func (f *fleet) startServing(n int) (nodes []*node) {
+	for range n {
+		started := f.start("", true)
+		started.list("a", "v1")
+		nodes = append(nodes, started)
+	}
+	time.Sleep(3 * reviewInterval)
+	return nodes
+}
+
 // list adds an instance of a version at a router.
 func (n *node) list(id string, version members.Version) {
 	n.service.Apply([]members.Event{{ID: settings.UpstreamID(id), Kind: members.EventAdded, Instance: members.Instance{
@@ -297,13 +308,7 @@
 func TestCutOffRouterMixesVersions(t *testing.T) {
 	c := qt.New(t)
 	f := &fleet{t: t}
-	var nodes []*node
-	for range 4 {
-		n := f.start("", true)
-		n.list("a", "v1")
-		nodes = append(nodes, n)
-	}
-	time.Sleep(3 * reviewInterval)
+	nodes := f.startServing(4)
 	cut, others := nodes[0], nodes[1:]
 	cut.cut.Store(true)
 	time.Sleep(3 * reviewInterval)
@@ -323,13 +328,7 @@
 func TestReachableRouterRefusesStreamsOfTheOnlyVersion(t *testing.T) {
 	c := qt.New(t)
 	f := &fleet{t: t}
-	var nodes []*node
-	for range 4 {
-		n := f.start("", true)
-		n.list("a", "v1")
-		nodes = append(nodes, n)
-	}
-	time.Sleep(3 * reviewInterval)
+	nodes := f.startServing(4)
 	_, verdict := nodes[0].find("s")
 	c.Assert(verdict, qt.Equals, origin.OnlyVersion)
 	nodes[0].cut.Store(true)
