fix(direct): only events that follow are added to a stream that has begun

After a stream had broken off, the next upstream answered with 400, 404, 410, 206, 204 or 302, with a body of 200 that holds no events, or with a head and nothing else.

Cause: what a run may add depends on what the client has had, and each path decided that for itself. handleFailure sent any failure under 500, relayResponse took any success but 200 to relayBody, which writes a head again, endsUnbegun held an unframed stream without events for broken off only if the client had none, and relay.event passed on any text without an id.

attempt.UseOf now decides from the head and from what the client has; relay alone writes heads. An answer that does not continue the stream counts as failed, so another upstream may continue it within the budget, and otherwise the stream is cut. A run must show that its events follow: numbers without a gap, an id before events without one, no text without a field. An unframed answer that ends before any event is broken off whatever the client had. A whole answer with a length of 0 still ends a resumed stream: nothing may be left.

--- a/router/internal/direct/attempt.go
+++ b/router/internal/direct/attempt.go
@@ -164,7 +164,12 @@
 func (ex *exchange) relayResponse(
 	ctx context.Context, inst members.Instance, res *upstream.Response, timer *stallTimer,
 ) (ending attempt.Ending, complete bool) {
-	if res.Answer.NotRun || res.Answer.Misdirected {
+	use := attempt.UseOf(attempt.Answer{
+		Status: res.StatusCode,
+		NotRun: res.Answer.NotRun || res.Answer.Misdirected,
+		Stream: ex.RouteConfig.Kind == settings.RouteStream,
+	}, ex.relay.delivered())
+	if use == attempt.UseRefusal {
 		if res.Answer.Misdirected {
 			ex.misdirected(inst, res)
 		}
@@ -172,13 +177,17 @@
 	}
 	ex.res.Runs++
 	ex.res.Status = res.StatusCode
-	if res.StatusCode >= http.StatusBadRequest {
-		return ex.handleFailure(ctx, inst, res)
-	}
-	if ex.RouteConfig.Kind == settings.RouteStream && res.StatusCode == http.StatusOK {
+	switch use {
+	case attempt.UseStream:
 		return ex.relayStream(ctx, inst, res, timer)
+	case attempt.UseBody:
+		return ex.relayBody(ctx, inst, res)
+	case attempt.UseNone:
+		ex.dispatcher.Log.Warn("answer does not continue the stream", "request", ex.ID, "upstream", inst.ID, "status", res.StatusCode,
+			"events", ex.relay.events)
+		return attempt.Failed, res.Drain()
 	}
-	return ex.relayBody(ctx, inst, res)
+	return ex.handleFailure(ctx, inst, res, use)
 }
 
 // misdirected records that the process at the address of an upstream refused the attempt as meant for another one.
@@ -191,7 +200,9 @@
 
 // handleFailure reads a failure response. It relays a client error at once, and keeps a server error in case no retry
 // succeeds. A response that exceeds maxBufferedBytes counts as broken off.
-func (ex *exchange) handleFailure(ctx context.Context, inst members.Instance, res *upstream.Response) (attempt.Ending, bool) {
+func (ex *exchange) handleFailure(
+	ctx context.Context, inst members.Instance, res *upstream.Response, use attempt.Use,
+) (attempt.Ending, bool) {
 	body, whole, err := readBounded(res.Body, maxBufferedBytes)
 	if err == nil && !whole {
 		err = &bodySizeError{limit: maxBufferedBytes}
@@ -199,19 +210,17 @@
 	if err != nil {
 		return ex.interrupted(ctx, inst, err), false
 	}
-	if call.ImpliesNotRun(res.StatusCode) {
+	if use == attempt.UseUnconfirmed {
 		// Relaying the status would tell the client that the request was not run, which the upstream did not confirm.
 		ex.dispatcher.Log.Warn("upstream refused without confirming that the request was not run", "request", ex.ID,
 			"upstream", inst.ID, "status", res.StatusCode)
 		return attempt.Lost, true
 	}
 	ex.failure = &bufferedResponse{status: res.StatusCode, header: res.Header, body: body}
-	if res.StatusCode < http.StatusInternalServerError {
-		// A client error concerns the request itself, so another upstream would give the same response.
-		if err := ex.failure.send(ex.sink); err != nil {
+	if use == attempt.UseFinal {
+		if err := ex.relay.whole(ex.failure); err != nil {
 			return attempt.ClientGone, true
 		}
-		ex.relay.headSent = true
 		return attempt.Complete, true
 	}
 	ex.dispatcher.Log.Info("upstream failure", "request", ex.ID, "upstream", inst.ID, "status", res.StatusCode)
@@ -238,9 +247,11 @@
 	ctx context.Context, inst members.Instance, res *upstream.Response, timer *stallTimer,
 ) (attempt.Ending, bool) {
 	events := upstream.NewEvents(res.Body)
-	for {
+	ex.relay.beginRun()
+	for begun := false; ; begun = true {
 		e, err := events.Next()
-		if errors.Is(err, io.EOF) && ex.endsUnbegun(res) {
+		// Without a length or chunks, nothing but the end of the connection marks the end of a stream.
+		if errors.Is(err, io.EOF) && res.Unframed() && !begun {
 			err = io.ErrUnexpectedEOF
 		}
 		if errors.Is(err, io.EOF) {
@@ -270,9 +281,3 @@
 		ex.recordProgress(false)
 	}
 }
-
-// endsUnbegun reports whether a stream that has ended without an event was broken off. Without a length or chunks, nothing but the end
-// of the connection marks its end.
-func (ex *exchange) endsUnbegun(res *upstream.Response) bool {
-	return res.Unframed() && ex.relay.events == 0 && ex.relay.lastEvent == ""
-}
--- a/router/internal/direct/body.go
+++ b/router/internal/direct/body.go
@@ -32,18 +32,12 @@
 		return ex.interrupted(ctx, inst, err), false
 	}
 	if whole {
-		buffered := &bufferedResponse{status: res.StatusCode, header: res.Header, body: body}
-		ex.relay.headSent = true
-		if err := buffered.send(ex.sink); err != nil {
+		if err := ex.relay.whole(&bufferedResponse{status: res.StatusCode, header: res.Header, body: body}); err != nil {
 			return attempt.ClientGone, true
 		}
 		return attempt.Complete, true
 	}
-	ex.relay.headSent = true
-	if err := ex.sink.WriteHead(res.StatusCode, res.Header, res.ContentLength); err != nil {
-		return attempt.ClientGone, false
-	}
-	if err := ex.sink.Write(body, false); err != nil {
+	if err := ex.relay.beginBody(res, body); err != nil {
 		return attempt.ClientGone, false
 	}
 	return ex.relayRest(ctx, inst, res)
@@ -55,7 +49,7 @@
 	for {
 		n, err := res.Body.Read(buf)
 		if n > 0 {
-			if err := ex.sink.Write(buf[:n], false); err != nil {
+			if err := ex.relay.sink.Write(buf[:n], false); err != nil {
 				return attempt.ClientGone, false
 			}
 		}
--- /dev/null
+++ b/router/internal/direct/continue_test.go
@@ -0,0 +1,88 @@
+package direct
+
+import (
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"rattantrack.dev/core/peer"
+	"rattantrack.dev/core/settings"
+)
+
+const (
+	firstEvents = "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n"
+	nextEvents  = "id: 3\ndata: 3\n\nid: 4\ndata: 4\n\n"
+)
+
+// TestAnswerOfAnotherRunIsWrittenIntoStream guards against heads, errors and other text in the middle of a stream, and against a stream
+// that looks complete because another run did not continue it.
+func TestAnswerOfAnotherRunIsWrittenIntoStream(t *testing.T) {
+	tests := []struct {
+		name    string
+		second  handlers
+		outcome peer.Outcome
+		body    string
+	}{
+		{"client error", handlers{respond(400, "ERRORTEXT")}, peer.OutcomeUnknown, ""},
+		{"unknown there", handlers{respond(404, "ERRORTEXT")}, peer.OutcomeUnknown, ""},
+		{"gone", handlers{respond(410, "ERRORTEXT")}, peer.OutcomeUnknown, ""},
+		{"server error", handlers{respond(500, "ERRORTEXT")}, peer.OutcomeUnknown, ""},
+		{"not implemented", handlers{respond(501, "ERRORTEXT")}, peer.OutcomeUnknown, ""},
+		{"part", handlers{respond(206, nextEvents)}, peer.OutcomeUnknown, ""},
+		{"no content", handlers{respond(204, "")}, peer.OutcomeUnknown, ""},
+		{"redirection", handlers{respond(302, "MOVED")}, peer.OutcomeUnknown, ""},
+		{"unframed without an event", handlers{unframedStream("")}, peer.OutcomeUnknown, ""},
+		{"another head in an unframed body", handlers{unframedStream("HTTP/1.1 500 X\r\nId: r1\r\n\r\nERR\n\n")}, peer.OutcomeUnknown, ""},
+		{"text instead of events", handlers{respond(200, "NOT EVENTS\n\n")}, peer.OutcomeUnknown, ""},
+		{"event without an id", handlers{respond(200, "data: error\n\n"+nextEvents)}, peer.OutcomeUnknown, ""},
+		{"event with an id of another kind", handlers{respond(200, "id: x\ndata: error\n\n")}, peer.OutcomeUnknown, ""},
+		{"text after an event", handlers{respond(200, "id: 3\ndata: 3\n\nNOT EVENTS\n\n")}, peer.OutcomeUnknown, "id: 3\ndata: 3\n\n"},
+		{"text without an empty line", handlers{respond(200, "NOT EVENTS")}, peer.OutcomeUnknown, ""},
+		{"events", handlers{respond(200, nextEvents)}, peer.OutcomeDone, nextEvents},
+		{"events after a comment", handlers{respond(200, ": wait\n\n"+nextEvents)}, peer.OutcomeDone, ": wait\n\n" + nextEvents},
+		{"events and a last one without an id", handlers{respond(200, nextEvents+"data: [DONE]\n\n")}, peer.OutcomeDone, nextEvents + "data: [DONE]\n\n"},
+		{"all events again", handlers{respond(200, firstEvents+nextEvents)}, peer.OutcomeDone, nextEvents},
+		{"nothing left, with a length", handlers{respond(200, "")}, peer.OutcomeDone, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			b := newFixture(t, handlers{streamEvents(2, false)}, tt.second)
+			res, sink := b.do(resumable, "r1")
+			c.Assert(res.Outcome, qt.Equals, tt.outcome)
+			if tt.outcome != peer.OutcomeDone {
+				c.Assert(res.Code, qt.Equals, CodeCut)
+			}
+			c.Assert(sink.body.String(), qt.Equals, firstEvents+tt.body)
+			c.Assert(sink.heads, qt.Equals, 1)
+			c.Assert(sink.status, qt.Equals, 200)
+		})
+	}
+}
+
+// TestStreamGoesOnAfterAnAnswerThatDoesNotContinueIt guards against streams that end with the first run that cannot continue them.
+func TestStreamGoesOnAfterAnAnswerThatDoesNotContinueIt(t *testing.T) {
+	c := qt.New(t)
+	route := resumable
+	route.Attempts = 3
+	whole := streamEvents(4, true)
+	b := newFixture(t, handlers{streamEvents(2, false), whole}, handlers{respond(404, "ERRORTEXT"), whole})
+	res, sink := b.do(route, "r1")
+	c.Assert(res.Outcome, qt.Equals, peer.OutcomeDone)
+	c.Assert(sink.body.String(), qt.Equals, firstEvents+nextEvents)
+	c.Assert(sink.heads, qt.Equals, 1)
+}
+
+// TestStreamTakenUpEndsWithoutAnEvent guards against a stream that a client takes up again and that looks complete because the
+// connection ended before any event.
+func TestStreamTakenUpEndsWithoutAnEvent(t *testing.T) {
+	c := qt.New(t)
+	route := resumable
+	route.Backends = []settings.Backend{{Service: "desk"}}
+	b := newFixture(t, handlers{unframedStream("")}, handlers{streamEvents(4, true)})
+	res, sink := b.takeUp(route, "r1", "r0")
+	c.Assert(res.Outcome, qt.Equals, peer.OutcomeDone)
+	c.Assert(res.Runs, qt.Equals, 2)
+	c.Assert(strings.HasSuffix(sink.body.String(), nextEvents), qt.IsTrue, qt.Commentf("%s", sink.body.String()))
+}
--- a/router/internal/direct/dispatch.go
+++ b/router/internal/direct/dispatch.go
@@ -123,7 +123,6 @@
 type exchange struct {
 	*Request
 	dispatcher *Dispatcher
-	sink       Sink
 	tried      triedUpstreams
 	// stalled reports that the stall timer ended the last attempt, after the retry budget had allowed another one.
 	stalled bool
@@ -152,7 +151,7 @@
 	d.Budget.RecordRequest(now, r.Service)
 	d.recordMalformed(now, r.Malformed, "request", r.ID)
 	d.Demand.Record(now, r.Service, r.Rank, r.RouteConfig.Objective)
-	ex := &exchange{Request: r, dispatcher: d, sink: sink, relay: relay{sink: sink, lastEvent: r.LastEvent}}
+	ex := &exchange{Request: r, dispatcher: d, relay: relay{sink: sink, lastEvent: r.LastEvent}}
 	ex.run(ctx)
 	ex.res.HeadSent = ex.relay.headSent
 	ex.res.Events = ex.relay.events
@@ -295,10 +294,9 @@
 		res.Outcome, res.Code = peer.OutcomeUnknown, CodeCut
 	case ex.failure != nil:
 		res.Outcome, res.Code, res.Status = peer.OutcomeDone, CodeUpstream, ex.failure.status
-		if err := ex.failure.send(ex.sink); err != nil {
+		if err := ex.relay.whole(ex.failure); err != nil {
 			res.Code = CodeClientGone
 		}
-		ex.relay.headSent = true
 	case res.Runs == 0:
 		res.Outcome, res.Code = peer.OutcomeNotRun, CodeUnreachable
 		res.RetryAfter = ex.dispatcher.Queues.RetryAfter(ex.dispatcher.Clock.Now(), ex.Service)
--- a/router/internal/direct/dispatch_test.go
+++ b/router/internal/direct/dispatch_test.go
@@ -169,11 +169,14 @@
 // memorySink records a response.
 type memorySink struct {
 	status int
-	body   strings.Builder
+	// heads is the number of heads that were written.
+	heads int
+	body  strings.Builder
 }
 
 func (s *memorySink) WriteHead(status int, _ http.Header, _ int64) error {
 	s.status = status
+	s.heads++
 	return nil
 }
 
--- a/router/internal/upstream/events.go
+++ b/router/internal/upstream/events.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"io"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 
@@ -17,6 +18,8 @@
 type Event struct {
 	ID  call.EventID
 	Raw []byte
+	// Known reports that a line has a field that the format defines. Comment reports that all lines are comments.
+	Known, Comment bool
 }
 
 // Events splits a stream into complete events (WHATWG HTML, section 9.2).
@@ -38,6 +41,7 @@
 // after an event, and io.ErrUnexpectedEOF if it has ended within one.
 func (e *Events) Next() (Event, error) {
 	e.raw, e.id = e.raw[:0], ""
+	known, comment := false, true
 	for {
 		line, err := e.line()
 		if errors.Is(err, io.EOF) && len(e.raw) > 0 {
@@ -47,14 +51,24 @@
 			return Event{}, err
 		}
 		if len(line) == 0 {
-			return Event{ID: e.id, Raw: e.raw}, nil
+			return Event{ID: e.id, Raw: e.raw, Known: known, Comment: comment}, nil
 		}
+		comment = comment && line[0] == ':'
+		known = known || hasKnownField(line)
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			e.id = call.EventID(bytes.TrimSpace(value))
 		}
 	}
 }
 
+// fields are the fields of an event.
+var fields = [][]byte{[]byte("data"), []byte("event"), []byte("id"), []byte("retry")}
+
+func hasKnownField(line []byte) bool {
+	name, _, _ := bytes.Cut(line, []byte(":"))
+	return slices.ContainsFunc(fields, func(f []byte) bool { return bytes.Equal(f, name) })
+}
+
 // line appends the next line to the event and returns it without its line ending.
 func (e *Events) line() ([]byte, error) {
 	start := len(e.raw)
