fix(direct): an answer that only its own run can continue is not retried

Callers of a request that may be repeated got a body that was not the upstream's: the first part of one run, then the whole body of another one, in chunks and properly ended (MIXED). A body of more than 256 KiB reaches the client before it is complete. When it broke off, the request was sent once more, and the second body was appended. The stall timer, which no progress of a body restarts, also gave up such a body under way. A stream without ids was begun anew in the same way.

Cause: an attempt that ended as Cut was retried for any repeatable request, whether the client's part can be continued or not.

Evidence: TestLargeBodyIsContinuedByAnotherRun (three of three cases), TestSlowLargeBodyIsGivenUp and TestStreamWithoutIDsIsNotContinued failed on: done after two runs instead of cut after one. This is the only path found on which a safe request gets a body in chunks that is not the upstream's; whether the users' bodies are that long is not known.

attempt.Next stops once the client has a part that no other run can continue, and the stall timer stops with that part.

--- a/core/attempt/next.go
+++ b/core/attempt/next.go
@@ -17,7 +17,7 @@
 	Failed Ending = "failed"
 	// Lost means that the request was sent and no complete answer arrived.
 	Lost Ending = "lost"
-	// Cut means that a stream broke off after its first event had reached the client.
+	// Cut means that an answer broke off after a part of it had reached the client.
 	Cut Ending = "cut"
 	// ClientGone means that the client no longer waits.
 	ClientGone Ending = "client_gone"
@@ -26,6 +26,8 @@
 // State is the state of a request after an attempt.
 type State struct {
 	Ending Ending
+	// Delivered is what the client has of its answer.
+	Delivered Delivered
 	// Repeatable means that the request may run again after a run whose result is unknown.
 	Repeatable bool
 	// Runs is the number of attempts whose upstream may have run the request; MaxRuns is the limit for it.
@@ -60,7 +62,7 @@
 // Next returns the step after an attempt. To limit the load when many requests fail at once, a request that may have run is
 // retried only if it is repeatable, and the caller must take each Retry from the fleet's retry budget.
 func Next(s State) Step {
-	if s.Ending == Complete || s.Ending == ClientGone || s.Attempts >= maxAttempts || s.Remaining < minRemaining {
+	if s.Ending == Complete || s.Ending == ClientGone || s.Delivered == Part || s.Attempts >= maxAttempts || s.Remaining < minRemaining {
 		return Stop
 	}
 	switch s.Ending {
--- a/core/attempt/next_test.go
+++ b/core/attempt/next_test.go
@@ -28,6 +28,7 @@
 		{"cut and not repeatable", with(func(s *State) { s.Ending = Cut }), Stop},
 		{"lost and repeatable", with(func(s *State) { s.Ending, s.Repeatable = Lost, true }), Retry},
 		{"cut and resumable", with(func(s *State) { s.Ending, s.Repeatable = Cut, true }), Retry},
+		{"cut with a part that no other run can continue", with(func(s *State) { s.Ending, s.Delivered, s.Repeatable = Cut, Part, true }), Stop},
 		{"runs used up", with(func(s *State) { s.Ending, s.Repeatable, s.Runs = Lost, true, 2 }), Stop},
 		{"no time left", with(func(s *State) { s.Ending, s.Repeatable, s.Remaining = Lost, true, time.Millisecond }), Stop},
 		{"attempts used up", with(func(s *State) { s.Ending, s.Attempts = Refused, maxAttempts }), Stop},
--- a/router/internal/direct/attempt.go
+++ b/router/internal/direct/attempt.go
@@ -181,7 +181,7 @@
 	case attempt.UseStream:
 		return ex.relayStream(ctx, inst, res, timer)
 	case attempt.UseBody:
-		return ex.relayBody(ctx, inst, res)
+		return ex.relayBody(ctx, inst, res, timer)
 	case attempt.UseNone:
 		ex.dispatcher.Log.Warn("answer does not continue the stream", "request", ex.ID, "upstream", inst.ID, "status", res.StatusCode,
 			"events", ex.relay.events)
@@ -278,6 +278,9 @@
 			}
 			return attempt.ClientGone, false
 		}
+		if ex.relay.delivered() == attempt.Part {
+			timer.stop()
+		}
 		ex.recordProgress(false)
 	}
 }
--- a/router/internal/direct/body.go
+++ b/router/internal/direct/body.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 
 	"github.com/cockroachdb/errors"
 
@@ -26,7 +27,9 @@
 }
 
 // relayBody relays a response that is not a stream. A small one is read completely first.
-func (ex *exchange) relayBody(ctx context.Context, inst members.Instance, res *upstream.Response) (attempt.Ending, bool) {
+func (ex *exchange) relayBody(
+	ctx context.Context, inst members.Instance, res *upstream.Response, timer *stallTimer,
+) (attempt.Ending, bool) {
 	body, whole, err := readBounded(res.Body, maxBufferedBytes)
 	if err != nil {
 		return ex.interrupted(ctx, inst, err), false
@@ -37,6 +40,10 @@
 		}
 		return attempt.Complete, true
 	}
+	// No other run can continue a body, so this one is not given up from here on.
+	if timer.stop() {
+		return ex.interrupted(ctx, inst, net.ErrClosed), false
+	}
 	if err := ex.relay.beginBody(res, body); err != nil {
 		return attempt.ClientGone, false
 	}
--- a/router/internal/direct/continue_test.go
+++ b/router/internal/direct/continue_test.go
@@ -1,8 +1,13 @@
 package direct
 
 import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -86,3 +91,76 @@
 	c.Assert(res.Runs, qt.Equals, 2)
 	c.Assert(strings.HasSuffix(sink.body.String(), nextEvents), qt.IsTrue, qt.Commentf("%s", sink.body.String()))
 }
+
+// TestStreamWithoutIDsIsNotContinued guards against a stream whose events have no ids and that another run begins anew.
+func TestStreamWithoutIDsIsNotContinued(t *testing.T) {
+	c := qt.New(t)
+	b := newFixture(t, handlers{unframedStream("data: 1\n\nda")}, handlers{respond(200, "data: 1\n\ndata: 2\n\n")})
+	res, sink := b.do(resumable, "r1")
+	c.Assert(res.Code, qt.Equals, CodeCut)
+	c.Assert(res.Runs, qt.Equals, 1)
+	c.Assert(sink.body.String(), qt.Equals, "data: 1\n\n")
+}
+
+// largeBody is larger than a body that is read completely before the client gets any of it.
+var largeBody = strings.Repeat("x", 2*maxBufferedBytes)
+
+// chunkedBody returns a handler that writes a body in chunks, and breaks off after the given number of bytes if that is less than all.
+func chunkedBody(body string, end int) func(net.Conn, *http.Request) bool {
+	return func(conn net.Conn, req *http.Request) bool {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n", req.Header.Get("Id"), len(body))
+		_, _ = io.WriteString(conn, body[:end])
+		if end < len(body) {
+			return false
+		}
+		_, _ = io.WriteString(conn, "\r\n0\r\n\r\n")
+		return true
+	}
+}
+
+// TestLargeBodyIsContinuedByAnotherRun guards against a body that broke off at the client and to which the body of a retry is added.
+func TestLargeBodyIsContinuedByAnotherRun(t *testing.T) {
+	broken := maxBufferedBytes + 5000
+	tests := []struct {
+		name  string
+		route settings.Route
+		first func(net.Conn, *http.Request) bool
+	}{
+		{"in chunks", idempotent, chunkedBody(largeBody, broken)},
+		{"with a length", idempotent, func(conn net.Conn, req *http.Request) bool {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", req.Header.Get("Id"), len(largeBody), largeBody[:broken])
+			return false
+		}},
+		{"not a stream", resumable, func(conn net.Conn, req *http.Request) bool {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 206 X\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", req.Header.Get("Id"), len(largeBody), largeBody[:broken])
+			return false
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			b := newFixture(t, handlers{tt.first}, handlers{chunkedBody(largeBody, len(largeBody))})
+			res, sink := b.do(tt.route, "r1")
+			c.Assert(res.Code, qt.Equals, CodeCut)
+			c.Assert(res.Runs, qt.Equals, 1)
+			c.Assert(sink.heads, qt.Equals, 1)
+			c.Assert(sink.body.Len() <= broken, qt.IsTrue, qt.Commentf("%d", sink.body.Len()))
+		})
+	}
+}
+
+// TestSlowLargeBodyIsGivenUp guards against a body that has begun at the client and that the stall timer ends in favour of another run.
+func TestSlowLargeBodyIsGivenUp(t *testing.T) {
+	c := qt.New(t)
+	slow := func(conn net.Conn, req *http.Request) bool {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", req.Header.Get("Id"), len(largeBody), largeBody[:maxBufferedBytes+5000])
+		time.Sleep(2 * minResponseTimeout)
+		_, _ = io.WriteString(conn, largeBody[maxBufferedBytes+5000:])
+		return true
+	}
+	b := newFixture(t, handlers{slow}, handlers{respond(200, "other")})
+	res, sink := b.do(idempotent, "r1")
+	c.Assert(res.Outcome, qt.Equals, peer.OutcomeDone)
+	c.Assert(res.Runs, qt.Equals, 1)
+	c.Assert(sink.body.String() == largeBody, qt.IsTrue)
+}
--- a/router/internal/direct/dispatch.go
+++ b/router/internal/direct/dispatch.go
@@ -180,6 +180,7 @@
 		ex.recordEnding(ctx, instance, ending)
 		step := attempt.Next(attempt.State{
 			Ending:     ending,
+			Delivered:  ex.relay.delivered(),
 			Repeatable: ex.RouteConfig.Repeatable(),
 			Runs:       ex.res.Runs,
 			MaxRuns:    ex.RouteConfig.Attempts,
