fix(upstream): a retry at the same upstream uses a connection of its own

Cause: both attempts have the request's id, and the id is all that tells answers on a connection apart. The retry of a failed request may go to the same upstream, and the pool prefers the connection used last, which is the first attempt's.

A request that an upstream has had before is sent on a new connection. Answers to other requests were skipped already.

--- a/router/internal/direct/attempt.go
+++ b/router/internal/direct/attempt.go
@@ -31,7 +31,7 @@
 		dispatcher.Residence.Record(ex.Service, dispatcher.Clock.Now().Sub(now))
 		dispatcher.Queues.RequestEnded(dispatcher.Clock.Now(), ex.Service)
 	}()
-	conn, err := dispatcher.Connections.Get(ctx, inst, !ex.RouteConfig.Repeatable())
+	conn, err := dispatcher.Connections.Get(ctx, inst, ex.reuse(inst))
 	if err != nil {
 		if ctx.Err() != nil {
 			return attempt.ClientGone
@@ -77,6 +77,17 @@
 	return ending
 }
 
+// reuse returns which idle connections to an upstream may carry the next attempt.
+func (ex *exchange) reuse(inst members.Instance) upstream.Reuse {
+	switch {
+	case ex.tried.has(inst.ID):
+		return upstream.ReuseNone
+	case ex.RouteConfig.Repeatable():
+		return upstream.ReuseAny
+	}
+	return upstream.ReuseRecent
+}
+
 // recordRunTime records how long the upstream has worked on an attempt that was sent at the given time. Engines answer once they run a
 // request; the time that a request waits for a plain service is unknown, unless a slot was free.
 func (ex *exchange) recordRunTime(inst members.Instance, sent clock.Instant) {
--- a/router/internal/direct/dispatch.go
+++ b/router/internal/direct/dispatch.go
@@ -50,7 +50,7 @@
 
 // Connections provides connections to upstreams.
 type Connections interface {
-	Get(ctx context.Context, i members.Instance, once bool) (*upstream.Conn, error)
+	Get(ctx context.Context, i members.Instance, reuse upstream.Reuse) (*upstream.Conn, error)
 	Put(c *upstream.Conn, res *upstream.Response)
 }
 
--- a/router/internal/direct/dispatch_test.go
+++ b/router/internal/direct/dispatch_test.go
@@ -513,6 +513,29 @@
 	c.Assert(sink.body.String(), qt.Equals, "second")
 }
 
+// TestSecondAnswerIsTakenForTheRetrys guards against a late second answer to an attempt that is relayed as the answer to the retry at the
+// same upstream, since both have the same id.
+func TestSecondAnswerIsTakenForTheRetrys(t *testing.T) {
+	c := qt.New(t)
+	var first net.Conn
+	b := newFixture(t, handlers{
+		func(conn net.Conn, req *http.Request) bool {
+			first = conn
+			return respond(500, "no")(conn, req)
+		},
+		func(conn net.Conn, req *http.Request) bool {
+			if conn == first {
+				writeResponse(conn, req.Header.Get("Id"), 500, "no")
+			}
+			return respond(200, "ok")(conn, req)
+		},
+	})
+	res, sink := b.do(idempotent, "r1")
+	c.Assert(res.Runs, qt.Equals, 2)
+	c.Assert(sink.status, qt.Equals, 200)
+	c.Assert(sink.body.String(), qt.Equals, "ok")
+}
+
 // TestBytesAfterResponseCloseConnection covers an upstream that sends bytes after its response. They belong to no request,
 // so the next request gets a new connection.
 func TestBytesAfterResponseCloseConnection(t *testing.T) {
--- a/router/internal/direct/place.go
+++ b/router/internal/direct/place.go
@@ -39,6 +39,11 @@
 	}
 }
 
+// has reports whether an upstream has had the request before.
+func (t *triedUpstreams) has(id settings.UpstreamID) bool {
+	return slices.Contains(t.failed, id) || slices.Contains(t.unusable, id)
+}
+
 // enginePolicy places requests whose prompts the upstreams cache.
 var enginePolicy = placement.Policy{
 	// The fleet's load bound for one upstream is twice the mean plus three requests. The counts of other routers are some
--- a/router/internal/upstream/conn_test.go
+++ b/router/internal/upstream/conn_test.go
@@ -67,7 +67,7 @@
 	t.Helper()
 	c := qt.New(t)
 	p := &Pool{Dialect: idDialect{}}
-	conn, err := p.Get(context.Background(), members.Instance{ID: "i", Address: address}, true)
+	conn, err := p.Get(context.Background(), members.Instance{ID: "i", Address: address}, ReuseRecent)
 	c.Assert(err, qt.IsNil)
 	defer conn.Close()
 	res, err := conn.Do(&Request{
@@ -147,7 +147,7 @@
 				_, _ = io.WriteString(conn, tt.answer)
 			})
 			p := &Pool{Dialect: idDialect{}}
-			conn, err := p.Get(context.Background(), members.Instance{ID: "i", Address: address}, true)
+			conn, err := p.Get(context.Background(), members.Instance{ID: "i", Address: address}, ReuseRecent)
 			c.Assert(err, qt.IsNil)
 			defer conn.Close()
 			_, err = conn.Do(&Request{ID: "r", Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{}})
--- a/router/internal/upstream/pool.go
+++ b/router/internal/upstream/pool.go
@@ -15,6 +15,20 @@
 	idleFractionOnce = 0.6
 )
 
+// Reuse says which idle connections may carry a request.
+type Reuse int
+
+// Reuses of idle connections.
+const (
+	// ReuseAny is for a request that may run twice.
+	ReuseAny Reuse = iota
+	// ReuseRecent is for a request that may not run twice.
+	ReuseRecent
+	// ReuseNone is for a request that the upstream has had before. Another answer to it may still arrive on a connection that carried
+	// it, and the id would not tell it from the answer to this attempt.
+	ReuseNone
+)
+
 // maxIdle bounds the idle connections to one instance.
 const maxIdle = 48
 
@@ -75,13 +89,13 @@
 	}
 }
 
-// Get returns a connection to an instance. Set once for a request that may not run twice.
-func (p *Pool) Get(ctx context.Context, inst members.Instance, once bool) (*Conn, error) {
+// Get returns a connection to an instance.
+func (p *Pool) Get(ctx context.Context, inst members.Instance, reuse Reuse) (*Conn, error) {
 	fraction := idleFraction
-	if once {
+	if reuse == ReuseRecent {
 		fraction = idleFractionOnce
 	}
-	for {
+	for reuse != ReuseNone {
 		c := p.take(keyOf(inst))
 		if c == nil {
 			break
