test(direct): answers that are cut at any byte and sent once more

A report from another operator: an upstream stopped in the middle of its answer's head, and clients got a 200 with an empty or short body, framed as whole. Not so here: answers with a length, in chunks and without either, with both line ends, cut at each byte and then closed, reset, sent once more at once or late, give the client the whole body, another run's, or a failure. Left out, since the protocol cannot tell: an unframed body whose connection is closed properly, and a body with a length whose missing bytes are filled by the answer sent once more on the same connection.

--- /dev/null
+++ b/router/internal/direct/cut_test.go
@@ -0,0 +1,73 @@
+package direct
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"rattantrack.dev/core/peer"
+)
+
+// endings of a connection on which an answer has been cut.
+var cutEndings = map[string]func(conn net.Conn, whole string) (keep bool){
+	"closed": func(net.Conn, string) bool { return false },
+	"reset": func(conn net.Conn, _ string) bool {
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		return false
+	},
+	"answered again": func(conn net.Conn, whole string) bool {
+		_, _ = conn.Write([]byte(whole))
+		return true
+	},
+	"answered again late": func(conn net.Conn, whole string) bool {
+		time.Sleep(2 * time.Millisecond)
+		_, _ = conn.Write([]byte(whole))
+		return false
+	},
+}
+
+// TestCutAnswerIsTakenForWhole guards against an answer that an upstream breaks off at any byte, and at times sends once more, and that
+// the client gets as a success with another body than the upstream's.
+func TestCutAnswerIsTakenForWhole(t *testing.T) {
+	const body = "the whole body of the answer"
+	framings := map[string]string{
+		"length":   fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body),
+		"chunks":   fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n%x\r\n%s\r\n0\r\n\r\n", 9, body[:9], len(body)-9, body[9:]),
+		"unframed": "\r\n" + body,
+	}
+	for framing, rest := range framings {
+		for _, lineEnd := range []string{"\r\n", "\n"} {
+			for ending, end := range cutEndings {
+				t.Run(fmt.Sprintf("%s, %s, line end %q", framing, ending, lineEnd), func(t *testing.T) {
+					t.Parallel()
+					whole := strings.ReplaceAll("HTTP/1.1 200 OK\r\nSeal: abc\r\nId: r1\r\n"+rest, "\r\n", lineEnd)
+					for cut := 1; cut < len(whole); cut++ {
+						inBody := strings.Contains(whole[:cut], lineEnd+lineEnd)
+						if inBody && framing == "unframed" && ending != "reset" {
+							// Nothing but the end of the connection marks the end of such a body.
+							break
+						}
+						if inBody && framing == "length" && strings.HasPrefix(ending, "answered again") {
+							// All bytes up to the length are the body, whatever they look like.
+							break
+						}
+						b := newFixture(t, handlers{func(conn net.Conn, _ *http.Request) bool {
+							_, _ = conn.Write([]byte(whole[:cut]))
+							return end(conn, whole)
+						}}, handlers{respond(200, "other")})
+						res, sink := b.do(idempotent, "r1")
+						got := sink.body.String()
+						if res.Outcome == peer.OutcomeDone && got != "other" && got != body {
+							qt.Check(t, got, qt.Equals, body, qt.Commentf("cut at %d of %q", cut, whole))
+						}
+					}
+				})
+			}
+		}
+	}
+}
