fix(direct): a stopping router sends only what it has time for

In a planned stop requests were taken late, passed on, and cut without an answer when the router ended, among them requests that may run once only (LOST).

Cause: nothing compared the time that the router has left with the time that a request takes. No connection takes a new request after the notice time, but a body that is still being read, a request that waits for room and a retry were sent to an upstream however late.

What does not fit is refused at once as not run, with a short Retry-After, since the other routers serve.

--- /dev/null
+++ b/core/shutdown/doc.go
@@ -0,0 +1,2 @@
+// Package shutdown decides which requests a stopping process still begins.
+package shutdown
--- a/router/internal/app/services.go
+++ b/router/internal/app/services.go
@@ -16,6 +16,7 @@
 	"rattantrack.dev/core/relay"
 	"rattantrack.dev/core/retry"
 	"rattantrack.dev/core/settings"
+	"rattantrack.dev/core/shutdown"
 	"rattantrack.dev/core/unresponsive"
 	"rattantrack.dev/core/waiting"
 	"rattantrack.dev/platform"
@@ -150,6 +151,7 @@
 		Limits:  retry.Limits{Ratio: budget.Ratio, Slack: budget.Slack, Window: budget.Window},
 		Started: clock.Boot{}.Now(),
 	}
+	stopping := &shutdown.Tracker{}
 	dispatcher := &direct.Dispatcher{
 		DataCentre:   d.cfg.DataCentre,
 		Members:      d.members,
@@ -176,6 +178,7 @@
 		Connections:  d.connections,
 		Dialect:      platform.Dialect{},
 		Warmup:       d.warmup,
+		Shutdown:     stopping,
 		Clock:        clock.Boot{},
 		KnownRouters: d.routers.Known,
 		FleetSize:    d.routers.FleetSize,
@@ -196,6 +199,7 @@
 		NoticeTime: d.cfg.NoticeTime,
 		DrainTime:  d.cfg.DrainTime,
 		Dispatcher: dispatcher,
+		Shutdown:   stopping,
 		Dialect:    platform.Dialect{},
 		Clock:      clock.Boot{},
 		Log:        d.log,
--- a/router/internal/client/server.go
+++ b/router/internal/client/server.go
@@ -17,6 +17,7 @@
 	"rattantrack.dev/core/clock"
 	"rattantrack.dev/core/routing"
 	"rattantrack.dev/core/settings"
+	"rattantrack.dev/core/shutdown"
 	"rattantrack.dev/router/internal/direct"
 )
 
@@ -47,10 +48,12 @@
 	// WriteTime bounds each write of a response to a client that does not read; 0 means 10 s.
 	WriteTime  time.Duration
 	Dispatcher Dispatcher
-	Dialect    Dialect
-	Clock      Clock
-	Log        *log.Logger
-	Scope      tally.Scope
+	// Shutdown is told when the server ends the requests that are still open.
+	Shutdown *shutdown.Tracker
+	Dialect  Dialect
+	Clock    Clock
+	Log      *log.Logger
+	Scope    tally.Scope
 
 	table          atomic.Pointer[routing.Table]
 	firstTableDone chan struct{}
@@ -122,6 +125,7 @@
 		return errors.Wrapf(err, "serving on %s", s.Address)
 	case <-ctx.Done():
 	}
+	s.Shutdown.Begin(s.Clock.Now().Add(s.NoticeTime + s.DrainTime))
 	s.stopping.Store(true)
 	// Idle connections stay open during NoticeTime, since a client may be about to send a request on one of them.
 	time.Sleep(s.NoticeTime)
--- a/router/internal/client/server_test.go
+++ b/router/internal/client/server_test.go
@@ -19,6 +19,7 @@
 	"rattantrack.dev/core/peer"
 	"rattantrack.dev/core/routing"
 	"rattantrack.dev/core/settings"
+	"rattantrack.dev/core/shutdown"
 	"rattantrack.dev/router/internal/direct"
 )
 
@@ -62,7 +63,7 @@
 	s = &Server{
 		Address: address, NoticeTime: 10 * time.Millisecond, DrainTime: 5 * time.Second,
 		WriteTime:  200 * time.Millisecond,
-		Dispatcher: d, Dialect: plainDialect{}, Clock: clock.Boot{}, Log: log.New(io.Discard), Scope: tally.NoopScope,
+		Dispatcher: d, Shutdown: &shutdown.Tracker{}, Dialect: plainDialect{}, Clock: clock.Boot{}, Log: log.New(io.Discard), Scope: tally.NoopScope,
 	}
 	declarations := &settings.Declarations{
 		Services: map[settings.ServiceName]settings.Service{"desk": {}},
--- a/router/internal/direct/dispatch.go
+++ b/router/internal/direct/dispatch.go
@@ -31,6 +31,7 @@
 	"rattantrack.dev/core/ratelimit"
 	"rattantrack.dev/core/retry"
 	"rattantrack.dev/core/settings"
+	"rattantrack.dev/core/shutdown"
 	"rattantrack.dev/core/unresponsive"
 	"rattantrack.dev/core/waiting"
 	"rattantrack.dev/core/work"
@@ -86,6 +87,7 @@
 	Connections  Connections
 	Dialect      Dialect
 	Warmup       Warmup
+	Shutdown     *shutdown.Tracker
 	Clock        Clock
 	// KnownRouters returns the number of routers that may send requests to the upstreams, with this one.
 	KnownRouters func() int
@@ -114,6 +116,8 @@
 	defaultRetryAfter = 500 * time.Millisecond
 	// evacuatedRetryAfter is when the client may retry a request all upstreams of which are evacuated.
 	evacuatedRetryAfter = 2 * time.Second
+	// stoppingRetryAfter is when the client may retry a request that a stopping router has no time for. Other routers have.
+	stoppingRetryAfter = 50 * time.Millisecond
 	// warmupWait is how long a request with a long shared prompt waits for the cache warm-up after a restart of the router.
 	// An engine needs about as long to process such a prompt again.
 	warmupWait = 250 * time.Millisecond
@@ -237,6 +241,10 @@
 			ex.giveUp(ctx, code, left)
 			return members.Instance{}, false
 		}
+		if !ex.dispatcher.Shutdown.Fits(now, ex.Deadline, ex.dispatcher.runTime(ex.Request)) {
+			ex.giveUp(ctx, CodeStopping, stoppingRetryAfter)
+			return members.Instance{}, false
+		}
 		instance, choice := ex.dispatcher.reserve(now, ex.Request, &ex.tried)
 		ex.res.Choice = choice
 		switch {
--- a/router/internal/direct/dispatch_test.go
+++ b/router/internal/direct/dispatch_test.go
@@ -34,6 +34,7 @@
 	"rattantrack.dev/core/ratelimit"
 	"rattantrack.dev/core/retry"
 	"rattantrack.dev/core/settings"
+	"rattantrack.dev/core/shutdown"
 	"rattantrack.dev/core/unresponsive"
 	"rattantrack.dev/core/waiting"
 	"rattantrack.dev/core/work"
@@ -259,7 +260,7 @@
 		Origins:     &beginnings{},
 		Budget:      &retry.FleetBudget{Limits: retry.Limits{Ratio: 0.2, Slack: 50, Window: 10 * time.Second}},
 		Connections: pool,
-		Dialect:     testDialect{}, Warmup: noWarmup{}, Clock: clock.Boot{}, Log: log.New(io.Discard), Scope: tally.NoopScope,
+		Dialect:     testDialect{}, Warmup: noWarmup{}, Shutdown: &shutdown.Tracker{}, Clock: clock.Boot{}, Log: log.New(io.Discard), Scope: tally.NoopScope,
 	}}
 	b.Budget.RecordFleet(b.Clock.Now(), 1)
 	b.OnLeaving = func(inst members.Instance) { b.Members.MarkLeaving(inst) }
--- a/router/internal/direct/request.go
+++ b/router/internal/direct/request.go
@@ -79,13 +79,15 @@
 	// for one whose version no longer serves.
 	CodeOriginUnknown = "origin_unknown"
 	CodeVersionGone   = "version_gone"
-	CodeDeadline      = "deadline"
-	CodeUnreachable   = "unreachable"
-	CodeRefused       = "refused_by_upstream"
-	CodeLost          = "answer_lost"
-	CodeCut           = "answer_cut"
-	CodeClientGone    = "client_gone"
-	CodeUpstream      = "upstream_failure"
+	// CodeStopping is for a request that a stopping router has no time for.
+	CodeStopping    = "stopping"
+	CodeDeadline    = "deadline"
+	CodeUnreachable = "unreachable"
+	CodeRefused     = "refused_by_upstream"
+	CodeLost        = "answer_lost"
+	CodeCut         = "answer_cut"
+	CodeClientGone  = "client_gone"
+	CodeUpstream    = "upstream_failure"
 )
 
 // Result describes how a request ended.
