fix(client): a request that outlasts the stop gets an answer

Clients whose requests were still open at the end of a planned stop found the connection closed, and could not tell a request that had reached an upstream from one that had not (LOST).

Cause: when the drain time had passed, the server closed its connections.

The server now ends the requests 100 ms before that time with a cause of its own. One that no upstream has got is refused as not run, with a short Retry-After; any other gets 502 "stopping", which promises nothing. Only an answer that has begun is still cut, since it cannot be completed. The cause keeps such requests apart from those whose client has left.

--- a/core/shutdown/tracker.go
+++ b/core/shutdown/tracker.go
@@ -10,6 +10,11 @@
 // runMargin allows for requests that run longer than the mean of their service.
 const runMargin = 2
 
+// EndedError is the cause of the end of a request that a stopping process has no more time for.
+type EndedError struct{}
+
+func (*EndedError) Error() string { return "the process stops" }
+
 // Tracker knows when a process ends. The zero value is for a process that does not stop.
 type Tracker struct {
 	end atomic.Int64
--- a/router/internal/client/server.go
+++ b/router/internal/client/server.go
@@ -105,13 +105,26 @@
 // HasDeclarations reports whether declarations are in force.
 func (s *Server) HasDeclarations() bool { return s.table.Load() != nil }
 
+// maxAnswerTime bounds the part of DrainTime in which the clients of requests that have not ended get an answer.
+const maxAnswerTime = 100 * time.Millisecond
+
+// shutDown ends the connections as they become idle, for up to the given time.
+func shutDown(srv *http.Server, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	return srv.Shutdown(ctx)
+}
+
 // Run serves until ctx ends, keeps serving for NoticeTime, and then waits up to DrainTime for open requests.
 func (s *Server) Run(ctx context.Context, ready func()) error {
 	ln, err := net.Listen("tcp", s.Address)
 	if err != nil {
 		return errors.Wrapf(err, "listening on %s", s.Address)
 	}
+	base, endRequests := context.WithCancelCause(context.Background())
+	defer endRequests(nil)
 	srv := &http.Server{
+		BaseContext:       func(net.Listener) context.Context { return base },
 		Handler:           s,
 		ReadHeaderTimeout: settings.DefaultHeaderTime,
 		MaxHeaderBytes:    settings.DefaultHeaderBytes,
@@ -125,15 +138,18 @@
 		return errors.Wrapf(err, "serving on %s", s.Address)
 	case <-ctx.Done():
 	}
-	s.Shutdown.Begin(s.Clock.Now().Add(s.NoticeTime + s.DrainTime))
+	answerTime := min(maxAnswerTime, s.DrainTime/2)
+	s.Shutdown.Begin(s.Clock.Now().Add(s.NoticeTime + s.DrainTime - answerTime))
 	s.stopping.Store(true)
 	// Idle connections stay open during NoticeTime, since a client may be about to send a request on one of them.
 	time.Sleep(s.NoticeTime)
-	stopCtx, cancel := context.WithTimeout(context.Background(), s.DrainTime)
-	defer cancel()
-	if err := srv.Shutdown(stopCtx); err != nil {
-		s.Log.Warn("requests cut by the stop", "open", s.openRequests.Load(), "error", err)
-		_ = srv.Close()
+	if shutDown(srv, s.DrainTime-answerTime) != nil {
+		s.Log.Warn("requests ended by the stop", "open", s.openRequests.Load())
+		endRequests(&shutdown.EndedError{})
+		if err := shutDown(srv, answerTime); err != nil {
+			s.Log.Warn("requests cut by the stop", "open", s.openRequests.Load(), "error", err)
+			_ = srv.Close()
+		}
 	}
 	<-served
 	return nil
--- a/router/internal/client/server_test.go
+++ b/router/internal/client/server_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
 	qt "github.com/frankban/quicktest"
 	"github.com/uber-go/tally/v4"
 
@@ -146,6 +147,35 @@
 	c.Assert(status, qt.Equals, http.StatusOK)
 }
 
+// endedDispatcher works until the router ends the request, and has an unknown outcome then.
+type endedDispatcher struct{}
+
+func (endedDispatcher) Do(ctx context.Context, _ *direct.Request, _ direct.Sink) direct.Result {
+	<-ctx.Done()
+	var ended *shutdown.EndedError
+	if errors.As(context.Cause(ctx), &ended) {
+		return direct.Result{Outcome: peer.OutcomeUnknown, Code: direct.CodeStopping}
+	}
+	return direct.Result{Outcome: peer.OutcomeUnknown, Code: direct.CodeClientGone}
+}
+
+// TestRequestIsCutAtTheEndOfTheStop guards against a request that outlasts the stop and whose client gets no answer.
+func TestRequestIsCutAtTheEndOfTheStop(t *testing.T) {
+	c := qt.New(t)
+	s, stop := startServer(t, endedDispatcher{}, time.Minute)
+	s.DrainTime = 500 * time.Millisecond
+	conn, r := dial(t, s)
+	go func() {
+		for s.openRequests.Load() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		stop()
+	}()
+	status, err := roundTrip(conn, r, "/a/x")
+	c.Assert(err, qt.IsNil)
+	c.Assert(status, qt.Equals, http.StatusBadGateway)
+}
+
 func TestIdleConnectionIsClosed(t *testing.T) {
 	c := qt.New(t)
 	s, _ := startServer(t, &slowDispatcher{}, 50*time.Millisecond)
--- a/router/internal/direct/dispatch.go
+++ b/router/internal/direct/dispatch.go
@@ -274,7 +274,10 @@
 		ex.recordNoRoom()
 	}
 	ex.res.Outcome, ex.res.Code, ex.res.RetryAfter = peer.OutcomeNotRun, code, retryAfter
-	if clientGone(ctx) {
+	switch {
+	case ended(ctx):
+		ex.res.Code, ex.res.RetryAfter = CodeStopping, stoppingRetryAfter
+	case clientGone(ctx):
 		ex.res.Code = CodeClientGone
 	}
 }
@@ -288,8 +291,16 @@
 	return d
 }
 
-// clientGone reports whether the client has disconnected; a passed deadline does not count.
-func clientGone(ctx context.Context) bool { return errors.Is(ctx.Err(), context.Canceled) }
+// clientGone reports whether the client has disconnected; a passed deadline and the end of the router do not count.
+func clientGone(ctx context.Context) bool {
+	return errors.Is(ctx.Err(), context.Canceled) && !ended(ctx)
+}
+
+// ended reports whether the router stops and has no more time for the request.
+func ended(ctx context.Context) bool {
+	var e *shutdown.EndedError
+	return errors.As(context.Cause(ctx), &e)
+}
 
 // finish derives the result from the ending of the last attempt.
 func (ex *exchange) finish(ctx context.Context, ending attempt.Ending) {
@@ -314,6 +325,11 @@
 			res.RetryAfter = max(res.RetryAfter, ex.dispatcher.Refusals.RetryAfter(ex.dispatcher.Clock.Now(), ex.Service, rand.Float64()))
 		}
 		res.RetryAfter = ex.retryAfter(res.RetryAfter)
+		if ended(ctx) {
+			res.Code, res.RetryAfter = CodeStopping, stoppingRetryAfter
+		}
+	case ended(ctx):
+		res.Outcome, res.Code = peer.OutcomeUnknown, CodeStopping
 	case ctx.Err() != nil:
 		res.Outcome, res.Code = peer.OutcomeUnknown, CodeDeadline
 	default:
