fix(sides): an error of another side is not added to a stream

The path through the sides has the fault of the direct one: after an engine was lost in the middle of a stream, the head of the next side's answer was ignored, whatever its status, and its text was added to the stream (found by reading, not reported).

Cause: progress.setHead kept the first head and did not look at any later one.

An answer with another status or content type than the one that the caller has counts as interrupted, so another side may continue the stream, or it is cut.

--- a/router/internal/sides/attempt.go
+++ b/router/internal/sides/attempt.go
@@ -150,7 +150,9 @@
 		case *peer.Refuse:
 			return refusalResult(v)
 		case *peer.Head:
-			err = prog.setHead(v)
+			if err := prog.setHead(v); err != nil {
+				return attemptResult{ending: endInterrupted, err: err}
+			}
 		case *peer.Chunk:
 			if v.Attempt != prog.attempt || v.Seq != last+1 {
 				return attemptResult{ending: endInterrupted, err: &sequenceError{want: last + 1, got: v.Seq}}
--- a/router/internal/sides/progress.go
+++ b/router/internal/sides/progress.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"strings"
 
 	"github.com/tidwall/gjson"
 
@@ -58,16 +59,37 @@
 	contentField = []byte(`"content":`)
 )
 
-// setHead keeps an attempt's status and header until the answer begins. It ignores them if the caller already has those
-// of an earlier attempt, whose answer this one continues.
+// HeadError reports an answer that does not continue the stream that the caller has a part of.
+type HeadError struct {
+	Status int
+}
+
+func (e *HeadError) Error() string {
+	return fmt.Sprintf("answer with status %d does not continue the stream", e.Status)
+}
+
+// setHead keeps an attempt's status and header until the answer begins. If the caller already has those of an earlier attempt, it only
+// checks that this one's are of the same kind, since its text is added to the earlier one's.
 func (p *progress) setHead(head *peer.Head) error {
-	if p.headSent {
+	if !p.headSent {
+		p.head = head
 		return nil
 	}
-	p.head = head
+	if head.Status != p.head.Status || contentType(head) != contentType(p.head) {
+		return &HeadError{Status: head.Status}
+	}
 	return nil
 }
 
+func contentType(head *peer.Head) string {
+	for _, h := range head.Headers {
+		if strings.EqualFold(h.Name, "Content-Type") {
+			return h.Value
+		}
+	}
+	return ""
+}
+
 // writeChunk passes one chunk of a streamed answer to the caller; a chunk of any other answer is buffered.
 func (p *progress) writeChunk(data []byte, flush bool) error {
 	if !p.stream {
