fix(direct): a stream that begins with a comment or without an id goes on

An unframed stream that ended after a comment alone counted as complete.

TestStreamWithEventsBeforeItsFirstIDIsContinued has the three cases. Only events without ids before the first id make a stream one that its own run alone can continue; the timer is suspended until the next event.

--- a/router/internal/direct/attempt.go
+++ b/router/internal/direct/attempt.go
@@ -259,7 +259,8 @@
 ) (attempt.Ending, bool) {
 	events := upstream.NewEvents(res.Body)
 	ex.relay.beginRun()
-	for begun := false; ; begun = true {
+	begun := false
+	for {
 		e, err := events.Next()
 		// Without a length or chunks, nothing but the end of the connection marks the end of a stream.
 		if errors.Is(err, io.EOF) && res.Unframed() && !begun {
@@ -275,6 +276,7 @@
 		if err != nil {
 			return ex.interrupted(ctx, inst, err), false
 		}
+		begun = begun || !e.Comment
 		now := ex.dispatcher.Clock.Now()
 		ex.dispatcher.Unresponsive.ResponseReceived(now, inst.ID)
 		ex.recordEvent(now, inst)
@@ -290,7 +292,7 @@
 			return attempt.ClientGone, false
 		}
 		if ex.relay.delivered() == attempt.Part {
-			timer.stop()
+			timer.suspend()
 		}
 		ex.recordProgress(false)
 	}
--- a/router/internal/direct/continue_test.go
+++ b/router/internal/direct/continue_test.go
@@ -102,6 +102,23 @@
 	c.Assert(sink.body.String(), qt.Equals, "data: 1\n\n")
 }
 
+// TestStreamWithEventsBeforeItsFirstIDIsContinued guards against streams that no other run continues because they begin with a comment, or
+// with an event without an id.
+func TestStreamWithEventsBeforeItsFirstIDIsContinued(t *testing.T) {
+	for _, tt := range []struct{ begin, broken, next string }{
+		{": wait\n\n", "", "id: 1\ndata: 1\n\n"},
+		{": wait\n\n", "id: 1\nda", "id: 1\ndata: 1\n\n"},
+		{"data: start\n\nid: 1\ndata: 1\n\n", "id: 2\nda", "id: 2\ndata: 2\n\n"},
+	} {
+		c := qt.New(t)
+		b := newFixture(t, handlers{unframedStream(tt.begin + tt.broken)}, handlers{respond(200, tt.next)})
+		res, sink := b.do(resumable, "r1")
+		c.Assert(res.Outcome, qt.Equals, peer.OutcomeDone)
+		c.Assert(sink.body.String(), qt.Equals, tt.begin+tt.next)
+		c.Assert(sink.heads, qt.Equals, 1)
+	}
+}
+
 // largeBody is larger than a body that is read completely before the client gets any of it.
 var largeBody = strings.Repeat("x", 2*maxBufferedBytes)
 
--- a/router/internal/direct/relay.go
+++ b/router/internal/direct/relay.go
@@ -30,8 +30,8 @@
 type relay struct {
 	sink     Sink
 	headSent bool
-	// partial reports that the client has a part of a body.
-	partial bool
+	// partial reports that the client has a part of a body, unnumbered that it has events without ids before the first one with an id.
+	partial, unnumbered bool
 	// lastEvent is the id of the last event that the client has.
 	lastEvent call.EventID
 	events    int
@@ -44,7 +44,7 @@
 	switch {
 	case !r.headSent:
 		return attempt.Nothing
-	case r.partial || r.lastEvent == "":
+	case r.partial || (r.unnumbered && r.lastEvent == ""):
 		return attempt.Part
 	}
 	return attempt.Events
@@ -70,6 +70,7 @@
 	if e.ID != "" {
 		r.lastEvent = e.ID
 	}
+	r.unnumbered = r.unnumbered || (e.ID == "" && !e.Comment)
 	r.events++
 	return nil
 }
--- a/router/internal/direct/stall.go
+++ b/router/internal/direct/stall.go
@@ -86,6 +86,15 @@
 	}
 }
 
+// suspend stops the timer until its next reset.
+func (t *stallTimer) suspend() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.timer != nil {
+		t.timer.Stop()
+	}
+}
+
 // stop stops the timer and reports whether it has given up the attempt.
 func (t *stallTimer) stop() bool {
 	t.mu.Lock()
