fix(upstream): an answer that another one has run into is broken off

Reproduction: a router process before three upstreams that cut 15 in 100 answers, at times answer again after that on the same connection, and fail 14 in 100.

Cause: an answer is cut on a connection that stays open, and the bytes of the next one fill it. In chunks this passes the parser where the cut chunk lacks as many bytes as the next answer's head has: the empty line after the head ends the chunk, and the next answer's chunks follow. With a length any cut in the body passes. If the cut is in the status line, the next answer's status line becomes its reason.

Evidence: TestCutAnswerIsTakenForWhole failed with a body that is longer than a head, in chunks and with a length; TestFailureIsRelayedWithAnotherStatus failed.

A head that holds another status line is no head. A body, an event or a failure in which another answer to the same request begins, with a status line and the request's id after it, is broken off, also where that answer goes on after the end of the body.

--- a/router/internal/direct/attempt.go
+++ b/router/internal/direct/attempt.go
@@ -218,6 +218,9 @@
 	if err == nil && !whole {
 		err = &bodySizeError{limit: maxBufferedBytes}
 	}
+	if err == nil {
+		err = res.CheckBody(body)
+	}
 	if err != nil {
 		return ex.interrupted(ctx, inst, err), false
 	}
@@ -266,6 +269,9 @@
 		if errors.Is(err, io.EOF) && res.Unframed() && !begun {
 			err = io.ErrUnexpectedEOF
 		}
+		if err == nil {
+			err = res.CheckBody(e.Raw)
+		}
 		if errors.Is(err, io.EOF) {
 			if err := ex.relay.end(res); err != nil {
 				return attempt.ClientGone, true
--- a/router/internal/direct/body.go
+++ b/router/internal/direct/body.go
@@ -31,6 +31,9 @@
 	ctx context.Context, inst members.Instance, res *upstream.Response, timer *stallTimer,
 ) (attempt.Ending, bool) {
 	body, whole, err := readBounded(res.Body, maxBufferedBytes)
+	if err == nil {
+		err = res.CheckBody(body)
+	}
 	if err != nil {
 		return ex.interrupted(ctx, inst, err), false
 	}
--- a/router/internal/direct/cut_test.go
+++ b/router/internal/direct/cut_test.go
@@ -34,7 +34,8 @@
 // TestCutAnswerIsTakenForWhole guards against an answer that an upstream breaks off at any byte, and at times sends once more, and that
 // the client gets as a success with another body than the upstream's.
 func TestCutAnswerIsTakenForWhole(t *testing.T) {
-	const body = "the whole body of the answer"
+	// A chunk of it is longer than a head.
+	body := strings.Repeat("the whole body ", 8)
 	framings := map[string]string{
 		"length":   fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body),
 		"chunks":   fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n%x\r\n%s\r\n0\r\n\r\n", 9, body[:9], len(body)-9, body[9:]),
@@ -52,10 +53,6 @@
 							// Nothing but the end of the connection marks the end of such a body.
 							break
 						}
-						if inBody && framing == "length" && strings.HasPrefix(ending, "answered again") {
-							// All bytes up to the length are the body, whatever they look like.
-							break
-						}
 						b := newFixture(t, handlers{func(conn net.Conn, _ *http.Request) bool {
 							_, _ = conn.Write([]byte(whole[:cut]))
 							return end(conn, whole)
--- a/router/internal/direct/dispatch_test.go
+++ b/router/internal/direct/dispatch_test.go
@@ -537,6 +537,19 @@
 	c.Assert(sink.body.String(), qt.Equals, "ok")
 }
 
+// TestFailureIsRelayedWithAnotherStatus guards against a failure that becomes a success because the beginning of another answer, sent late and
+// cut, stands before it.
+func TestFailureIsRelayedWithAnotherStatus(t *testing.T) {
+	c := qt.New(t)
+	b := newFixture(t, handlers{func(conn net.Conn, req *http.Request) bool {
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 ")
+		return respond(500, "no")(conn, req)
+	}})
+	res, sink := b.do(once, "r1")
+	c.Assert(res.Code, qt.Equals, CodeLost)
+	c.Assert(sink.heads, qt.Equals, 0)
+}
+
 // TestBytesAfterResponseCloseConnection covers an upstream that sends bytes after its response. They belong to no request,
 // so the next request gets a new connection.
 func TestBytesAfterResponseCloseConnection(t *testing.T) {
--- a/router/internal/upstream/conn.go
+++ b/router/internal/upstream/conn.go
@@ -65,6 +65,7 @@
 	*http.Response
 	Answer call.Answer
 	conn   *headReader
+	reader *bufio.Reader
 }
 
 // Drain discards the rest of the body, and reports whether it has ended, so that the connection can carry another request. It
@@ -221,7 +222,7 @@
 		// An upstream that cannot read a request refuses it without an id. A success without one is not an upstream's answer.
 		if answer.ID == r.ID || (answer.ID == "" && !reused && res.StatusCode >= http.StatusBadRequest) {
 			c.setIdleTime(answer.IdleTime)
-			return &Response{Response: res, Answer: answer, conn: c.conn}, nil
+			return &Response{Response: res, Answer: answer, conn: c.conn, reader: c.reader}, nil
 		}
 		if err := skipResponse(res); err != nil {
 			return nil, errors.CombineErrors(&MismatchedResponseError{Want: r.ID, Got: answer.ID}, err)
@@ -266,6 +267,9 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "reading the response")
 		}
+		if embedsHead(res) {
+			return nil, &EmbeddedAnswerError{}
+		}
 		if res.StatusCode < http.StatusOK {
 			continue
 		}
