--- a/router/internal/direct/continue_test.go
+++ b/router/internal/direct/continue_test.go
@@ -66,6 +66,22 @@
 	}
 }
 
+// TestEventHoldsAnotherAnswer guards against an event that is cut, and that the answer which follows on the connection fills.
+func TestEventHoldsAnotherAnswer(t *testing.T) {
+	c := qt.New(t)
+	first := func(conn net.Conn, req *http.Request) bool {
+		id := req.Header.Get("Id")
+		whole := fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, 2*len(firstEvents+nextEvents), firstEvents+nextEvents)
+		_, _ = io.WriteString(conn, whole[:len(whole)-len(nextEvents)+len("id: 3\nda")])
+		_, _ = io.WriteString(conn, whole)
+		return true
+	}
+	b := newFixture(t, handlers{first}, handlers{respond(200, nextEvents)})
+	res, sink := b.do(resumable, "r1")
+	c.Assert(res.Outcome, qt.Equals, peer.OutcomeDone)
+	c.Assert(sink.body.String(), qt.Equals, firstEvents+nextEvents)
+}
+
 // TestStreamGoesOnAfterAnAnswerThatDoesNotContinueIt guards against streams that end with the first run that cannot continue them.
 func TestStreamGoesOnAfterAnAnswerThatDoesNotContinueIt(t *testing.T) {
 	c := qt.New(t)
