test: crowds of clients that do not behave

These tests start the system's own processes on loopback addresses, with little memory and few descriptors, and crowds of 64 clients (160 where connections are the matter) that send bodies of legal size up to their last byte, in pieces, in large chunks and in chunks of one byte, whole bodies, bodies far over the limit, announced or just sent, heads without end, and nothing, on each port of a router that serves clients itself, of one that serves callers through sides, and of a side. They check that the processes live, that memory (VmHWM) and open descriptors stay within the VM's, that one ordinary request is answered while the crowd keeps its connections, and that one at the limit is answered when it has gone.

Two pass and stay as guards: a body behind an unknown key, and answers of 8 MB that are not read. Crowds and bounds are fixed here and stay.

The stand-in of a plain service takes bodies up to 8 MB, so that a call at the limit of 4 MB can be answered. `make crowds` runs these tests one at a time, and `make race` leaves them out.

--- a/Makefile
+++ b/Makefile
@@ -6,17 +6,55 @@
 # Tests that fail for a known fault, separated by |; each has an entry in KNOWN-RED.txt.
 KNOWN_RED := TestRollingRestartFailsNoRequests|TestServedWorthDoesNotFallWithDemand|TestNamedRateLimitHoldsForAllRoutersTogether|TestLargeFleetThatStartsAtOnceSpreadsStates|TestOldRoutersInLargeFleetAreServed|TestRouterThatJoinsLargeFleetGetsState|TestEachRouterSeesOneCrash
 
+# Tests of clients that do not behave which fail for a known fault, one a line; each has an entry in KNOWN-RED.txt.
+CROWD_RED := \
+	TestCrowdThatStopsShortOfItsBodiesTakesAllMemory \
+	TestCrowdThatSendsBodiesInPiecesTakesAllMemory \
+	TestCrowdThatStopsShortOfLargeChunksTakesAllMemory \
+	TestCrowdThatSendsChunksOfOneByteTakesAllMemory \
+	TestCrowdThatSendsWholeBodiesTakesAllMemory \
+	TestCrowdThatAnnouncesBodiesOverTheLimitTakesAllMemory \
+	TestCrowdThatSendsChunksWithoutEndTakesAllMemory \
+	TestCrowdOfUnusedConnectionsTakesAllDescriptors \
+	TestCrowdOfUnfinishedHeadsTakesAllDescriptors \
+	TestCrowdOfShortFieldsTakesAllDescriptors \
+	TestCrowdOfSmallUnfinishedBodiesTakesAllDescriptors \
+	TestCrowdOnReadinessPortTakesAllDescriptors \
+	TestCrowdOnOperatorPortTakesAllDescriptors \
+	TestCrowdOnPeerPortTakesAllMemory \
+	TestCrowdOnPeerPortTakesAllDescriptors \
+	TestCrowdThatStopsShortOfItsChatsTakesAllMemory \
+	TestCrowdThatSendsChatsInPiecesTakesAllMemory \
+	TestCrowdThatStopsShortOfLargeCallChunksTakesAllMemory \
+	TestCrowdThatSendsCallChunksOfOneByteTakesAllMemory \
+	TestCrowdThatSendsWholeCallsTakesAllMemory \
+	TestCrowdThatAnnouncesCallsOverTheLimitTakesAllMemory \
+	TestCrowdThatSendsCallChunksWithoutEndTakesAllMemory \
+	TestCrowdOfChatsWithManyMessagesTakesAllMemory \
+	TestCrowdOfUnusedCallerConnectionsTakesAllDescriptors \
+	TestCrowdOfUnfinishedCallerHeadsTakesAllDescriptors \
+	TestCrowdOfSmallUnfinishedCallsTakesAllDescriptors \
+	TestCrowdOnRouterOperatorPortTakesAllDescriptors \
+	TestCrowdOnSideOperatorPortTakesAllDescriptors \
+	TestCrowdOnRouterPeerPortTakesAllMemory \
+	TestCrowdOnSidePeerPortTakesAllMemory \
+	TestCrowdOnSidePeerPortTakesAllDescriptors \
+	TestCrowdOfRoutersTakesAllMemoryOfSide \
+
+empty :=
+CROWD_RED_PATTERN := $(subst $(empty) ,|,$(strip $(CROWD_RED)))
+
 # Pattern of the platform's own names, which only code in platform/ may use.
 PLATFORM_NAMES := Attempt-Id|Deadline-Ms|Target-Instance|Response-Seal|Not-Executed|Server-Load|Server-Leaving|Server-Limit|Store-Era|Token-Usage|Length-Hint|Prompt-Prefix|kv-range|kv-watch|kv-key|kv-list|route-type|target-latency|session-affinity|stream-resume|Resumes|RATTANTRACK_NODE_FILE
 
-.PHONY: tools build test lint platform-names fmt race fuzz-seeds fuzz examples demo failures verify-model bench bench-decisions bench-overload bench-capacity soak known-red clean
+.PHONY: tools build test lint platform-names fmt race crowds fuzz-seeds fuzz examples demo failures verify-model bench bench-decisions bench-overload bench-capacity soak known-red clean
 
 build:
 	@mkdir -p $(BIN)
 	@for p in $(PROGRAMS); do go build -o $(BIN)/$$p ./$$p || exit 1; done
 
 # Runs every check that CI runs.
-test: tools lint build examples verify-model race fuzz-seeds demo known-red
+test: tools lint build examples verify-model race crowds fuzz-seeds demo known-red
 
 # Installs the model checker and the C compiler if they are missing.
 tools:
@@ -43,9 +81,14 @@
 	@for m in $(MODULES); do (cd $$m && go vet ./... && ../$(BIN)/staticcheck ./...) || exit 1; done
 	@echo "lint ok"
 
-# Runs the tests of all modules under the race detector, without those of known faults.
+# Runs the tests of all modules under the race detector, without those of known faults and those of the target crowds.
 race:
-	@for m in $(MODULES); do (cd $$m && go test -race -count=1 -skip '^($(KNOWN_RED))$$' ./...) || exit 1; done
+	@for m in $(MODULES); do (cd $$m && go test -race -count=1 -skip '^($(KNOWN_RED))$$|^TestCrowd' ./...) || exit 1; done
+
+# Runs the tests of clients that do not behave, one at a time, since they measure the memory and the descriptors of processes.
+crowds:
+	@cd platform && go test -count=1 -run '^TestCrowd' -skip '^($(CROWD_RED_PATTERN))$$' .
+	@cd standin && go test -count=1 -run '^TestCrowd' -skip '^($(CROWD_RED_PATTERN))$$' ./internal/fleet
 
 # Runs the fuzz targets of core and platform on their seed corpora only.
 fuzz-seeds:
--- a/standin/internal/fleet/fleet.go
+++ b/standin/internal/fleet/fleet.go
@@ -44,6 +44,8 @@
 	DrainTime time.Duration
 	// NoticeTime is the notice time of the routers.
 	NoticeTime time.Duration
+	// Descriptors limits the open files of a router and of a side, 0 for no limit.
+	Descriptors int
 }
 
 // Upstream is an upstream process with its side.
@@ -261,6 +263,7 @@
 		}
 		r.Process = f.newProcess(r.cfg.ID, "router", "http://"+r.Operator+"/readyz")
 		r.args = []string{"--config", f.settingsPath(r.cfg.ID)}
+		r.descriptors = f.Options.Descriptors
 		f.Routers = append(f.Routers, r)
 	}
 	return nil
@@ -374,6 +377,7 @@
 		name := string(u.ID)
 		u.Side = f.newProcess(name, "side", "http://"+u.Operator+"/readyz")
 		u.Side.args = []string{"--config", f.settingsPath(name)}
+		u.Side.descriptors = f.Options.Descriptors
 		if err := f.writeSettings(name, cfg); err != nil {
 			return err
 		}
--- a/standin/internal/fleet/process.go
+++ b/standin/internal/fleet/process.go
@@ -30,6 +30,8 @@
 
 	path string
 	args []string
+	// descriptors limits the open files, 0 for no limit.
+	descriptors int
 
 	mu   sync.Mutex
 	cmd  *exec.Cmd
@@ -51,6 +53,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	cmd := exec.Command(p.path, p.args...)
+	if p.descriptors > 0 {
+		limited := []string{"-c", fmt.Sprintf(`ulimit -n %d; exec "$0" "$@"`, p.descriptors), p.path}
+		cmd = exec.Command("sh", append(limited, p.args...)...)
+	}
 	cmd.Stdout, cmd.Stderr = &logWriter{p: p}, &logWriter{p: p}
 	if err := cmd.Start(); err != nil {
 		return errors.Wrapf(err, "starting %s", p.Name)
--- a/standin/internal/plain/service.go
+++ b/standin/internal/plain/service.go
@@ -10,7 +10,7 @@
 	"rattantrack.dev/standin/internal/faults"
 )
 
-const maxBodyBytes = 1 << 20
+const maxBodyBytes = 8 << 20
 
 // Faults are the faults that POST /faults sets.
 type Faults struct {
