--- /dev/null
+++ b/core/httplisten/doc.go
@@ -0,0 +1,2 @@
+// Package httplisten bounds the connections of an HTTP server.
+package httplisten
