--- a/core/memorybudget/budget.go
+++ b/core/memorybudget/budget.go
@@ -50,6 +50,8 @@
 type Lease struct {
 	budget *Budget
 	bytes  int64
+	// users is how often Close must be called until the memory is given back.
+	users int
 	// evict makes the request fail while it is received. behind is the instant up to which the client has kept to minRate.
 	evict   func()
 	behind  clock.Instant
@@ -61,15 +63,17 @@
 	if b == nil {
 		return nil
 	}
-	return &Lease{budget: b}
+	return &Lease{budget: b, users: 1}
 }
 
-// Sibling returns a new lease of the same budget.
-func (l *Lease) Sibling() *Lease {
+// Retain keeps what the lease holds until Close has been called once more.
+func (l *Lease) Retain() {
 	if l == nil {
-		return nil
+		return
 	}
-	return l.budget.Open()
+	l.budget.mu.Lock()
+	defer l.budget.mu.Unlock()
+	l.users++
 }
 
 // Receive marks the request as being received until Received is called. While that lasts, evict may be called, once and from another
@@ -193,13 +197,16 @@
 	l.budget.used -= n
 }
 
-// Close gives back all that the lease holds.
+// Close gives back all that the lease holds, unless Retain was called and Close has not been since.
 func (l *Lease) Close() {
 	if l == nil {
 		return
 	}
 	l.budget.mu.Lock()
 	defer l.budget.mu.Unlock()
+	if l.users--; l.users > 0 {
+		return
+	}
 	delete(l.budget.receiving, l)
 	l.budget.used -= l.bytes
 	l.bytes = 0
--- a/core/memorybudget/budget_test.go
+++ b/core/memorybudget/budget_test.go
@@ -147,6 +147,21 @@
 	c.Assert(b.Status(), qt.DeepEquals, Status{Limit: testLimit, Refused: 1})
 }
 
+// TestRetainedMemoryIsGivenBackEarly guards against counting memory as free that something outside the request still uses.
+func TestRetainedMemoryIsGivenBackEarly(t *testing.T) {
+	c := qt.New(t)
+	b := &Budget{Limit: testLimit}
+	l := b.Open()
+	c.Assert(l.Grow(start, 100), qt.IsNil)
+	l.Retain()
+	l.Close()
+	c.Assert(b.Status().Used, qt.Equals, int64(100))
+	l.Shrink(60)
+	c.Assert(b.Status().Used, qt.Equals, int64(40))
+	l.Close()
+	c.Assert(b.Status().Used, qt.Equals, int64(0))
+}
+
 // TestClosedLeasesLeaveMemoryHeld guards against a bound that closes for good.
 func TestClosedLeasesLeaveMemoryHeld(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
