feat(settings): memory and descriptors of the VM, and limits on what callers hold

A router that serves callers through sides, and a side, had no word of their VM's memory: direct.memory_mb was read by routers that reach upstreams themselves only. memory_mb and descriptors stand at the top level now (direct.memory_mb still counts), and the Go runtime keeps to 0.7 of the memory in every process that knows it. Their defaults: a fifth of the memory for requests, two fifths of the descriptors for connections of callers, since each of their requests may need another one for its upstream, 256 header fields and 60 s for a body. Clients within the users' limits send about ten fields, and no router of the size expected in two years (docs/CAPACITY.md: 143 requests a second each) has 1,640 of them open.

--- a/core/settings/process.go
+++ b/core/settings/process.go
@@ -29,7 +29,10 @@
 	// GraceTime is the time from the stop signal until the platform kills the process. If it is set, it limits NoticeTime,
 	// and the remainder is the default of DrainTime.
 	GraceTime time.Duration `yaml:"grace_time"`
-	Limits    Limits        `yaml:"limits"`
+	// MemoryMB is the memory of the VM for this process in MB, and Descriptors its open files, 0 if they are not known.
+	MemoryMB    int64  `yaml:"memory_mb"`
+	Descriptors int    `yaml:"descriptors"`
+	Limits      Limits `yaml:"limits"`
 	// PeerTLS is used between processes and CallerTLS for callers, who need no certificate. Each is used if it names files.
 	PeerTLS   TLS `yaml:"peer_tls"`
 	CallerTLS TLS `yaml:"caller_tls"`
@@ -45,7 +48,7 @@
 	Readiness string `yaml:"readiness"`
 	// FirstStart reports that the whole system starts for the first time, so that no engine has cached anything.
 	FirstStart bool `yaml:"first_start"`
-	// MemoryMB is the memory of the VM for this process in MB, 0 for no limit.
+	// MemoryMB is an older place of Router.MemoryMB.
 	MemoryMB int64 `yaml:"memory_mb"`
 	// Cores is the number of processor cores that the VM gives this process, 0 if it is not known.
 	Cores float64 `yaml:"cores"`
@@ -87,6 +90,12 @@
 	HeaderTime  time.Duration `yaml:"header_time"`
 	IdleTime    time.Duration `yaml:"idle_time"`
 	OpenCalls   int           `yaml:"open_calls"`
+	// HeaderFields bounds the header fields of a request, and BodyTime the time that its body takes.
+	HeaderFields int           `yaml:"header_fields"`
+	BodyTime     time.Duration `yaml:"body_time"`
+	// RequestMemory bounds the bytes that all requests together hold, and Connections the connections of callers.
+	RequestMemory int64 `yaml:"request_memory"`
+	Connections   int   `yaml:"connections"`
 }
 
 // Side is the settings file of one side process.
@@ -100,6 +109,11 @@
 	Peers     []string      `yaml:"peers"`
 	Allow     []string      `yaml:"allow"`
 	DrainTime time.Duration `yaml:"drain_time"`
+	// MemoryMB is the memory of the VM for this process in MB, and Descriptors its open files, 0 if they are not known.
+	MemoryMB    int64 `yaml:"memory_mb"`
+	Descriptors int   `yaml:"descriptors"`
+	// RequestMemory bounds the bytes that all requests together hold.
+	RequestMemory int64 `yaml:"request_memory"`
 	// PeerTLS is used between processes if it names files.
 	PeerTLS TLS `yaml:"peer_tls"`
 }
@@ -113,6 +127,13 @@
 	DefaultHeaderTime  = 5 * time.Second
 	DefaultIdleTime    = 60 * time.Second
 	DefaultOpenCalls   = 4096
+	// DefaultHeaderFields is about ten times what clients and load balancers send.
+	DefaultHeaderFields = 256
+	DefaultBodyTime     = 60 * time.Second
+	// DefaultRequestMemory is used where the memory of the VM is not known.
+	DefaultRequestMemory = 64 << 20
+	// DefaultDescriptors is used where neither the settings nor the kernel name a limit.
+	DefaultDescriptors = 4096
 
 	DefaultRetryRatio  = 0.1
 	DefaultRetrySlack  = 10.0
@@ -129,6 +150,36 @@
 	stopMargin = 300 * time.Millisecond
 )
 
+// Parts of a VM that callers may take. The rest is for what the process knows, for upstreams and for other processes.
+const (
+	// requestMemoryDivisor is the part of the memory that requests hold.
+	requestMemoryDivisor = 5
+	// connectionMemoryDivisor is the part of the memory that connections of callers take, at connectionBytes each: the buffers of net/http,
+	// the stack of a goroutine, and the header of a request.
+	connectionMemoryDivisor = 4
+	connectionBytes         = 24 << 10
+	// callerDescriptors, in hundredths, is the part of the descriptors that callers take. Each of their requests may need another one for its
+	// upstream.
+	callerDescriptors = 40
+)
+
+// requestMemory returns the default of the bytes that all requests together hold, on a VM with the given memory in MB.
+func requestMemory(memoryMB int64) int64 {
+	if memoryMB == 0 {
+		return DefaultRequestMemory
+	}
+	return memoryMB << 20 / requestMemoryDivisor
+}
+
+// callerConnections returns the default of the connections of callers.
+func callerConnections(descriptors int, memoryMB int64) int {
+	n := max(1, descriptors*callerDescriptors/100)
+	if memoryMB > 0 {
+		n = min(n, max(1, int(memoryMB<<20/connectionMemoryDivisor/connectionBytes)))
+	}
+	return n
+}
+
 // DefaultAllow allows only processes on the same machine.
 var DefaultAllow = []string{"127.0.0.0/8"}
 
@@ -146,6 +197,14 @@
 	setDefault(&r.Limits.HeaderTime, DefaultHeaderTime)
 	setDefault(&r.Limits.IdleTime, DefaultIdleTime)
 	setDefault(&r.Limits.OpenCalls, DefaultOpenCalls)
+	setDefault(&r.Limits.HeaderFields, DefaultHeaderFields)
+	setDefault(&r.Limits.BodyTime, DefaultBodyTime)
+	if r.Direct != nil {
+		setDefault(&r.MemoryMB, r.Direct.MemoryMB)
+	}
+	setDefault(&r.Descriptors, DefaultDescriptors)
+	setDefault(&r.Limits.RequestMemory, requestMemory(r.MemoryMB))
+	setDefault(&r.Limits.Connections, callerConnections(r.Descriptors, r.MemoryMB))
 	if r.Direct != nil {
 		setDefault(&r.Direct.RetryBudget.Ratio, DefaultRetryRatio)
 		setDefault(&r.Direct.RetryBudget.Slack, DefaultRetrySlack)
@@ -160,6 +219,8 @@
 // SetDefaults sets the fields that the file left out.
 func (s *Side) SetDefaults() {
 	setDefault(&s.DrainTime, DefaultDrainTime)
+	setDefault(&s.Descriptors, DefaultDescriptors)
+	setDefault(&s.RequestMemory, requestMemory(s.MemoryMB))
 	if len(s.Allow) == 0 {
 		s.Allow = DefaultAllow
 	}
@@ -191,6 +252,12 @@
 	c.positive("limits.header_time", r.Limits.HeaderTime > 0, r.Limits.HeaderTime)
 	c.positive("limits.idle_time", r.Limits.IdleTime > 0, r.Limits.IdleTime)
 	c.positive("limits.open_calls", r.Limits.OpenCalls > 0, r.Limits.OpenCalls)
+	c.positive("limits.header_fields", r.Limits.HeaderFields > 0, r.Limits.HeaderFields)
+	c.positive("limits.body_time", r.Limits.BodyTime > 0, r.Limits.BodyTime)
+	c.positive("limits.request_memory", r.Limits.RequestMemory > 0, r.Limits.RequestMemory)
+	c.positive("limits.connections", r.Limits.Connections > 0, r.Limits.Connections)
+	c.notNegative("memory_mb", r.MemoryMB)
+	c.positive("descriptors", r.Descriptors > 0, r.Descriptors)
 	return c.problems
 }
 
@@ -206,6 +273,9 @@
 	c.networks(s.Allow)
 	c.tls("peer_tls", s.PeerTLS, true)
 	c.positive("drain_time", s.DrainTime > 0, s.DrainTime)
+	c.positive("request_memory", s.RequestMemory > 0, s.RequestMemory)
+	c.notNegative("memory_mb", s.MemoryMB)
+	c.positive("descriptors", s.Descriptors > 0, s.Descriptors)
 	return c.problems
 }
 
@@ -264,6 +334,12 @@
 	}
 }
 
+func (c *processChecker) notNegative(field string, value int64) {
+	if value < 0 {
+		c.add(field, fmt.Sprint(value), "0 or more")
+	}
+}
+
 // tls rejects settings that name only some of the files.
 func (c *processChecker) tls(field string, t TLS, authority bool) {
 	if !t.Used() {
--- a/router/internal/app/app.go
+++ b/router/internal/app/app.go
@@ -43,6 +43,7 @@
 
 // New returns a Router with the given settings.
 func New(cfg settings.Router, l *log.Logger) (*Router, error) {
+	operator.LimitMemory(cfg.MemoryMB)
 	callerIdentity, err := peer.OptionalIdentity(cfg.CallerTLS)
 	if err != nil {
 		return nil, err
--- a/router/internal/app/direct.go
+++ b/router/internal/app/direct.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -44,16 +43,6 @@
 	"rattantrack.dev/router/internal/upstream"
 )
 
-// Memory and garbage collection of a direct router.
-const (
-	// memoryFraction is the part of the process's memory that the Go runtime may use. Memory outside the runtime, such as
-	// socket buffers, needs the rest.
-	memoryFraction = 0.7
-	// gcPercent lets the heap grow more than the programs' usual setting, which saves processor time. The memory limit
-	// still bounds it.
-	gcPercent = 50
-)
-
 // Timeouts of connections to the directory.
 const (
 	directoryDialTimeout = 500 * time.Millisecond
@@ -106,7 +95,7 @@
 
 // NewDirect returns a Direct with the given settings; file is the settings file that SIGHUP reloads.
 func NewDirect(cfg settings.Router, file string, l *log.Logger) (*Direct, error) {
-	limitMemory(cfg.Direct.MemoryMB)
+	operator.LimitMemory(cfg.MemoryMB)
 	d := &Direct{
 		cfg:          cfg,
 		file:         file,
@@ -135,15 +124,6 @@
 	return d, nil
 }
 
-// limitMemory sets the runtime's memory limit for a process with the given memory, 0 for no limit.
-func limitMemory(mb int64) {
-	if mb <= 0 {
-		return
-	}
-	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(memoryFraction * float64(mb<<20)))
-}
-
 // directoryRouters reports the directory reads of the other routers, by whatever way they became known first.
 type directoryRouters struct {
 	*routers.Service
@@ -304,7 +284,7 @@
 
 // reload applies the settings that can change while the process runs, which are the peers. The others need a restart.
 func (d *Direct) reload() {
-	cfg, err := load(d.file)
+	cfg, err := load(d.file, d.log)
 	if err != nil {
 		d.log.Error("settings refused, the old ones stay in force", "error", err)
 		return
--- a/router/internal/app/start.go
+++ b/router/internal/app/start.go
@@ -5,6 +5,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"rattantrack.dev/core/operator"
 	"rattantrack.dev/core/settings"
 )
 
@@ -15,7 +16,7 @@
 
 // Start reads a settings file and runs a router process until ctx ends.
 func Start(ctx context.Context, file string, l *log.Logger) error {
-	cfg, err := load(file)
+	cfg, err := load(file, l)
 	if err != nil {
 		return err
 	}
@@ -27,11 +28,12 @@
 }
 
 // load reads a settings file, applies the defaults and validates the result.
-func load(file string) (settings.Router, error) {
+func load(file string, l *log.Logger) (settings.Router, error) {
 	var cfg settings.Router
 	if err := settings.LoadProcess(file, &cfg); err != nil {
 		return cfg, err
 	}
+	cfg.Descriptors = operator.Descriptors(cfg.Descriptors, l)
 	cfg.SetDefaults()
 	if problems := cfg.Validate(file); len(problems) > 0 {
 		return cfg, problems
--- a/side/internal/app/app.go
+++ b/side/internal/app/app.go
@@ -53,6 +53,7 @@
 	if err != nil {
 		return nil, err
 	}
+	operator.LimitMemory(cfg.MemoryMB)
 	s := &Side{cfg: cfg, log: l, metrics: operator.NewMetrics("side"), store: &revision.Store{}}
 	s.client = upstream.New(cfg.URL)
 	s.server = &router.Server{
--- a/side/internal/app/start.go
+++ b/side/internal/app/start.go
@@ -5,6 +5,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"rattantrack.dev/core/operator"
 	"rattantrack.dev/core/settings"
 )
 
@@ -14,6 +15,7 @@
 	if err := settings.LoadProcess(file, &cfg); err != nil {
 		return err
 	}
+	cfg.Descriptors = operator.Descriptors(cfg.Descriptors, l)
 	cfg.SetDefaults()
 	if problems := cfg.Validate(file); len(problems) > 0 {
 		return problems
--- a/standin/internal/fleet/crowd_test.go
+++ b/standin/internal/fleet/crowd_test.go
@@ -53,7 +53,7 @@
 func startCrowdTarget(t *testing.T) *crowdTarget {
 	t.Helper()
 	ct := &crowdTarget{t: t, ctx: testContext(t), processes: make(map[string]*clienttest.Process)}
-	ct.Fleet = start(t, Options{Routers: 1, Engines: 1, PlainServices: 2, Descriptors: crowdDescriptors})
+	ct.Fleet = start(t, Options{Routers: 1, Engines: 1, PlainServices: 2, Descriptors: crowdDescriptors, MemoryMB: crowdMemoryMB})
 	for _, u := range ct.PlainServices {
 		qt.Assert(t, Post(ct.ctx, u.URL+"/faults", plain.Faults{DelayMS: 500}, nil), qt.IsNil)
 	}
--- a/standin/internal/fleet/fleet.go
+++ b/standin/internal/fleet/fleet.go
@@ -44,8 +44,9 @@
 	DrainTime time.Duration
 	// NoticeTime is the notice time of the routers.
 	NoticeTime time.Duration
-	// Descriptors limits the open files of a router and of a side, 0 for no limit.
+	// Descriptors limits the open files of a router and of a side, and MemoryMB is the memory in MB that their settings name, 0 for none.
 	Descriptors int
+	MemoryMB    int64
 }
 
 // Upstream is an upstream process with its side.
@@ -260,6 +261,7 @@
 			Peer:       r.Peer,
 			NoticeTime: f.Options.NoticeTime,
 			DrainTime:  f.Options.DrainTime,
+			MemoryMB:   f.Options.MemoryMB,
 		}
 		r.Process = f.newProcess(r.cfg.ID, "router", "http://"+r.Operator+"/readyz")
 		r.args = []string{"--config", f.settingsPath(r.cfg.ID)}
@@ -373,6 +375,7 @@
 			URL:        u.URL,
 			Peers:      seeds,
 			DrainTime:  f.Options.DrainTime,
+			MemoryMB:   f.Options.MemoryMB,
 		}
 		name := string(u.ID)
 		u.Side = f.newProcess(name, "side", "http://"+u.Operator+"/readyz")
