fix(client): a refused request waits for its body

What clients saw: the answer to a body that is announced to be too large came only when the limit had been read, up to the idle time for one that does not come; the answer to a request that is refused for its head (no route, unknown key) came only when a short body had come whole. Such clients kept a connection and a goroutine for as long.

Cause: the length was not looked at before the body was read, and net/http reads up to 256 kB of a body before it sends the answer to a request whose handler has not read it, without a deadline.

Evidence: TestAnnouncedBodyOverLimitIsAwaited and TestRefusalWaitsForUnfinishedBody failed after 20 s each, and the row `announced too large` of TestEndedRequestKeepsItsMemory after the idle time.

Why it works: a length over the limit is refused with 413 before anything is read.

--- a/router/internal/client/body_test.go
+++ b/router/internal/client/body_test.go
@@ -77,7 +77,9 @@
 	}{
 		{name: "answered", dispatch: answer, sent: head("/a/", bodyLimit) + body, status: http.StatusOK},
 		{name: "chunked", dispatch: answer, sent: head("/a/", -1) + fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", bodyLimit, body), status: http.StatusOK},
+		{name: "announced too large", sent: head("/a/", bodyLimit+1), status: http.StatusRequestEntityTooLarge},
 		{name: "sent too large", sent: head("/a/", -1) + fmt.Sprintf("%x\r\n%sx\r\n", bodyLimit+1, body), status: http.StatusRequestEntityTooLarge},
+		{name: "unknown route", sent: head("/b/", bodyLimit) + body[1:], status: http.StatusNotFound},
 		{name: "malformed chunk", sent: head("/a/", -1) + "10\r\nxxxx", leaves: true},
 		{name: "client gone before the end of its body", sent: head("/a/", bodyLimit) + body[1:], leaves: true},
 		{name: "client gone while its request is served", dispatch: waitUntilGone, sent: head("/a/", bodyLimit) + body, leaves: true},
@@ -147,3 +149,30 @@
 	}
 	awaitMemory(t, s, false)
 }
+
+// TestAnnouncedBodyOverLimitIsAwaited guards against waiting for a body that is refused whatever it holds.
+func TestAnnouncedBodyOverLimitIsAwaited(t *testing.T) {
+	s, _ := startLimitedServer(t, nil, settings.ClientLimits{IdleTime: time.Minute, BodyBytes: bodyLimit}, 0)
+	conn, r := dial(t, s)
+	_, err := io.WriteString(conn, head("/a/", 1<<40))
+	c := qt.New(t)
+	c.Assert(err, qt.IsNil)
+	c.Assert(conn.SetReadDeadline(time.Now().Add(20*time.Second)), qt.IsNil)
+	res, err := http.ReadResponse(r, nil)
+	c.Assert(err, qt.IsNil)
+	c.Assert(res.StatusCode, qt.Equals, http.StatusRequestEntityTooLarge)
+	c.Assert(res.Close, qt.IsTrue)
+}
+
+// TestRefusalWaitsForUnfinishedBody guards against answering a refused request only when its body has come.
+func TestRefusalWaitsForUnfinishedBody(t *testing.T) {
+	s, _ := startLimitedServer(t, nil, settings.ClientLimits{IdleTime: time.Minute, BodyBytes: bodyLimit}, 0)
+	conn, r := dial(t, s)
+	_, err := io.WriteString(conn, head("/b/", 100)+"x")
+	c := qt.New(t)
+	c.Assert(err, qt.IsNil)
+	c.Assert(conn.SetReadDeadline(time.Now().Add(20*time.Second)), qt.IsNil)
+	res, err := http.ReadResponse(r, nil)
+	c.Assert(err, qt.IsNil)
+	c.Assert(res.StatusCode, qt.Equals, http.StatusNotFound)
+}
--- a/router/internal/client/serve.go
+++ b/router/internal/client/serve.go
@@ -43,6 +43,7 @@
 		refused = s.readBody(w, req, r, lease)
 	}
 	if refused != nil {
+		requestbody.Abandon(w, req)
 		s.refuse(w, r, refused, peer.OutcomeNotRun)
 		return
 	}
--- a/router/internal/requestbody/read.go
+++ b/router/internal/requestbody/read.go
@@ -41,6 +41,9 @@
 	if req.ContentLength == 0 {
 		return nil, nil
 	}
+	if req.ContentLength > limits.Bytes {
+		return nil, &TooLargeError{Limit: limits.Bytes}
+	}
 	control := http.NewResponseController(w)
 	if err := control.SetReadDeadline(time.Now().Add(limits.Time)); err != nil {
 		return nil, errors.Wrap(err, "setting the read deadline")
