fix(client): a body that stops coming is answered 400

What clients saw: 400 `malformed_body`, which no client retries, where the body was well-formed and had only not come within the idle time.

Cause: the read deadline's error was taken for any other.

Why it works: it has its own error, and the answer is 408 `body_timeout`, which promises "not run" and may be retried. The row `stalled` of TestEndedRequestKeepsItsMemory got 400 and gets 408.

--- a/router/internal/client/body_test.go
+++ b/router/internal/client/body_test.go
@@ -81,6 +81,7 @@
 		{name: "sent too large", sent: head("/a/", -1) + fmt.Sprintf("%x\r\n%sx\r\n", bodyLimit+1, body), status: http.StatusRequestEntityTooLarge},
 		{name: "unknown route", sent: head("/b/", bodyLimit) + body[1:], status: http.StatusNotFound},
 		{name: "malformed chunk", sent: head("/a/", -1) + "10\r\nxxxx", leaves: true},
+		{name: "stalled", sent: head("/a/", bodyLimit) + body[1:], status: http.StatusRequestTimeout},
 		{name: "client gone before the end of its body", sent: head("/a/", bodyLimit) + body[1:], leaves: true},
 		{name: "client gone while its request is served", dispatch: waitUntilGone, sent: head("/a/", bodyLimit) + body, leaves: true},
 		{name: "panic", dispatch: fail, sent: head("/a/", bodyLimit) + body},
--- a/router/internal/requestbody/failure.go
+++ b/router/internal/requestbody/failure.go
@@ -13,6 +13,7 @@
 const (
 	CodeTooLarge  = "body_too_large"
 	CodeMalformed = "malformed_body"
+	CodeTimeout   = "body_timeout"
 	CodeNoMemory  = "no_memory"
 )
 
@@ -29,11 +30,14 @@
 // FailureOf returns the response for an error of Read.
 func FailureOf(err error) Failure {
 	var tooLarge *TooLargeError
+	var timeout *TimeoutError
 	var full *memorybudget.FullError
 	var evicted *memorybudget.EvictedError
 	switch {
 	case errors.As(err, &tooLarge):
 		return Failure{Status: http.StatusRequestEntityTooLarge, Code: CodeTooLarge}
+	case errors.As(err, &timeout):
+		return Failure{Status: http.StatusRequestTimeout, Code: CodeTimeout}
 	case errors.As(err, &full), errors.As(err, &evicted):
 		return Failure{Status: http.StatusServiceUnavailable, Code: CodeNoMemory, RetryAfter: noMemoryRetryAfter}
 	}
--- a/router/internal/requestbody/read.go
+++ b/router/internal/requestbody/read.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -23,6 +24,13 @@
 
 func (e *TooLargeError) Error() string { return fmt.Sprintf("body exceeds %d bytes", e.Limit) }
 
+// TimeoutError reports a body that has not been received in time.
+type TimeoutError struct {
+	Limit time.Duration
+}
+
+func (e *TimeoutError) Error() string { return "body not received within " + e.Limit.String() }
+
 // Limits are those on one body.
 type Limits struct {
 	// Bytes is the largest size, Time how long the client may take.
@@ -35,8 +43,8 @@
 	Now() clock.Instant
 }
 
-// Read reads the body of a request, whose memory it takes from the lease. It returns a TooLargeError, an error of package memorybudget, or
-// that of the connection. After an error the connection cannot carry another request.
+// Read reads the body of a request, whose memory it takes from the lease. It returns a TooLargeError, a TimeoutError, an error of package
+// memorybudget, or that of the connection. After an error the connection cannot carry another request.
 func Read(w http.ResponseWriter, req *http.Request, limits Limits, lease *memorybudget.Lease, c Clock) ([]byte, error) {
 	if req.ContentLength == 0 {
 		return nil, nil
@@ -55,6 +63,9 @@
 	if evicted := lease.Received(); evicted != nil {
 		return nil, evicted
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, &TimeoutError{Limit: limits.Time}
+	}
 	if err != nil {
 		return nil, err
 	}
