fix(client): connections of clients use up the descriptors

What clients saw: no connection, or none that is answered, while others held connections without a request, with a head or with a body that does not end; for these 15 to 60 s the router reached no upstream and no other router either, unless it had a connection already.

Cause: nothing bounded the connections of clients. With the descriptors used up, accept and dial both fail.

Why it works: at most limits.connections, two fifths of the descriptors, are open (core/httplisten). A connection that brings no complete request goes for the new one, longest quiet first, so ordinary clients are not kept out by those that stall. The idle connection now also ends its sending side before it closes, so that a client reads the answer to a request that was not read to its end.

--- a/router/internal/app/services.go
+++ b/router/internal/app/services.go
@@ -206,6 +206,7 @@
 		Log:        d.log,
 		Scope:      scope,
 		Memory:     &memorybudget.Budget{Limit: d.cfg.Limits.RequestMemory},
+		Limit:      clientLimit("client", d.cfg, d.log, scope),
 	}
 	d.readiness = &readiness{address: d.cfg.Direct.Readiness, path: platform.ReadyPath, ready: d.ready}
 	d.announcer = &operator.Announcer{Log: d.log, Message: "router ready"}
--- a/router/internal/client/idleconn.go
+++ b/router/internal/client/idleconn.go
@@ -47,6 +47,17 @@
 	}
 }
 
+// NetConn returns the connection below.
+func (c *idleConn) NetConn() net.Conn { return c.Conn }
+
+// CloseWrite ends the sending side of the connection, so that the client can still read the answer to a request that was not read to its end.
+func (c *idleConn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
 func (c *idleConn) idleDeadline() (idle bool, deadline time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/router/internal/client/server.go
+++ b/router/internal/client/server.go
@@ -15,6 +15,7 @@
 
 	"rattantrack.dev/core/call"
 	"rattantrack.dev/core/clock"
+	"rattantrack.dev/core/httplisten"
 	"rattantrack.dev/core/memorybudget"
 	"rattantrack.dev/core/routing"
 	"rattantrack.dev/core/settings"
@@ -57,6 +58,8 @@
 	Scope    tally.Scope
 	// Memory bounds what all requests together hold.
 	Memory *memorybudget.Budget
+	// Limit bounds the connections.
+	Limit *httplisten.Limit
 
 	table          atomic.Pointer[routing.Table]
 	firstTableDone chan struct{}
@@ -133,8 +136,9 @@
 		MaxHeaderBytes:    settings.DefaultHeaderBytes,
 		ConnState:         onConnState,
 	}
+	s.Limit.Apply(srv)
 	served := make(chan error, 1)
-	go func() { served <- srv.Serve(&idleListener{Listener: ln, idleTime: s.idleTime}) }()
+	go func() { served <- srv.Serve(&idleListener{Listener: s.Limit.Listen(ln, nil), idleTime: s.idleTime}) }()
 	ready()
 	select {
 	case err := <-served:
@@ -175,13 +179,16 @@
 	Stopping bool              `json:"leaving"`
 	Open     int64             `json:"open_requests"`
 	Revision settings.Revision `json:"revision"`
-	// Memory is what the requests hold.
-	Memory memorybudget.Status `json:"request_memory"`
+	// Connections is the number of client connections, Memory what the requests hold.
+	Connections int                 `json:"connections"`
+	Memory      memorybudget.Status `json:"request_memory"`
 }
 
 // Dump returns the server's state.
 func (s *Server) Dump() any {
-	status := Status{Stopping: s.Stopping(), Open: s.openRequests.Load(), Memory: s.Memory.Status()}
+	status := Status{
+		Stopping: s.Stopping(), Open: s.openRequests.Load(), Connections: s.Limit.Open(), Memory: s.Memory.Status(),
+	}
 	if t := s.table.Load(); t != nil {
 		status.Revision = t.Revision
 	}
--- a/router/internal/requestbody/read.go
+++ b/router/internal/requestbody/read.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"rattantrack.dev/core/clock"
+	"rattantrack.dev/core/httplisten"
 	"rattantrack.dev/core/memorybudget"
 )
 
@@ -72,6 +73,7 @@
 	if err := control.SetReadDeadline(time.Time{}); err != nil {
 		return nil, errors.Wrap(err, "clearing the read deadline")
 	}
+	httplisten.Serving(req.Context())
 	return body, nil
 }
 
