fix(client): heads of very many short fields take far more memory than their bytes

What clients saw: nothing yet; by reading. net/http bounds the bytes of a head and not its fields, each of which takes a map entry, a slice and two strings: 2,500 fields of 15 kB took 0.4 MB in each connection until the head's time was over (56 MB at the peak with 51 connections, 41 MB with heads of one long field).

Why it works: a connection counts the lines of each head, also above TLS, and fails to be read after limits.header_fields; net/http answers 400 and closes it. Lines of a body do not count.

--- a/core/httplisten/listener.go
+++ b/core/httplisten/listener.go
@@ -20,10 +20,11 @@
 type Limit struct {
 	// Port names the port in logs and metrics.
 	Port string
-	// Connections is the largest number of open connections, 0 for no limit.
-	Connections int
-	Log         *log.Logger
-	Scope       tally.Scope
+	// Connections is the largest number of open connections, HeaderFields that of the header fields of a request, 0 for no limit.
+	Connections  int
+	HeaderFields int
+	Log          *log.Logger
+	Scope        tally.Scope
 
 	mu   sync.Mutex
 	open map[*conn]struct{}
@@ -68,6 +69,7 @@
 		if c := unwrap(nc); c != nil && state == http.StateIdle {
 			c.serving.Store(false)
 		}
+		onFieldsState(nc, state)
 		if connState != nil {
 			connState(nc, state)
 		}
@@ -117,7 +119,10 @@
 	if cfg != nil {
 		ln = tls.NewListener(ln, cfg)
 	}
-	return ln
+	if l == nil || l.HeaderFields == 0 {
+		return ln
+	}
+	return &fieldsListener{Listener: ln, limit: l.HeaderFields}
 }
 
 type listener struct {
@@ -231,10 +236,3 @@
 
 // CloseWrite ends the sending side of the connection, so that the client can still read the answer.
 func (c *conn) CloseWrite() error { return closeWrite(c.Conn) }
-
-func closeWrite(nc net.Conn) error {
-	if half, ok := nc.(interface{ CloseWrite() error }); ok {
-		return half.CloseWrite()
-	}
-	return nil
-}
--- a/core/httplisten/listener_test.go
+++ b/core/httplisten/listener_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -137,3 +138,31 @@
 	}
 	awaitOpen(t, l, 0)
 }
+
+func TestManyHeaderFieldsAreRead(t *testing.T) {
+	const limit = 8
+	l := &Limit{Port: "test", HeaderFields: limit}
+	address, _, _ := serve(t, l)
+	c := qt.New(t)
+	// The Host field counts, too.
+	allowed, tooMany := strings.Repeat("a: b\r\n", limit-1), strings.Repeat("a: b\r\n", limit)
+	cl := dial(t, address)
+	for range 3 {
+		c.Assert(cl.get("/", allowed), qt.Equals, http.StatusOK)
+	}
+	c.Assert(cl.get("/", tooMany) == http.StatusOK, qt.IsFalse)
+	c.Assert(dial(t, address).get("/", tooMany) == http.StatusOK, qt.IsFalse)
+}
+
+// TestLinesOfBodyCountAsHeaderFields guards against ending the connection of a request whose body has many lines.
+func TestLinesOfBodyCountAsHeaderFields(t *testing.T) {
+	l := &Limit{Port: "test", HeaderFields: 8}
+	address, _, _ := serve(t, l)
+	cl := dial(t, address)
+	body := strings.Repeat("\r\n", 5000) + strings.Repeat("x\n", 5000)
+	for range 2 {
+		_, err := fmt.Fprintf(cl, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, cl.status(), qt.Equals, http.StatusOK)
+	}
+}
--- a/router/internal/app/limits.go
+++ b/router/internal/app/limits.go
@@ -11,6 +11,6 @@
 // clientLimit returns the limit on the port for clients.
 func clientLimit(port string, cfg settings.Router, l *log.Logger, scope tally.Scope) *httplisten.Limit {
 	return &httplisten.Limit{
-		Port: port, Connections: cfg.Limits.Connections, Log: l, Scope: scope,
+		Port: port, Connections: cfg.Limits.Connections, HeaderFields: cfg.Limits.HeaderFields, Log: l, Scope: scope,
 	}
 }
