fix(client): a client that reads no refusals is awaited forever

What clients saw: nothing; the router kept the connection, its goroutine and what had been received for as long as the client liked, since a refusal was written without a deadline (answers of upstreams have one).

Evidence: TestClientThatReadsNoRefusalsIsAwaitedForever sends requests and reads nothing: after 20 s its writes still waited.

--- a/router/internal/client/body_test.go
+++ b/router/internal/client/body_test.go
@@ -6,10 +6,12 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	qt "github.com/frankban/quicktest"
 
 	"rattantrack.dev/core/peer"
@@ -177,3 +179,17 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(res.StatusCode, qt.Equals, http.StatusNotFound)
 }
+
+// TestClientThatReadsNoRefusalsIsAwaitedForever guards against a write of a refusal that never ends.
+func TestClientThatReadsNoRefusalsIsAwaitedForever(t *testing.T) {
+	s, _ := startLimitedServer(t, nil, settings.ClientLimits{IdleTime: time.Minute, BodyBytes: bodyLimit}, 0)
+	conn, _ := dial(t, s)
+	c := qt.New(t)
+	c.Assert(conn.SetWriteDeadline(time.Now().Add(20*time.Second)), qt.IsNil)
+	requests := strings.Repeat("GET /b/ HTTP/1.1\r\nHost: desk.example\r\n\r\n", 1000)
+	var err error
+	for err == nil {
+		_, err = io.WriteString(conn, requests)
+	}
+	c.Assert(errors.Is(err, os.ErrDeadlineExceeded), qt.IsFalse, qt.Commentf("%v", err))
+}
--- a/router/internal/client/response.go
+++ b/router/internal/client/response.go
@@ -92,6 +92,10 @@
 	if f.retryAfter > 0 {
 		h.Set("Retry-After", s.Dialect.RetryAfter(f.retryAfter))
 	}
+	// A client that sends requests and reads no answers would otherwise be awaited forever.
+	if err := http.NewResponseController(w).SetWriteDeadline(time.Now().Add(s.writeTime())); err != nil {
+		s.Log.Debug("cannot set the write deadline", "request", r.ID, "error", err)
+	}
 	w.WriteHeader(f.status)
 	if _, err := w.Write(body); err != nil {
 		s.Log.Debug("cannot write the failure response", "request", r.ID, "error", err)
