fix(direct): complete responses are kept for all clients at once

What clients saw: nothing yet; by reading. A response of up to 256 kB is kept until it is complete, so that the request can still be retried, and then until the client has read it: 1,600 clients that ask for such responses and do not read them take 400 MB.

Why it works: the response is part of the request's lease. Without room it is relayed as it comes, as longer ones always are; it can then not be retried any more. A failure response without room counts as broken off, as longer ones do.

--- a/router/internal/direct/attempt.go
+++ b/router/internal/direct/attempt.go
@@ -214,9 +214,10 @@
 func (ex *exchange) handleFailure(
 	ctx context.Context, inst members.Instance, res *upstream.Response, use attempt.Use,
 ) (attempt.Ending, bool) {
-	body, whole, err := readBounded(res.Body, maxBufferedBytes)
+	body, whole, err := ex.readBounded(res.Body, maxBufferedBytes)
 	if err == nil && !whole {
-		err = &bodySizeError{limit: maxBufferedBytes}
+		// The body is longer, or there is no memory for more of it.
+		err = &bodySizeError{limit: len(body)}
 	}
 	if err == nil {
 		err = res.CheckBody(body)
--- a/router/internal/direct/body.go
+++ b/router/internal/direct/body.go
@@ -20,17 +20,39 @@
 
 func (e *bodySizeError) Error() string { return fmt.Sprintf("body exceeds %d bytes", e.limit) }
 
-// readBounded reads at most limit bytes; whole reports whether the body ends within them.
-func readBounded(r io.Reader, limit int) (body []byte, whole bool, err error) {
-	body, err = io.ReadAll(io.LimitReader(r, int64(limit)+1))
-	return body, len(body) <= limit, err
+// readBounded reads at most limit bytes, and fewer if the request gets no more memory; whole reports whether the body ends within them.
+func (ex *exchange) readBounded(r io.Reader, limit int) (body []byte, whole bool, err error) {
+	for len(body) <= limit {
+		if len(body) == cap(body) {
+			size := min(max(firstBufferBytes, 2*cap(body)), limit+1)
+			if ex.Memory.Grow(ex.dispatcher.Clock.Now(), int64(size)) != nil {
+				return body, false, nil
+			}
+			grown := make([]byte, len(body), size)
+			copy(grown, body)
+			ex.Memory.Shrink(int64(cap(body)))
+			body = grown
+		}
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if errors.Is(err, io.EOF) {
+			return body, len(body) <= limit, nil
+		}
+		if err != nil {
+			return body, false, err
+		}
+	}
+	return body, false, nil
 }
 
+// firstBufferBytes is the size of the first buffer of a response.
+const firstBufferBytes = 4 << 10
+
 // relayBody relays a response that is not a stream. A small one is read completely first.
 func (ex *exchange) relayBody(
 	ctx context.Context, inst members.Instance, res *upstream.Response, timer *stallTimer,
 ) (attempt.Ending, bool) {
-	body, whole, err := readBounded(res.Body, maxBufferedBytes)
+	body, whole, err := ex.readBounded(res.Body, maxBufferedBytes)
 	if err == nil {
 		err = res.CheckBody(body)
 	}
