fix(caller): a caller that reads no answer is awaited forever

What callers saw: a router with fewer and fewer calls left: an answer was written without a deadline, so a caller that does not read kept its call, what it holds, its place among the open calls and, for a stream, its slot at the engine.

Evidence: TestCallerThatReadsNoAnswerIsAwaitedForever: after 30 s the write still waited.

Why it works: each write has 10 s, as for clients. An answer of the router itself, too.

--- a/router/internal/caller/failure.go
+++ b/router/internal/caller/failure.go
@@ -97,6 +97,5 @@
 	ctx.Header(headerOutcome, string(body.Error.Outcome))
 	s.Scope.Tagged(map[string]string{"code": f.code}).Counter("failures").Inc(1)
 	ctx.StatusCode(f.status)
-	// A write error means that the caller disconnected.
-	_ = ctx.JSON(body)
+	s.writeJSON(ctx, body)
 }
--- a/router/internal/caller/memory_test.go
+++ b/router/internal/caller/memory_test.go
@@ -186,3 +186,24 @@
 	stop()
 	awaitMemory(t, s, false)
 }
+
+// TestCallerThatReadsNoAnswerIsAwaitedForever guards against a write that never ends.
+func TestCallerThatReadsNoAnswerIsAwaitedForever(t *testing.T) {
+	written := make(chan error, 1)
+	s, _ := startServer(t, dispatcherFunc(func(_ context.Context, _ *sides.Call, sink sides.Sink) sides.Result {
+		_ = sink.WriteHead(http.StatusOK, nil, "s")
+		var err error
+		for err == nil {
+			err = sink.Write(make([]byte, bodyLimit), true)
+		}
+		written <- err
+		return sides.Result{Outcome: peer.OutcomeUnknown, Code: sides.CodeCallerGone}
+	}))
+	_, err := io.WriteString(dial(t, s), head(callPath, 1)+"x")
+	qt.Assert(t, err, qt.IsNil)
+	select {
+	case <-written:
+	case <-time.After(30 * time.Second):
+		t.Fatal("the answer is still being written")
+	}
+}
--- a/router/internal/caller/plain.go
+++ b/router/internal/caller/plain.go
@@ -92,8 +92,7 @@
 		s.fail(ctx, resolved.call, resultFailure(sides.Result{Outcome: peer.OutcomeNotRun, Code: sides.CodeUnreachable}))
 		return
 	}
-	// A write error means that the caller disconnected.
-	_ = ctx.JSON(TicketBody{Ticket: issued.Ticket, LifetimeSeconds: issued.Lifetime.Seconds()})
+	s.writeJSON(ctx, TicketBody{Ticket: issued.Ticket, LifetimeSeconds: issued.Lifetime.Seconds()})
 }
 
 // Model is one entry of the model list.
@@ -119,6 +118,5 @@
 			}
 		}
 	}
-	// A write error means that the caller disconnected.
-	_ = ctx.JSON(list)
+	s.writeJSON(ctx, list)
 }
--- a/router/internal/caller/sink.go
+++ b/router/internal/caller/sink.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"net/http"
+	"time"
 
 	"github.com/kataras/iris/v12"
 
@@ -32,6 +34,9 @@
 // Write writes one chunk and flushes it if asked to.
 func (s *responseSink) Write(data []byte, flush bool) error {
 	w := s.ctx.ResponseWriter()
+	if err := setWriteDeadline(s.ctx); err != nil {
+		return err
+	}
 	if _, err := w.Write(data); err != nil {
 		return err
 	}
@@ -41,6 +46,25 @@
 	return nil
 }
 
+// writeTime bounds each write to a caller that does not read.
+const writeTime = 10 * time.Second
+
+// setWriteDeadline bounds the next write to the caller.
+func setWriteDeadline(ctx iris.Context) error {
+	return http.NewResponseController(ctx.ResponseWriter().Naive()).SetWriteDeadline(time.Now().Add(writeTime))
+}
+
+// writeJSON writes an answer of the router itself.
+func (s *Server) writeJSON(ctx iris.Context, v any) {
+	err := setWriteDeadline(ctx)
+	if err == nil {
+		err = ctx.JSON(v)
+	}
+	if err != nil {
+		s.Log.Debug("cannot write an answer", "error", err)
+	}
+}
+
 // writeError ends an answer that was already begun with an error event, since its status can't be changed any more.
 func (s *responseSink) writeError(call *sides.Call, result sides.Result) {
 	text, err := json.Marshal(resultFailure(result).body(call))
