fix(sides): answers that are kept until they are complete exceed the memory

What callers saw: a router that ends without memory while callers ask for long answers: one that is not streamed is kept up to 16 MB until it is complete, and then until its caller has read it, for each open call.

Why it works: the answer is part of the call's lease, chunk by chunk, until the call ends or is retried.

--- a/router/internal/sides/attempt.go
+++ b/router/internal/sides/attempt.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"rattantrack.dev/core/candidates"
+	"rattantrack.dev/core/memorybudget"
 	"rattantrack.dev/core/peer"
 	"rattantrack.dev/core/settings"
 )
@@ -31,17 +32,20 @@
 	endCallerGone
 	// endUnknown means that the side did not report whether the attempt was started.
 	endUnknown
+	// endNoMemory means that there was no memory to send the attempt, or to keep its answer if it was started.
+	endNoMemory
 )
 
 func (e ending) String() string {
-	return [...]string{"done", "refused", "unreachable", "not_started", "interrupted", "moved", "caller_gone", "unknown"}[e]
+	return [...]string{"done", "refused", "unreachable", "not_started", "interrupted", "moved", "caller_gone", "unknown", "no_memory"}[e]
 }
 
 // attemptResult is how an attempt ended, with the details that the side reported.
 type attemptResult struct {
 	ending  ending
 	refusal *peer.Refuse
-	// next is the side that should continue a moved call; started reports whether the old side's upstream already had it.
+	// next is the side that should continue a moved call; started reports whether the old side's upstream already had it, or whether an
+	// attempt without memory was started.
 	next    settings.UpstreamID
 	started bool
 	err     error
@@ -79,8 +83,7 @@
 		return attemptResult{ending: endUnreachable, err: errors.Newf("%s is now %s", address, link.Remote().ID)}
 	}
 	prog.attempt++
-	submit := d.newSubmit(call, prog, step)
-	st, err := link.Open(ctx, submit)
+	st, err := link.Open(ctx, d.newSubmit(call, prog, step))
 	var retired *peer.RetiredError
 	if errors.As(err, &retired) {
 		return attemptResult{ending: endUnreachable, err: err}
@@ -92,7 +95,7 @@
 	defer st.Close()
 	res := d.relay(ctx, call, prog, st)
 	switch res.ending {
-	case endCallerGone:
+	case endCallerGone, endNoMemory:
 		d.cancel(st)
 	case endUnknown:
 		return d.resolveLost(ctx, call, prog, step, link, res.err)
@@ -162,6 +165,10 @@
 		case *peer.End:
 			return endResult(v, last)
 		}
+		var full *memorybudget.FullError
+		if errors.As(err, &full) {
+			return attemptResult{ending: endNoMemory, started: true, err: err}
+		}
 		if err != nil {
 			return attemptResult{ending: endCallerGone, err: err}
 		}
--- a/router/internal/sides/call.go
+++ b/router/internal/sides/call.go
@@ -64,4 +64,5 @@
 	CodeLost        = "answer_lost"
 	CodeCallerGone  = "caller_gone"
 	CodeBudget      = "retry_budget_spent"
+	CodeNoMemory    = "no_memory"
 )
--- a/router/internal/sides/dispatch.go
+++ b/router/internal/sides/dispatch.go
@@ -48,7 +48,7 @@
 	ctx, cancel := context.WithTimeout(ctx, call.Deadline.Sub(d.Clock.Now())+refusalGrace)
 	defer cancel()
 	d.budget.RecordFirstAttempt()
-	prog := &progress{sink: sink, stream: call.Stream}
+	prog := &progress{sink: sink, stream: call.Stream, memory: call.Memory, clock: d.Clock}
 	result := d.dispatch(ctx, call, prog)
 	if result.Outcome == peer.OutcomeDone {
 		if err := prog.finish(); err != nil {
@@ -138,6 +138,9 @@
 			return Result{Outcome: peer.OutcomeDone, Side: primary, Requests: 1}
 		case endCallerGone:
 			return callerGoneResult(ctx)
+		case endNoMemory:
+			// An earlier run of the key cannot be ruled out here.
+			return Result{Outcome: peer.OutcomeUnknown, Code: CodeNoMemory}
 		case endRefused:
 			if res.refusal.Code != peer.RefuseNotPrimary || retries >= maxPrimaryRetries {
 				return primaryRefusal(res.refusal)
--- a/router/internal/sides/progress.go
+++ b/router/internal/sides/progress.go
@@ -7,6 +7,7 @@
 
 	"github.com/tidwall/gjson"
 
+	"rattantrack.dev/core/memorybudget"
 	"rattantrack.dev/core/peer"
 	"rattantrack.dev/core/settings"
 )
@@ -26,7 +27,9 @@
 
 // progress is the state of the answer to one call across all its attempts.
 type progress struct {
-	sink Sink
+	sink   Sink
+	memory *memorybudget.Lease
+	clock  Clock
 	// attempt is the number of the latest attempt.
 	attempt peer.AttemptID
 	// answerTokens counts the answer tokens passed to the caller.
@@ -105,10 +108,13 @@
 
 // bufferChunk keeps a chunk until the answer is complete.
 func (p *progress) bufferChunk(data []byte) error {
-	p.bufferedBytes += len(data)
-	if p.bufferedBytes > maxBufferedBytes {
-		return &TooLongError{Bytes: p.bufferedBytes}
+	if n := p.bufferedBytes + len(data); n > maxBufferedBytes {
+		return &TooLongError{Bytes: n}
+	}
+	if err := p.memory.Grow(p.clock.Now(), int64(len(data))); err != nil {
+		return err
 	}
+	p.bufferedBytes += len(data)
 	p.buffered = append(p.buffered, data)
 	return nil
 }
@@ -146,6 +152,7 @@
 
 // discardUnsent drops the buffered chunks, and the status and header if they were not sent.
 func (p *progress) discardUnsent() {
+	p.memory.Shrink(int64(p.bufferedBytes))
 	p.buffered = nil
 	p.bufferedBytes = 0
 	if !p.headSent {
--- a/router/internal/sides/search.go
+++ b/router/internal/sides/search.go
@@ -32,6 +32,9 @@
 		return Result{Outcome: peer.OutcomeDone, Side: step.Side, Requests: s.order.Requests()}, true
 	case endCallerGone:
 		return callerGoneResult(ctx), true
+	case endNoMemory:
+		s.progress.started = s.progress.started || res.started
+		return s.giveUp(CodeNoMemory), true
 	case endRefused:
 		s.handleRefusal(step, res.refusal)
 		return Result{}, false
