fix(sides): bodies in the frames of links exceed the memory

What callers saw: nothing yet; by reading. A body is held again as a frame and as a compressed frame until the side has it, and a link keeps up to 64 messages whose callers have gone: a crowd that sends whole bodies and leaves makes a router hold them while a side reads slowly.

Why it works: a large body takes memory for both copies before it is queued, and the lease lasts until the link has written the message or has ended, whatever becomes of the call. Without room the call is refused as "not run"; with a key as "unknown", since an earlier run of it cannot be ruled out.

--- a/core/peer/link.go
+++ b/core/peer/link.go
@@ -63,6 +63,8 @@
 type outgoing struct {
 	id StreamID
 	m  Message
+	// written, if not nil, is closed when the message has been written.
+	written chan struct{}
 }
 
 // Link is one multiplexed connection to another process.
@@ -268,11 +270,15 @@
 
 // send queues a message for the writer.
 func (l *Link) send(ctx context.Context, id StreamID, m Message) error {
+	return l.enqueue(ctx, outgoing{id: id, m: m})
+}
+
+func (l *Link) enqueue(ctx context.Context, o outgoing) error {
 	if l.Ended() {
 		return l.Err()
 	}
 	select {
-	case l.queue <- outgoing{id: id, m: m}:
+	case l.queue <- o:
 		return nil
 	case <-l.closed:
 		return l.Err()
@@ -291,15 +297,20 @@
 func (l *Link) writeLoop() {
 	var buf bytes.Buffer
 	for {
+		var waiting []chan struct{}
 		select {
 		case <-l.closed:
 			return
 		case o := <-l.queue:
 			buf.Reset()
-			l.encode(&buf, o)
+			waiting = l.encode(&buf, o, waiting)
+		}
+		waiting = l.appendQueued(&buf, waiting)
+		err := l.flush(&buf)
+		for _, written := range waiting {
+			close(written)
 		}
-		l.appendQueued(&buf)
-		if err := l.flush(&buf); err != nil {
+		if err != nil {
 			l.Close(errors.Wrap(err, "writing"))
 			return
 		}
@@ -307,24 +318,28 @@
 }
 
 // appendQueued appends the messages that are queued already, so that one write carries many small frames.
-func (l *Link) appendQueued(buf *bytes.Buffer) {
+func (l *Link) appendQueued(buf *bytes.Buffer, waiting []chan struct{}) []chan struct{} {
 	for buf.Len() < writeBatchBytes {
 		select {
 		case o := <-l.queue:
-			l.encode(buf, o)
+			waiting = l.encode(buf, o, waiting)
 		default:
-			return
+			return waiting
 		}
 	}
+	return waiting
 }
 
-func (l *Link) encode(buf *bytes.Buffer, o outgoing) {
-	err := appendFrame(buf, o.id, o.m)
-	if err == nil {
-		return
+// encode appends a message to buf, and the channel to close when it has been written to waiting.
+func (l *Link) encode(buf *bytes.Buffer, o outgoing, waiting []chan struct{}) []chan struct{} {
+	if err := appendFrame(buf, o.id, o.m); err != nil {
+		// The message cannot be encoded. The reset keeps the other end from waiting for it.
+		_ = appendFrame(buf, o.id, &Reset{Reason: err.Error()})
+	}
+	if o.written != nil {
+		waiting = append(waiting, o.written)
 	}
-	// The message cannot be encoded. The reset keeps the other end from waiting for it.
-	_ = appendFrame(buf, o.id, &Reset{Reason: err.Error()})
+	return waiting
 }
 
 func (l *Link) flush(buf *bytes.Buffer) error {
--- /dev/null
+++ b/core/peer/memory_test.go
@@ -0,0 +1,42 @@
+package peer
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// acceptSubmit accepts a submission.
+func acceptSubmit(ctx context.Context, s *Stream, m Message) {
+	if _, ok := m.(*Submit); ok {
+		_ = s.Send(ctx, &Accept{})
+	}
+}
+
+func incompressible(n int) []byte {
+	b := make([]byte, n)
+	for i := range b {
+		b[i] = byte(rand.Uint32())
+	}
+	return b
+}
+
+// TestLargeMessageIsReportedWritten guards against a message whose memory is never given back.
+func TestLargeMessageIsReportedWritten(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	l, err := newEndpoint(t, nil, loopback).Dial(ctx, listen(t, serveFunc(acceptSubmit), loopback))
+	c.Assert(err, qt.IsNil)
+	s, written, err := l.OpenLarge(ctx, &Submit{Body: incompressible(1 << 20)})
+	c.Assert(err, qt.IsNil)
+	s.Close()
+	select {
+	case <-written:
+	case <-ctx.Done():
+		t.Fatal("not reported")
+	}
+}
--- a/core/peer/stream.go
+++ b/core/peer/stream.go
@@ -141,17 +141,29 @@
 
 // Open opens a stream with its first message.
 func (l *Link) Open(ctx context.Context, m Message) (*Stream, error) {
+	return l.open(ctx, outgoing{m: m})
+}
+
+// OpenLarge opens a stream like Open. The link holds the message until written is closed or the link ends, also if the stream ends before.
+// After an error it does not hold it.
+func (l *Link) OpenLarge(ctx context.Context, m Message) (s *Stream, written <-chan struct{}, err error) {
+	done := make(chan struct{})
+	s, err = l.open(ctx, outgoing{m: m, written: done})
+	return s, done, err
+}
+
+func (l *Link) open(ctx context.Context, o outgoing) (*Stream, error) {
 	l.mu.Lock()
 	if l.retired {
 		l.mu.Unlock()
 		return nil, &RetiredError{}
 	}
-	id := l.nextID
+	o.id = l.nextID
 	l.nextID += 2
-	s := l.add(id)
+	s := l.add(o.id)
 	l.mu.Unlock()
 	l.startHeartbeat()
-	if err := s.Send(ctx, m); err != nil {
+	if err := l.enqueue(ctx, o); err != nil {
 		s.Close()
 		return nil, err
 	}
--- a/router/internal/sides/attempt.go
+++ b/router/internal/sides/attempt.go
@@ -83,7 +83,11 @@
 		return attemptResult{ending: endUnreachable, err: errors.Newf("%s is now %s", address, link.Remote().ID)}
 	}
 	prog.attempt++
-	st, err := link.Open(ctx, d.newSubmit(call, prog, step))
+	st, err := d.open(ctx, call, link, d.newSubmit(call, prog, step))
+	var full *memorybudget.FullError
+	if errors.As(err, &full) {
+		return attemptResult{ending: endNoMemory, err: err}
+	}
 	var retired *peer.RetiredError
 	if errors.As(err, &retired) {
 		return attemptResult{ending: endUnreachable, err: err}
@@ -103,6 +107,35 @@
 	return res
 }
 
+// frameCopies is how often a body is held beside itself until it is written: in a frame, and in the compressed frame.
+const frameCopies = 2
+
+// open opens the stream of an attempt. A large body takes memory until the link has written it, also if the caller goes before.
+func (d *Dispatcher) open(ctx context.Context, call *Call, link *peer.Link, m *peer.Submit) (*peer.Stream, error) {
+	if len(m.Body) <= memorybudget.SmallBytes {
+		return link.Open(ctx, m)
+	}
+	size := int64(frameCopies * len(m.Body))
+	if err := call.Memory.Grow(d.Clock.Now(), size); err != nil {
+		return nil, err
+	}
+	st, written, err := link.OpenLarge(ctx, m)
+	if err != nil {
+		call.Memory.Shrink(size)
+		return nil, err
+	}
+	call.Memory.Retain()
+	go func() {
+		defer call.Memory.Close()
+		select {
+		case <-written:
+		case <-link.Done():
+		}
+		call.Memory.Shrink(size)
+	}()
+	return st, nil
+}
+
 // newSubmit returns the message for the next attempt; it includes the part of the answer that the caller already has.
 func (d *Dispatcher) newSubmit(call *Call, prog *progress, step candidates.Step) *peer.Submit {
 	_, revision := d.View.Declarations()
