fix(peer): a moment without descriptors ends the process

What callers saw: all requests of a router, or all calls of a side, cut: the process ended with "accepting a peer: too many open files".

Cause: the listener for other processes took any error of accept for its end, and a service that ends ends its process. A client can bring this about on any port, since all ports share the descriptors.

Evidence: TestLackOfDescriptorsEndsProcess fails for EMFILE, ENFILE and ECONNABORTED; with a crowd of 160 connections a side exited with status 1.

Why it works: after these errors the listener logs, waits 20 ms and goes on. The test passes.

--- a/core/peer/dial.go
+++ b/core/peer/dial.go
@@ -7,9 +7,12 @@
 	"net"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"rattantrack.dev/core/clock"
 )
 
 // defaultDialTimeout limits the time to establish a link, also between regions.
@@ -98,10 +101,18 @@
 	defer wg.Wait()
 	for {
 		conn, err := ln.Accept()
-		if err != nil {
-			if ctx.Err() != nil {
-				return nil
+		if ctx.Err() != nil {
+			if err == nil {
+				_ = conn.Close()
 			}
+			return nil
+		}
+		if isTransient(err) {
+			e.reject(err)
+			clock.Sleep(ctx, acceptPause)
+			continue
+		}
+		if err != nil {
 			return errors.Wrap(err, "accepting a peer")
 		}
 		wg.Add(1)
@@ -112,6 +123,14 @@
 	}
 }
 
+// acceptPause is the pause after a connection could not be accepted.
+const acceptPause = 20 * time.Millisecond
+
+// isTransient reports whether later connections may be accepted after an error.
+func isTransient(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ECONNABORTED)
+}
+
 func (e *Endpoint) accept(ctx context.Context, conn net.Conn) {
 	if !e.Allow.Allows(conn.RemoteAddr()) {
 		_ = conn.Close()
--- a/core/peer/memory_test.go
+++ b/core/peer/memory_test.go
@@ -6,7 +6,10 @@
 	"encoding/binary"
 	"errors"
 	"math/rand/v2"
+	"net"
+	"os"
 	"runtime"
+	"syscall"
 	"testing"
 	"time"
 
@@ -58,3 +61,37 @@
 		t.Fatal("not reported")
 	}
 }
+
+// failingListener fails to accept once.
+type failingListener struct {
+	net.Listener
+	err error
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if err := l.err; err != nil {
+		l.err = nil
+		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", err)}
+	}
+	return l.Listener.Accept()
+}
+
+// TestLackOfDescriptorsEndsProcess guards against a listener that ends, and its process with it, when there is no descriptor for a moment.
+func TestLackOfDescriptorsEndsProcess(t *testing.T) {
+	for _, errno := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ECONNABORTED} {
+		t.Run(errno.Error(), func(t *testing.T) {
+			c := qt.New(t)
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			c.Assert(err, qt.IsNil)
+			e := newEndpoint(t, serveFunc(acceptSubmit), loopback)
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan error, 1)
+			go func() { done <- e.Listen(ctx, &failingListener{Listener: ln, err: errno}) }()
+			_, err = newEndpoint(t, nil, loopback).Dial(context.Background(), ln.Addr().String())
+			c.Check(err, qt.IsNil)
+			cancel()
+			e.Close()
+			c.Assert(<-done, qt.IsNil)
+		})
+	}
+}
