fix(peer): large messages of all links together exceed the memory

What callers saw: as with submissions: a link reads one message at a time, up to 8 MB and again as much decoded, but a side has hundreds of links; and a process that has said a name could announce such a message on each and not send it.

Without room the bytes are skipped: a submission is refused as overloaded and not run, any other stream is reset, and the link goes on. A link that stalls within such a message ends when others need the memory.

Tests, which do not compile on the code before: TestSubmissionWithoutMemoryEndsLink (plain and compressed), TestReplyWithoutMemoryIsAwaited, TestStalledLinkKeepsMemory.

--- a/core/peer/dial.go
+++ b/core/peer/dial.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"rattantrack.dev/core/clock"
+	"rattantrack.dev/core/memorybudget"
 )
 
 // defaultDialTimeout limits the time to establish a link, also between regions.
@@ -70,6 +71,8 @@
 	// MaxAccepted limits the accepted connections, 0 for no limit. Above it, connections that have not said who they are make room, and then
 	// links without streams, longest idle first.
 	MaxAccepted int
+	// Memory bounds the large messages that are being received, nil for no bound.
+	Memory *memorybudget.Budget
 	// DialTimeout limits the time to establish a link, 0 for 1 s.
 	DialTimeout time.Duration
 
@@ -157,7 +160,7 @@
 	if e.Identity != nil {
 		conn = tls.Server(conn, e.Identity.ServerConfig())
 	}
-	l, err := newLink(ctx, conn, e.LocalHello(), false)
+	l, err := newLink(ctx, conn, e.LocalHello(), false, e.Memory)
 	if err != nil {
 		e.forget(raw)
 		e.reject(err)
@@ -309,7 +312,7 @@
 	if e.Identity != nil {
 		conn = tls.Client(conn, e.Identity.ClientConfig())
 	}
-	l, err := newLink(ctx, conn, hello, true)
+	l, err := newLink(ctx, conn, hello, true, e.Memory)
 	if err != nil {
 		return nil, errors.Wrapf(err, "handshake with %s", address)
 	}
--- a/core/peer/frame.go
+++ b/core/peer/frame.go
@@ -140,17 +140,3 @@
 	}
 	return hello, nil
 }
-
-// readFrame reads one frame and decodes its message.
-func readFrame(r io.Reader) (StreamID, Message, error) {
-	h, err := readHeader(r, MaxFrameBytes)
-	if err != nil {
-		return 0, nil, err
-	}
-	body := make([]byte, h.size)
-	if _, err := io.ReadFull(r, body); err != nil {
-		return 0, nil, err
-	}
-	m, err := decodeBody(h.kind, body)
-	return h.id, m, err
-}
--- a/core/peer/link.go
+++ b/core/peer/link.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"rattantrack.dev/core/clock"
+	"rattantrack.dev/core/memorybudget"
 )
 
 // Timing of a link. The heartbeat runs only while a stream is open.
@@ -30,6 +31,8 @@
 	writeQueueLength = 64
 	// maxInboundStreams limits the streams that the other end may have open.
 	maxInboundStreams = 4096
+	// noMemoryRetryAfter is when a caller may retry a call that a process had no memory for.
+	noMemoryRetryAfter = time.Second
 )
 
 // LinkClosedError reports that a link has ended.
@@ -85,6 +88,7 @@
 	cause            error
 	streams          map[StreamID]*Stream
 	nextID           StreamID
+	memory           *memorybudget.Budget
 	heartbeatRunning bool
 	retired          bool
 	// handlers passes the handler to the reader once.
@@ -100,11 +104,13 @@
 
 func monotonic() time.Duration { return time.Since(processStart) }
 
-// newLink exchanges Hello messages on conn and returns the link. The dialler uses odd stream numbers.
-func newLink(ctx context.Context, conn net.Conn, local Hello, dialler bool) (*Link, error) {
+// newLink exchanges Hello messages on conn and returns the link. The dialler uses odd stream numbers. Large messages that are received take
+// memory from the budget, which may be nil.
+func newLink(ctx context.Context, conn net.Conn, local Hello, dialler bool, memory *memorybudget.Budget) (*Link, error) {
 	l := &Link{
 		conn:    conn,
 		local:   local,
+		memory:  memory,
 		queue:   make(chan outgoing, writeQueueLength),
 		closed:  make(chan struct{}),
 		streams: make(map[StreamID]*Stream),
--- a/core/peer/link_test.go
+++ b/core/peer/link_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -286,3 +287,13 @@
 	again.Retire()
 	<-again.Done()
 }
+
+// readFrame reads one frame as a link without a bound on memory does.
+func readFrame(r io.Reader) (StreamID, Message, error) {
+	h, err := readHeader(r, MaxFrameBytes)
+	if err != nil {
+		return 0, nil, err
+	}
+	m, err := (&Link{}).receiveFrame(r, h, nil)
+	return h.id, m, err
+}
--- a/core/peer/memory_test.go
+++ b/core/peer/memory_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/binary"
 	"errors"
+	"io"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -14,6 +15,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"rattantrack.dev/core/memorybudget"
 )
 
 // listenWith is listen with limits on the accepted connections.
@@ -66,6 +69,106 @@
 	return b
 }
 
+// TestSubmissionWithoutMemoryEndsLink guards against losing the other requests of a link, and against a submission without an answer.
+func TestSubmissionWithoutMemoryEndsLink(t *testing.T) {
+	tests := []struct {
+		name string
+		body []byte
+	}{
+		{"plain", incompressible(1 << 20)},
+		{"compressed", make([]byte, 1<<20)},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+			defer cancel()
+			budget := &memorybudget.Budget{Limit: 1 << 20}
+			other := budget.Open()
+			c.Assert(other.Grow(0, 1<<19), qt.IsNil)
+			address, _ := listenWith(t, serveFunc(acceptSubmit), func(e *Endpoint) { e.Memory = budget })
+			l, err := newEndpoint(t, nil, loopback).Dial(ctx, address)
+			c.Assert(err, qt.IsNil)
+			submit := func(body []byte) Message {
+				s, err := l.Open(ctx, &Submit{Body: body})
+				c.Assert(err, qt.IsNil)
+				defer s.Close()
+				m, err := s.Receive(ctx)
+				c.Assert(err, qt.IsNil)
+				return m
+			}
+			refusal, ok := submit(tt.body).(*Refuse)
+			c.Assert(ok, qt.IsTrue)
+			c.Assert(refusal.Code, qt.Equals, RefuseOverloaded)
+			c.Assert(refusal.RetryAfter > 0, qt.IsTrue)
+			_, ok = submit([]byte("small")).(*Accept)
+			c.Assert(ok, qt.IsTrue)
+			other.Close()
+			_, ok = submit(tt.body).(*Accept)
+			c.Assert(ok, qt.IsTrue)
+			c.Assert(budget.Status().Used, qt.Equals, int64(0))
+		})
+	}
+}
+
+// TestReplyWithoutMemoryIsAwaited guards against a stream that waits for a message which was skipped.
+func TestReplyWithoutMemoryIsAwaited(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	address := listen(t, serveFunc(func(ctx context.Context, s *Stream, _ Message) {
+		_ = s.Send(ctx, &Chunk{Seq: 1, Data: incompressible(1 << 20)})
+	}), loopback)
+	e := newEndpoint(t, nil, loopback)
+	e.Memory = &memorybudget.Budget{Limit: 1 << 20}
+	c.Assert(e.Memory.Open().Grow(0, 1<<19), qt.IsNil)
+	l, err := e.Dial(ctx, address)
+	c.Assert(err, qt.IsNil)
+	s, err := l.Open(ctx, &Submit{})
+	c.Assert(err, qt.IsNil)
+	defer s.Close()
+	_, err = s.Receive(ctx)
+	var reset *ResetError
+	c.Assert(errors.As(err, &reset), qt.IsTrue, qt.Commentf("%v", err))
+}
+
+// TestStalledLinkKeepsMemory guards against a process that announces a large message and does not send it.
+func TestStalledLinkKeepsMemory(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	budget := &memorybudget.Budget{Limit: 4 << 20}
+	address, _ := listenWith(t, serveFunc(acceptSubmit), func(e *Endpoint) { e.Memory = budget })
+	conn, err := net.Dial("tcp", address)
+	c.Assert(err, qt.IsNil)
+	defer conn.Close()
+	var hello bytes.Buffer
+	c.Assert(appendFrame(&hello, 0, &Hello{Protocol: ProtocolVersion, ID: "stalled"}), qt.IsNil)
+	frame := make([]byte, headerBytes+1<<20)
+	binary.BigEndian.PutUint32(frame, 1<<20+headerBytes)
+	frame[lengthBytes] = byte(KindSubmit)
+	frame[headerBytes-1] = 1
+	_, err = conn.Write(append(hello.Bytes(), frame...))
+	c.Assert(err, qt.IsNil)
+	l, err := newEndpoint(t, nil, loopback).Dial(ctx, address)
+	c.Assert(err, qt.IsNil)
+	for range 100 {
+		s, err := l.Open(ctx, &Submit{Body: incompressible(1 << 20)})
+		c.Assert(err, qt.IsNil)
+		m, err := s.Receive(ctx)
+		c.Assert(err, qt.IsNil)
+		s.Close()
+		if _, ok := m.(*Accept); ok {
+			_, err := io.Copy(io.Discard, conn)
+			c.Assert(err == nil || errors.Is(err, net.ErrClosed) || budget.Status().Evicted == 1, qt.IsTrue)
+			c.Assert(budget.Status().Evicted, qt.Equals, int64(1))
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	t.Fatal("the stalled link keeps its memory")
+}
+
 // TestStrangersKeepProcessOut guards against connections of which no process makes a link.
 func TestStrangersKeepProcessOut(t *testing.T) {
 	c := qt.New(t)
--- a/core/peer/receive.go
+++ b/core/peer/receive.go
@@ -3,10 +3,13 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"rattantrack.dev/core/memorybudget"
 )
 
 // startReader starts the goroutine that reads frames and delivers them to their streams. It waits for the handler from Serve.
@@ -34,19 +37,35 @@
 	defer wg.Wait()
 	defer cancel()
 	for {
-		id, m, err := readFrame(r)
-		if err != nil {
-			l.Close(errors.Wrap(err, "reading"))
-			return err
-		}
-		l.markReceived()
-		if err := l.dispatch(ctx, &wg, handler, id, m); err != nil {
+		if err := l.receive(ctx, &wg, r, handler); err != nil {
 			l.Close(err)
 			return err
 		}
 	}
 }
 
+// receive reads one frame and delivers its message.
+func (l *Link) receive(ctx context.Context, wg *sync.WaitGroup, r io.Reader, handler Handler) error {
+	h, err := readHeader(r, MaxFrameBytes)
+	if err != nil {
+		return errors.Wrap(err, "reading")
+	}
+	lease := l.memory.Open()
+	defer lease.Close()
+	m, err := l.receiveFrame(r, h, lease)
+	var full *memorybudget.FullError
+	if errors.As(err, &full) {
+		l.markReceived()
+		l.skipMessage(h)
+		return nil
+	}
+	if err != nil {
+		return errors.Wrap(err, "reading")
+	}
+	l.markReceived()
+	return l.dispatch(ctx, wg, handler, h.id, m)
+}
+
 func (l *Link) dispatch(ctx context.Context, wg *sync.WaitGroup, handler Handler, id StreamID, m Message) error {
 	switch m.(type) {
 	case *Ping:
--- a/router/internal/app/endpoint.go
+++ b/router/internal/app/endpoint.go
@@ -5,6 +5,7 @@
 	"github.com/google/uuid"
 
 	"rattantrack.dev/core/clock"
+	"rattantrack.dev/core/memorybudget"
 	"rattantrack.dev/core/peer"
 	"rattantrack.dev/core/revision"
 	"rattantrack.dev/core/settings"
@@ -22,17 +23,23 @@
 	}
 	incarnation := peer.Incarnation(uuid.NewString())
 	return &peer.Endpoint{
-		LocalHello:  func() peer.Hello { return newHello(cfg, store, incarnation) },
-		Handler:     h,
-		Allow:       allow,
-		Identity:    identity,
-		OnReject:    func(err error) { l.Warn("peer turned away", "error", err) },
+		LocalHello: func() peer.Hello { return newHello(cfg, store, incarnation) },
+		Handler:    h,
+		Allow:      allow,
+		Identity:   identity,
+		OnReject:   func(err error) { l.Warn("peer turned away", "error", err) },
+		// Large messages from other processes have a budget of their own, which clients cannot use up.
+		Memory:      &memorybudget.Budget{Limit: peerMemory},
 		MaxAccepted: max(1, cfg.Descriptors/acceptedDivisor),
 	}, incarnation, nil
 }
 
-// acceptedDivisor is the part of the descriptors that accepted links take.
-const acceptedDivisor = 10
+const (
+	// peerMemory, in bytes, has room for one message of the largest size, compressed and decompressed, beside smaller ones.
+	peerMemory = 32 << 20
+	// acceptedDivisor is the part of the descriptors that accepted links take.
+	acceptedDivisor = 10
+)
 
 // newHello returns the first message on a link.
 func newHello(cfg settings.Router, store *revision.Store, incarnation peer.Incarnation) peer.Hello {
--- a/side/internal/app/app.go
+++ b/side/internal/app/app.go
@@ -71,11 +71,13 @@
 		Memory:   &memorybudget.Budget{Limit: cfg.RequestMemory},
 	}
 	s.endpoint = &peer.Endpoint{
-		LocalHello:  func() peer.Hello { return s.hello(incarnation) },
-		Handler:     s,
-		Allow:       allow,
-		Identity:    identity,
-		OnReject:    func(err error) { l.Warn("peer turned away", "error", err) },
+		LocalHello: func() peer.Hello { return s.hello(incarnation) },
+		Handler:    s,
+		Allow:      allow,
+		Identity:   identity,
+		OnReject:   func(err error) { l.Warn("peer turned away", "error", err) },
+		// Large messages that arrive are submissions.
+		Memory:      s.server.Memory,
 		MaxAccepted: max(1, cfg.Descriptors/acceptedDivisor),
 	}
 	prefixes := sides.NewPrefixTransfer(s.endpoint, s.client)
