fix(peer): a lone message takes memory twice

By reading: the lease of a frame lasted until its handler had started, which takes its own, so that on a small VM a single call at the limit could be refused by a side in calm. The frame's lease now ends first.

--- a/core/peer/receive.go
+++ b/core/peer/receive.go
@@ -50,9 +50,7 @@
 	if err != nil {
 		return errors.Wrap(err, "reading")
 	}
-	lease := l.memory.Open()
-	defer lease.Close()
-	m, err := l.receiveFrame(r, h, lease)
+	m, err := l.receiveMessage(r, h)
 	var full *memorybudget.FullError
 	if errors.As(err, &full) {
 		l.markReceived()
--- a/core/peer/receiveframe.go
+++ b/core/peer/receiveframe.go
@@ -16,6 +16,14 @@
 	bodyCopies = 2
 )
 
+// receiveMessage reads the body of a frame and decodes its message. The lease ends before the handler takes what the message needs from then on:
+// both together could be more than a lone message gets.
+func (l *Link) receiveMessage(r io.Reader, h frameHeader) (Message, error) {
+	lease := l.memory.Open()
+	defer lease.Close()
+	return l.receiveFrame(r, h, lease)
+}
+
 // receiveFrame reads the body of a frame and decodes its message. Without memory for it, it skips the body and returns a
 // memorybudget.FullError; the link can go on.
 func (l *Link) receiveFrame(r io.Reader, h frameHeader, lease *memorybudget.Lease) (Message, error) {
--- a/standin/internal/fleet/crowd_test.go
+++ b/standin/internal/fleet/crowd_test.go
@@ -281,3 +281,11 @@
 	})
 	ct.checkLimits()
 }
+
+// TestLoneCallAtLimitIsRefused guards against bounds for many that a single call meets.
+func TestLoneCallAtLimitIsRefused(t *testing.T) {
+	ct := startCrowdTarget(t)
+	for range 3 {
+		qt.Assert(t, ct.isAnswered(http.MethodPost, strings.Repeat("x", crowdBodyLimit)), qt.IsTrue)
+	}
+}
