--- a/router/internal/caller/chat.go
+++ b/router/internal/caller/chat.go
@@ -80,7 +80,7 @@
 	if err == nil {
 		return body, nil
 	}
-	s.Log.Debug("body not read", "error", err)
+	s.Log.Info("body not read", "path", req.URL.Path, "error", err)
 	requestbody.Abandon(w, req)
 	f := requestbody.FailureOf(err)
 	return nil, &failure{status: f.Status, code: f.Code, retryAfter: f.RetryAfter}
--- a/router/internal/client/serve.go
+++ b/router/internal/client/serve.go
@@ -135,7 +135,7 @@
 
 // bodyRefusal returns the failure response to a request whose body could not be read.
 func (s *Server) bodyRefusal(r *direct.Request, err error) *refusal {
-	s.Log.Debug("body not read", "request", r.ID, "error", err)
+	s.Log.Info("body not read", "request", r.ID, "error", err)
 	f := requestbody.FailureOf(err)
 	return &refusal{status: f.Status, code: f.Code, retryAfter: f.RetryAfter}
 }
