feat(httplisten): log the connections that a stop ends, and those ended unread

Callers saw a connection closed without an answer under planned work, and no log line told why: nothing was logged of the connections that a stop closes. The line 'connections ended by the stop' and the counter connections_ended_unread count them, and those on which bytes had arrived that nobody had read, without a line for each.

--- a/core/httplisten/listener.go
+++ b/core/httplisten/listener.go
@@ -31,6 +31,8 @@
 	// closed and refused count since lastLog.
 	closed, refused int
 	lastLog         clock.Instant
+	ended           stopCount
+	stopping        atomic.Bool
 }
 
 // logInterval is the shortest time between two log lines about connections that were closed, which a client could otherwise cause at will.
@@ -48,6 +50,8 @@
 	serving  atomic.Bool
 	served   atomic.Bool
 	lastRead atomic.Int64
+	// awaiting reports that nothing of the next request has been read.
+	awaiting atomic.Bool
 	once     sync.Once
 }
 
@@ -68,6 +72,7 @@
 	srv.ConnState = func(nc net.Conn, state http.ConnState) {
 		if c := unwrap(nc); c != nil && state == http.StateIdle {
 			c.serving.Store(false)
+			c.awaiting.Store(true)
 		}
 		onFieldsState(nc, state)
 		if connState != nil {
@@ -139,6 +144,7 @@
 		}
 		c := &conn{Conn: nc, limit: l.limit}
 		c.lastRead.Store(int64(monotonic()))
+		c.awaiting.Store(true)
 		if l.limit.add(c) {
 			return c, nil
 		}
@@ -220,6 +226,7 @@
 	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.lastRead.Store(int64(monotonic()))
+		c.awaiting.Store(false)
 	}
 	return n, err
 }
@@ -227,6 +234,9 @@
 // Close closes the connection.
 func (c *conn) Close() error {
 	c.once.Do(func() {
+		if c.limit.stopping.Load() {
+			c.limit.countEnd(c)
+		}
 		c.limit.mu.Lock()
 		defer c.limit.mu.Unlock()
 		delete(c.limit.open, c)
--- a/core/operator/server.go
+++ b/core/operator/server.go
@@ -136,7 +136,7 @@
 	}
 	stopCtx, cancel := context.WithTimeout(context.Background(), stopTime)
 	defer cancel()
-	if err := srv.Shutdown(stopCtx); err != nil {
+	if err := limit.Shutdown(stopCtx, srv, time.Now()); err != nil {
 		_ = srv.Close()
 	}
 	<-served
--- a/router/internal/client/server.go
+++ b/router/internal/client/server.go
@@ -115,10 +115,10 @@
 const maxAnswerTime = 100 * time.Millisecond
 
 // shutDown ends the connections as they become idle, for up to the given time.
-func shutDown(srv *http.Server, limit time.Duration) error {
+func (s *Server) shutDown(srv *http.Server, limit time.Duration, due time.Time) error {
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
-	return srv.Shutdown(ctx)
+	return s.Limit.Shutdown(ctx, srv, due)
 }
 
 // Run serves until ctx ends, keeps serving for NoticeTime, and then waits up to DrainTime for open requests.
@@ -148,12 +148,13 @@
 	answerTime := min(maxAnswerTime, s.DrainTime/2)
 	s.Shutdown.Begin(s.Clock.Now().Add(s.NoticeTime + s.DrainTime - answerTime))
 	s.stopping.Store(true)
+	due := time.Now().Add(s.NoticeTime)
 	// Idle connections stay open during NoticeTime, since a client may be about to send a request on one of them.
 	time.Sleep(s.NoticeTime)
-	if shutDown(srv, s.DrainTime-answerTime) != nil {
+	if s.shutDown(srv, s.DrainTime-answerTime, due) != nil {
 		s.Log.Warn("requests ended by the stop", "open", s.openRequests.Load())
 		endRequests(&shutdown.EndedError{})
-		if err := shutDown(srv, answerTime); err != nil {
+		if err := s.shutDown(srv, answerTime, due.Add(s.DrainTime-answerTime)); err != nil {
 			s.Log.Warn("requests cut by the stop", "open", s.openRequests.Load(), "error", err)
 			_ = srv.Close()
 		}
