fix(httplisten): a planned stop loses requests that lie unread

Callers saw: a whole request on a kept connection, sent up to 0.4 s before a router ended its connections, got neither an answer nor a refusal. So did requests on connections in the accept queue.

Cause: http.Server.Shutdown closes each connection that counts as idle, and one counts as idle until the head of its next request has been parsed. When the process has not run for a while (its part of a core is used up, it was suspended), whole requests lie in the socket or in the reader's buffer, and the end of the notice time comes before they are looked at. The listener is closed with its queue in the same way, and an idle timeout fails a read although bytes have arrived.

Why this works: the goroutine that reads a connection ends it itself, after a read that does not wait has found nothing; nobody else closes a connection during the stop. The listener goes on until its queue is empty. A new connection has a second for its first request.

--- /dev/null
+++ b/core/httplisten/conn.go
@@ -0,0 +1,186 @@
+package httplisten
+
+import (
+	"io"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
+
+	"rattantrack.dev/core/clock"
+)
+
+// conn is one connection of a limited listener.
+type conn struct {
+	net.Conn
+	limit    *Limit
+	accepted clock.Instant
+	// encrypted reports that the server speaks TLS on the connection.
+	encrypted bool
+	serving   atomic.Bool
+	served    atomic.Bool
+	// handled reports that a handler has got the request whose bytes were read last.
+	handled  atomic.Bool
+	lastRead atomic.Int64
+	once     sync.Once
+
+	mu sync.Mutex
+	// awaiting reports that nothing of the next request has been read, ending that the connection ends if nothing has arrived either.
+	awaiting, ending bool
+	// deadline is the read deadline that the server has set.
+	deadline time.Time
+}
+
+// Read reads from the connection. A deadline does not end the wait for a request that has arrived: if the process was not running when it came,
+// the deadline may have passed before the request could be read.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		n, err = c.readArrived(p, err)
+	}
+	if n > 0 {
+		c.lastRead.Store(int64(monotonic()))
+		c.setReceived()
+	}
+	return n, err
+}
+
+// readArrived returns what has arrived on a connection that waits for a request. If nothing has, it returns expired, or ends the connection if that
+// is due.
+func (c *conn) readArrived(p []byte, expired error) (int, error) {
+	c.mu.Lock()
+	awaiting, ending := c.awaiting, c.ending
+	c.mu.Unlock()
+	if !awaiting {
+		return 0, expired
+	}
+	if n := readNow(c.Conn, p); n > 0 {
+		return n, nil
+	}
+	if !ending {
+		return 0, expired
+	}
+	// Closed here, since a request could arrive before the server closes the connection. TLS sends its own end first.
+	if !c.encrypted {
+		_ = c.Close()
+	}
+	return 0, io.EOF
+}
+
+// setReceived records that the next request has begun to arrive.
+func (c *conn) setReceived() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.awaiting && c.ending {
+		// A failure shows at the next read.
+		_ = c.Conn.SetReadDeadline(c.deadline)
+	}
+	c.awaiting = false
+}
+
+// setAwaiting records that the connection waits for its next request.
+func (c *conn) setAwaiting() {
+	c.serving.Store(false)
+	c.handled.Store(false)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.awaiting = true
+	c.expireIfEnding()
+}
+
+// end makes the connection end when it waits for a request and none has arrived.
+func (c *conn) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.ending {
+		c.ending = true
+		c.expireIfEnding()
+	}
+}
+
+// expireIfEnding wakes the read that waits for a request; c.mu is held.
+func (c *conn) expireIfEnding() {
+	if c.awaiting && c.ending {
+		// An error means that the connection is closed.
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// SetReadDeadline sets the deadline of reads, which does not apply while the connection ends and waits for a request.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	if c.awaiting && c.ending {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// SetDeadline sets the deadlines of reads and writes.
+func (c *conn) SetDeadline(t time.Time) error {
+	return errors.CombineErrors(c.SetReadDeadline(t), c.SetWriteDeadline(t))
+}
+
+// hasUnhandled reports whether bytes of a request have arrived that no handler got.
+func (c *conn) hasUnhandled() bool {
+	if c.handled.Load() {
+		return false
+	}
+	c.mu.Lock()
+	awaiting := c.awaiting
+	c.mu.Unlock()
+	return !awaiting || hasArrived(c.Conn)
+}
+
+// Close closes the connection.
+func (c *conn) Close() error {
+	c.once.Do(func() {
+		if c.limit.stopping.Load() {
+			c.limit.countEnd(c.hasUnhandled())
+		}
+		c.limit.mu.Lock()
+		defer c.limit.mu.Unlock()
+		delete(c.limit.open, c)
+	})
+	return c.Conn.Close()
+}
+
+// CloseWrite ends the sending side of the connection, so that the client can still read the answer.
+func (c *conn) CloseWrite() error { return closeWrite(c.Conn) }
+
+// hasArrived reports whether bytes have arrived on a connection that nobody has read.
+func hasArrived(nc net.Conn) bool {
+	var n int
+	control(nc, func(fd int) {
+		n, _, _ = unix.Recvfrom(fd, make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	})
+	return n > 0
+}
+
+// readNow reads what has arrived on a connection, whatever its deadline, and returns the number of bytes.
+func readNow(nc net.Conn, p []byte) (n int) {
+	control(nc, func(fd int) {
+		n, _, _ = unix.Recvfrom(fd, p, unix.MSG_DONTWAIT)
+	})
+	return max(0, n)
+}
+
+// control calls f with the descriptor of a connection, unless it has none or is closed.
+func control(nc net.Conn, f func(fd int)) {
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return
+	}
+	// An error means that the connection is closed.
+	_ = raw.Control(func(fd uintptr) { f(int(fd)) })
+}
--- a/core/httplisten/listener.go
+++ b/core/httplisten/listener.go
@@ -28,6 +28,8 @@
 
 	mu   sync.Mutex
 	open map[*conn]struct{}
+	// listeners are those that have not been closed.
+	listeners map[*listener]struct{}
 	// closed and refused count since lastLog.
 	closed, refused int
 	lastLog         clock.Instant
@@ -43,18 +45,6 @@
 // monotonic returns the time since the start of the process, which takes no system call.
 func monotonic() clock.Instant { return clock.Instant(time.Since(processStart)) }
 
-// conn is one connection of a limited listener.
-type conn struct {
-	net.Conn
-	limit    *Limit
-	serving  atomic.Bool
-	served   atomic.Bool
-	lastRead atomic.Int64
-	// awaiting reports that nothing of the next request has been read.
-	awaiting atomic.Bool
-	once     sync.Once
-}
-
 type connKey struct{}
 
 // Apply makes a server tell the limit which connections carry a request. The server must serve the listener that Listen returns.
@@ -71,8 +61,7 @@
 	}
 	srv.ConnState = func(nc net.Conn, state http.ConnState) {
 		if c := unwrap(nc); c != nil && state == http.StateIdle {
-			c.serving.Store(false)
-			c.awaiting.Store(true)
+			c.setAwaiting()
 		}
 		onFieldsState(nc, state)
 		if connState != nil {
@@ -80,6 +69,12 @@
 		}
 	}
 	srv.Handler = http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if c, _ := req.Context().Value(connKey{}).(*conn); c != nil {
+			c.handled.Store(true)
+		}
+		if l.stopping.Load() {
+			w.Header().Set("Connection", "close")
+		}
 		if req.ContentLength == 0 {
 			Serving(req.Context())
 		}
@@ -119,7 +114,7 @@
 // Listen returns a listener that keeps the connections of ln within the limit, with TLS if there is a configuration for it.
 func (l *Limit) Listen(ln net.Listener, cfg *tls.Config) net.Listener {
 	if l != nil {
-		ln = &listener{Listener: ln, limit: l}
+		ln = l.register(&listener{Listener: ln, limit: l, encrypted: cfg != nil})
 	}
 	if cfg != nil {
 		ln = tls.NewListener(ln, cfg)
@@ -130,21 +125,34 @@
 	return &fieldsListener{Listener: ln, limit: l.HeaderFields}
 }
 
+// register records a listener until it is closed.
+func (l *Limit) register(ln *listener) *listener {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.listeners == nil {
+		l.listeners = make(map[*listener]struct{})
+	}
+	l.listeners[ln] = struct{}{}
+	return ln
+}
+
+// listener accepts connections within a limit.
 type listener struct {
 	net.Listener
-	limit *Limit
+	limit     *Limit
+	encrypted bool
 }
 
 // Accept returns the next connection. If there are too many, it closes another one for it, or this one if all others carry requests.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
-		nc, err := l.Listener.Accept()
+		nc, err := l.accept()
 		if err != nil {
 			return nil, err
 		}
-		c := &conn{Conn: nc, limit: l.limit}
-		c.lastRead.Store(int64(monotonic()))
-		c.awaiting.Store(true)
+		now := monotonic()
+		c := &conn{Conn: nc, limit: l.limit, accepted: now, encrypted: l.encrypted, awaiting: true}
+		c.lastRead.Store(int64(now))
 		if l.limit.add(c) {
 			return c, nil
 		}
@@ -152,6 +160,14 @@
 	}
 }
 
+// Close closes the listener.
+func (l *listener) Close() error {
+	l.limit.mu.Lock()
+	delete(l.limit.listeners, l)
+	l.limit.mu.Unlock()
+	return l.Listener.Close()
+}
+
 // add registers a connection, and closes another one if there are too many. It returns false if none could be closed.
 func (l *Limit) add(c *conn) bool {
 	now := monotonic()
@@ -220,29 +236,3 @@
 	defer l.mu.Unlock()
 	return len(l.open)
 }
-
-// Read reads from the connection.
-func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.lastRead.Store(int64(monotonic()))
-		c.awaiting.Store(false)
-	}
-	return n, err
-}
-
-// Close closes the connection.
-func (c *conn) Close() error {
-	c.once.Do(func() {
-		if c.limit.stopping.Load() {
-			c.limit.countEnd(c)
-		}
-		c.limit.mu.Lock()
-		defer c.limit.mu.Unlock()
-		delete(c.limit.open, c)
-	})
-	return c.Conn.Close()
-}
-
-// CloseWrite ends the sending side of the connection, so that the client can still read the answer.
-func (c *conn) CloseWrite() error { return closeWrite(c.Conn) }
--- a/core/httplisten/stop.go
+++ b/core/httplisten/stop.go
@@ -4,28 +4,43 @@
 	"context"
 	"net"
 	"net/http"
-	"syscall"
+	"os"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"github.com/cockroachdb/errors"
+
+	"rattantrack.dev/core/clock"
+)
+
+// Times of a stop.
+const (
+	// firstRequestTime is how long a new connection has for its first request.
+	firstRequestTime = time.Second
+	// acceptWait is how long a listener waits for a further connection before it counts as empty.
+	acceptWait = 10 * time.Millisecond
+	// stopInterval is how often a stop looks for connections that it may end.
+	stopInterval = 10 * time.Millisecond
 )
 
-// stopCount counts the connections that a stop has ended.
+// stopCount counts the connections that a stop has ended. Unread are those on which bytes had arrived that no handler got.
 type stopCount struct {
-	// connections are all of them, unread those on which bytes had arrived that were not read before the connection was closed.
 	connections, unread int
 }
 
-// Shutdown stops srv like its own Shutdown, and logs what became of the connections. due is when the stop was to begin: a process that gets
-// no processor time begins it late.
+// Shutdown stops accepting connections and ends the open ones when no request is on them, until ctx ends. Unlike the server's own Shutdown it
+// closes no connection on which a request has arrived that was not read yet. due is when the stop was to begin: a process that gets no
+// processor time begins it late.
 func (l *Limit) Shutdown(ctx context.Context, srv *http.Server, due time.Time) error {
 	if l == nil {
 		return srv.Shutdown(ctx)
 	}
 	late := time.Since(due)
-	l.stopping.Store(true)
 	open := l.Open()
-	err := srv.Shutdown(ctx)
+	l.stop()
+	err := l.awaitEnd(ctx)
+	if err == nil {
+		err = srv.Shutdown(ctx)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.Log.Info("connections ended by the stop", "port", l.Port, "open", open, "ended", l.ended.connections, "unread", l.ended.unread,
@@ -33,9 +48,40 @@
 	return err
 }
 
+// stop makes the listener close itself when it is empty.
+func (l *Limit) stop() {
+	l.stopping.Store(true)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for ln := range l.listeners {
+		ln.wake()
+	}
+}
+
+// awaitEnd ends the connections that wait for a request until none is left.
+func (l *Limit) awaitEnd(ctx context.Context) error {
+	for l.endAwaiting(monotonic()) > 0 {
+		if !clock.Sleep(ctx, stopInterval) {
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// endAwaiting ends the connections that wait for a request, apart from new ones, and returns how many connections and listeners are left.
+func (l *Limit) endAwaiting(now clock.Instant) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.open {
+		if c.served.Load() || now.Sub(c.accepted) >= firstRequestTime {
+			c.end()
+		}
+	}
+	return len(l.open) + len(l.listeners)
+}
+
 // countEnd counts a connection that is about to be closed.
-func (l *Limit) countEnd(c *conn) {
-	unread := c.awaiting.Load() && hasArrived(c.Conn)
+func (l *Limit) countEnd(unread bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.ended.connections++
@@ -45,20 +91,25 @@
 	}
 }
 
-// hasArrived reports whether bytes have arrived on a connection that nobody has read.
-func hasArrived(nc net.Conn) bool {
-	sc, ok := nc.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
+// accept returns the next connection. When the server stops, it returns those that are in the queue and then closes the listener.
+func (l *listener) accept() (net.Conn, error) {
+	// An accept fails without looking if its deadline has passed, so only the second failure in a row shows that the queue is empty.
+	for expired := 0; ; {
+		nc, err := l.Listener.Accept()
+		if err == nil || !l.limit.stopping.Load() || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return nc, err
+		}
+		if expired++; expired > 2 {
+			return nil, errors.CombineErrors(net.ErrClosed, l.Close())
+		}
+		l.wake()
 	}
-	var n int
-	peek := func(fd uintptr) {
-		n, _, err = unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+}
+
+// wake makes a waiting Accept look again, so that it finds that the server stops.
+func (l *listener) wake() {
+	if d, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); ok {
+		// An error means that the listener is closed.
+		_ = d.SetDeadline(time.Now().Add(acceptWait))
 	}
-	// An error means that nothing has arrived, or that the connection has ended.
-	return raw.Control(peek) == nil && err == nil && n > 0
 }
