fix(httplisten): a connection with an unread request is closed for a new one

Callers saw, by reading: at the bound on connections a kept connection is closed for a new one while a request lies unread on it.

Cause: the bound goes by what has been read, as the stop did.

Evidence: TestConnectionWithUnreadRequestIsClosedForNewOne failed before.

Why this works: the connection that is to go is looked at before it is closed; one on which a request has arrived counts like one that carries a request. Only connections that wait for a request are looked at, so unread bytes of a body protect nothing.

--- a/core/httplisten/conn.go
+++ b/core/httplisten/conn.go
@@ -127,6 +127,14 @@
 	return errors.CombineErrors(c.SetReadDeadline(t), c.SetWriteDeadline(t))
 }
 
+// hasUnread reports whether a request has arrived that nobody has read.
+func (c *conn) hasUnread() bool {
+	c.mu.Lock()
+	awaiting := c.awaiting
+	c.mu.Unlock()
+	return awaiting && hasArrived(c.Conn)
+}
+
 // hasUnhandled reports whether bytes of a request have arrived that no handler got.
 func (c *conn) hasUnhandled() bool {
 	if c.handled.Load() {
--- a/core/httplisten/listener.go
+++ b/core/httplisten/listener.go
@@ -194,7 +194,7 @@
 	return ok
 }
 
-// victim returns the connection to close, nil if all carry requests; l.mu is held.
+// victim returns the connection to close, nil if a request has arrived on all; l.mu is held.
 func (l *Limit) victim(now clock.Instant) *conn {
 	conns := make([]*conn, 0, len(l.open))
 	list := make([]connections.Connection, 0, len(l.open))
@@ -204,10 +204,16 @@
 			Serving: c.serving.Load(), Served: c.served.Load(), LastRead: clock.Instant(c.lastRead.Load()),
 		})
 	}
-	if i := connections.Victim(now, list); i >= 0 {
-		return conns[i]
+	for {
+		i := connections.Victim(now, list)
+		if i < 0 {
+			return nil
+		}
+		if !conns[i].hasUnread() {
+			return conns[i]
+		}
+		list[i].Serving = true
 	}
-	return nil
 }
 
 // count counts a connection that was closed for another one or refused, and logs both from time to time; l.mu is held.
--- a/core/httplisten/stop_test.go
+++ b/core/httplisten/stop_test.go
@@ -238,6 +238,37 @@
 	c.Assert(kept.status(), qt.Equals, 0)
 }
 
+func TestConnectionWithUnreadRequestIsClosedForNewOne(t *testing.T) {
+	c := qt.New(t)
+	s := startServer(t, &Limit{Connections: 2}, nil)
+	first, second := dial(t, s.address), dial(t, s.address)
+	c.Assert(first.get("/", ""), qt.Equals, http.StatusOK)
+	c.Assert(second.get("/", ""), qt.Equals, http.StatusOK)
+	s.pause.begin()
+	first.send()
+	c.Assert(hasArrivedSoon(s.limit), qt.IsTrue)
+	s.limit.add(&conn{Conn: &net.TCPConn{}, limit: s.limit})
+	s.pause.end()
+	c.Assert(first.status(), qt.Equals, http.StatusOK)
+	c.Assert(second.status(), qt.Equals, 0)
+}
+
+// hasArrivedSoon waits until bytes have arrived on one of the open connections.
+func hasArrivedSoon(l *Limit) bool {
+	for range 1000 {
+		l.mu.Lock()
+		for c := range l.open {
+			if c.hasUnread() {
+				l.mu.Unlock()
+				return true
+			}
+		}
+		l.mu.Unlock()
+		time.Sleep(time.Millisecond)
+	}
+	return false
+}
+
 // hasEnded reports whether the other end has closed a connection.
 func hasEnded(nc net.Conn) (ended bool) {
 	control(nc, func(fd int) {
