fix(client): a response during the stop does not announce the end of its connection

Callers saw, by reading: a request that came before the stop began is answered during it, without Connection: close. The client takes the connection for kept, and its next request may cross the end of it.

Cause: whether the router stops was asked when the request came, not when its response begins.

Evidence: TestResponseDuringStopKeepsConnection failed before, for answers and for refusals.

Why this works: the question is asked when the head is written. A stream whose head is out cannot announce anything any more; its connection is kept until nothing has arrived on it.

--- a/router/internal/client/response.go
+++ b/router/internal/client/response.go
@@ -41,6 +41,8 @@
 	control *http.ResponseController
 	// writeTime bounds each write.
 	writeTime time.Duration
+	// stopping reports whether the server stops, so that the connection ends after the response.
+	stopping func() bool
 }
 
 // WriteHead writes the status and the header fields.
@@ -53,6 +55,9 @@
 		// A nil value stops net/http from detecting a content type.
 		out["Content-Type"] = nil
 	}
+	if s.stopping() {
+		out.Set("Connection", "close")
+	}
 	if length >= 0 {
 		out.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
@@ -84,6 +89,9 @@
 		s.Log.Error("cannot encode the failure response", "request", r.ID, "error", err)
 	}
 	h := w.Header()
+	if s.Stopping() {
+		h.Set("Connection", "close")
+	}
 	h.Set("Content-Type", "application/json")
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	if f.status == http.StatusUnauthorized {
--- a/router/internal/client/serve.go
+++ b/router/internal/client/serve.go
@@ -31,9 +31,6 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	s.openRequests.Add(1)
 	defer s.openRequests.Add(-1)
-	if s.Stopping() {
-		w.Header().Set("Connection", "close")
-	}
 	arrived := s.Clock.Now()
 	lease := s.Memory.Open()
 	// The lease ends with the request on each way out, a panic too.
@@ -142,7 +139,7 @@
 
 // dispatch sends the request to an upstream, and logs and counts the result.
 func (s *Server) dispatch(w http.ResponseWriter, req *http.Request, r *direct.Request) {
-	sink := &sink{w: w, control: http.NewResponseController(w), writeTime: s.writeTime()}
+	sink := &sink{w: w, control: http.NewResponseController(w), writeTime: s.writeTime(), stopping: s.Stopping}
 	res := s.Dispatcher.Do(req.Context(), r, sink)
 	duration := s.Clock.Now().Sub(r.Arrived)
 	s.Scope.Tagged(map[string]string{"kind": string(r.RouteConfig.Kind)}).Timer("request_duration").Record(duration)
--- a/router/internal/client/server_test.go
+++ b/router/internal/client/server_test.go
@@ -184,6 +184,27 @@
 	c.Assert(status, qt.Equals, http.StatusBadGateway)
 }
 
+// TestResponseDuringStopKeepsConnection guards against a client that sends its next request on a connection that is about to end, since the
+// response did not announce it: the request came before the stop began.
+func TestResponseDuringStopKeepsConnection(t *testing.T) {
+	results := map[string]direct.Result{"answered": {}, "refused": {Outcome: peer.OutcomeNotRun, Code: "overloaded"}}
+	for name, result := range results {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			s, stop := startServer(t, &slowDispatcher{delay: 200 * time.Millisecond, result: result}, time.Minute)
+			conn, r := dial(t, s)
+			_, err := io.WriteString(conn, "GET /a/ HTTP/1.1\r\nHost: desk.example\r\n\r\n")
+			c.Assert(err, qt.IsNil)
+			time.Sleep(100 * time.Millisecond)
+			s.NoticeTime = time.Second
+			go stop()
+			res, err := http.ReadResponse(r, nil)
+			c.Assert(err, qt.IsNil)
+			c.Assert(res.Close, qt.IsTrue)
+		})
+	}
+}
+
 func TestIdleConnectionIsClosed(t *testing.T) {
 	c := qt.New(t)
 	s, _ := startServer(t, &slowDispatcher{}, 50*time.Millisecond)
