fix(httplisten): a stop cuts requests in service that a buffer held whole

Cause: whether a request has begun was taken from reads alone. One that the reader's buffer (sent together with the one before) or the encryption's (sent while the handler of the one before still ran) held when its connection became idle needs no read, so that the connection counted as awaiting a request all the while it was in service; the stop made its background read end the connection.

Why this works: net/http reports StateActive in the goroutine that has read the head, before it starts the background read.

--- a/core/httplisten/listener.go
+++ b/core/httplisten/listener.go
@@ -60,8 +60,14 @@
 		return context.WithValue(ctx, connKey{}, unwrap(nc))
 	}
 	srv.ConnState = func(nc net.Conn, state http.ConnState) {
-		if c := unwrap(nc); c != nil && state == http.StateIdle {
-			c.setAwaiting()
+		if c := unwrap(nc); c != nil {
+			switch state {
+			case http.StateIdle:
+				c.setAwaiting()
+			case http.StateActive:
+				// A buffer above may have held all of the request, so that nothing was read for it.
+				c.setReceived()
+			}
 		}
 		onFieldsState(nc, state)
 		if connState != nil {
