fix(httplisten): an ended connection stays open while others are counted

Cause: Close took the lock of all connections, twice, between the look that found nothing and the close itself; all connections that a stop ends want it at the same time. A request that arrives meanwhile is lost.

Why this works: the connection is closed first and counted afterwards.

--- a/core/httplisten/conn.go
+++ b/core/httplisten/conn.go
@@ -146,17 +146,12 @@
 	return !awaiting || hasArrived(c.Conn)
 }
 
-// Close closes the connection.
+// Close closes the connection. It is counted afterwards: a request could arrive while the count of all connections is awaited.
 func (c *conn) Close() error {
-	c.once.Do(func() {
-		if c.limit.stopping.Load() {
-			c.limit.countEnd(c.hasUnhandled())
-		}
-		c.limit.mu.Lock()
-		defer c.limit.mu.Unlock()
-		delete(c.limit.open, c)
-	})
-	return c.Conn.Close()
+	unread := c.limit.stopping.Load() && c.hasUnhandled()
+	err := c.Conn.Close()
+	c.once.Do(func() { c.limit.remove(c, unread) })
+	return err
 }
 
 // CloseWrite ends the sending side of the connection, so that the client can still read the answer.
--- a/core/httplisten/stop.go
+++ b/core/httplisten/stop.go
@@ -80,10 +80,14 @@
 	return len(l.open) + len(l.listeners)
 }
 
-// countEnd counts a connection that is about to be closed.
-func (l *Limit) countEnd(unread bool) {
+// remove forgets a connection that was closed. unread reports that bytes had arrived on it that no handler got.
+func (l *Limit) remove(c *conn, unread bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	delete(l.open, c)
+	if !l.stopping.Load() {
+		return
+	}
 	l.ended.connections++
 	if unread {
 		l.ended.unread++
