fix(httplisten): a response of a stopping server does not announce the end of its connection

Cause: whether the server stops was asked when the request came; net/http's own Shutdown, which asks when the head is written, begins only at the end.

Evidence: TestAnswerDuringStopKeepsConnection failed before.

Why this works: the writer of each response asks when the response begins.

--- a/core/httplisten/listener.go
+++ b/core/httplisten/listener.go
@@ -79,13 +79,13 @@
 		if c, _ := req.Context().Value(connKey{}).(*conn); c != nil {
 			c.handled.Store(true)
 		}
-		if l.stopping.Load() {
-			w.Header().Set("Connection", "close")
-		}
 		if req.ContentLength == 0 {
 			Serving(req.Context())
 		}
-		handler.ServeHTTP(w, req)
+		announcing := &announcingWriter{ResponseWriter: w, stopping: &l.stopping}
+		handler.ServeHTTP(announcing, req)
+		// A handler that has written nothing leaves the response to the server.
+		announcing.announce()
 	})
 }
 
