fix(httplisten): an unused connection with TLS holds up a stop

Cause: the handshake counts as the beginning of a request, so that the stop awaits the rest of it for the header time.

Why this works: the connection waits for a request again when its handshake is done. What TLS itself sends is no longer counted as an unread request.

--- a/core/httplisten/conn.go
+++ b/core/httplisten/conn.go
@@ -135,9 +135,9 @@
 	return awaiting && hasArrived(c.Conn)
 }
 
-// hasUnhandled reports whether bytes of a request have arrived that no handler got.
+// hasUnhandled reports whether bytes of a request have arrived that no handler got. With TLS they cannot be told from its own messages.
 func (c *conn) hasUnhandled() bool {
-	if c.handled.Load() {
+	if c.encrypted || c.handled.Load() {
 		return false
 	}
 	c.mu.Lock()
--- a/core/httplisten/listener.go
+++ b/core/httplisten/listener.go
@@ -124,7 +124,7 @@
 		ln = l.register(&listener{Listener: ln, limit: l, encrypted: cfg != nil})
 	}
 	if cfg != nil {
-		ln = tls.NewListener(ln, cfg)
+		ln = &encryptedListener{Listener: ln, cfg: cfg}
 	}
 	if l == nil || l.HeaderFields == 0 {
 		return ln
