fix(httplisten): stray bytes on a kept connection hold up a stop

Cause: one to three bytes, such as an empty line after a body, count as the beginning of a request, while net/http keeps the idle time until four have arrived.

Why this works: the header time begins with the first byte on a kept connection.

--- a/core/httplisten/conn.go
+++ b/core/httplisten/conn.go
@@ -30,8 +30,11 @@
 	once     sync.Once
 
 	mu sync.Mutex
-	// awaiting reports that nothing of the next request has been read, ending that the connection ends if nothing has arrived either.
+	// awaiting reports that nothing of the next request has been read from the connection, as far as this layer knows. ending reports that the
+	// connection ends when it awaits a request and none has arrived.
 	awaiting, ending bool
+	// kept reports that the connection has carried a request, or that its handshake is done.
+	kept bool
 	// deadline is the read deadline that the server has set.
 	deadline time.Time
 }
@@ -74,6 +77,24 @@
 
 // setReceived records that the next request has begun to arrive.
 func (c *conn) setReceived() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.awaiting {
+		return
+	}
+	c.awaiting = false
+	// net/http sets the deadline of a head on a kept connection only when four bytes of it have arrived.
+	if c.kept && c.limit.headerTime > 0 {
+		c.deadline = time.Now().Add(c.limit.headerTime)
+	}
+	if c.kept || c.ending {
+		// A failure shows at the next read.
+		_ = c.Conn.SetReadDeadline(c.deadline)
+	}
+}
+
+// setActive records that the head of a request has been read, for which a buffer above may have held all bytes.
+func (c *conn) setActive() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.awaiting && c.ending {
@@ -89,7 +110,7 @@
 	c.handled.Store(false)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.awaiting = true
+	c.awaiting, c.kept = true, true
 	c.expireIfEnding()
 }
 
@@ -174,9 +195,9 @@
 	return max(0, n)
 }
 
-// control calls f with the descriptor of a connection, unless it has none or is closed.
-func control(nc net.Conn, f func(fd int)) {
-	sc, ok := nc.(syscall.Conn)
+// control calls f with the descriptor of a connection or listener, unless it has none or is closed.
+func control(v any, f func(fd int)) {
+	sc, ok := v.(syscall.Conn)
 	if !ok {
 		return
 	}
--- a/core/httplisten/listener.go
+++ b/core/httplisten/listener.go
@@ -35,7 +35,14 @@
 	closed, refused int
 	lastLog         clock.Instant
 	ended           stopCount
-	stopping        atomic.Bool
+	// openAtStop is the number of connections when the stop began, lateStop how long after it was due.
+	openAtStop int
+	lateStop   time.Duration
+	// stopping reports that the server stops, and acceptEnd is when its listener is closed at the latest.
+	stopping  atomic.Bool
+	acceptEnd atomic.Int64
+	// headerTime bounds the reading of a head.
+	headerTime time.Duration
 }
 
 // logInterval is the shortest time between two log lines about connections that were closed, which a client could otherwise cause at will.
@@ -53,6 +60,7 @@
 	if l == nil {
 		return
 	}
+	l.headerTime = srv.ReadHeaderTimeout
 	connContext, connState, handler := srv.ConnContext, srv.ConnState, srv.Handler
 	srv.ConnContext = func(ctx context.Context, nc net.Conn) context.Context {
 		if connContext != nil {
@@ -66,8 +74,7 @@
 			case http.StateIdle:
 				c.setAwaiting()
 			case http.StateActive:
-				// A buffer above may have held all of the request, so that nothing was read for it.
-				c.setReceived()
+				c.setActive()
 			}
 		}
 		onFieldsState(nc, state)
