fix(httplisten): clients that go on connecting hold up a stop

Cause: the listener closed itself only when no connection had come for 20 ms, without a bound in time. With 200 new connections a second the stop took all of its time, and then closed everything, requests in service too.

Why this works: the queue is asked whether it holds a connection, without a wait, and is emptied for at most 250 ms.

--- a/core/httplisten/listener.go
+++ b/core/httplisten/listener.go
@@ -226,22 +226,22 @@
 	for range maxLooks {
 		i := connections.Victim(now, list)
 		if i < 0 {
-			return nil
+			break
 		}
 		if !conns[i].hasUnread() {
 			return conns[i]
 		}
+		first = cmp.Or(first, conns[i])
 		list[i].Serving = true
 	}
+	return first
 }
 
 // count counts a connection that was closed for another one or refused, and logs both from time to time; l.mu is held.
 func (l *Limit) count(now clock.Instant, accepted bool) {
 	action := "closed"
-		first = cmp.Or(first, conns[i])
 	if accepted {
 		l.closed++
-	return first
 	} else {
 		l.refused++
 		action = "refused"
--- a/core/httplisten/stop.go
+++ b/core/httplisten/stop.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 
 	"rattantrack.dev/core/clock"
 )
@@ -16,8 +17,8 @@
 const (
 	// firstRequestTime is how long a new connection has for its first request.
 	firstRequestTime = time.Second
-	// acceptWait is how long a listener waits for a further connection before it counts as empty.
-	acceptWait = 10 * time.Millisecond
+	// acceptTime bounds the time in which a listener that stops empties its queue, while clients go on connecting.
+	acceptTime = 250 * time.Millisecond
 	// stopInterval is how often a stop looks for connections that it may end.
 	stopInterval = 10 * time.Millisecond
 )
@@ -34,25 +35,34 @@
 	if l == nil {
 		return srv.Shutdown(ctx)
 	}
-	late := time.Since(due)
-	open := l.Open()
-	l.stop()
-	err := l.awaitEnd(ctx)
-	if err == nil {
-		err = srv.Shutdown(ctx)
+	l.stop(due)
+	if err := l.awaitEnd(ctx); err != nil {
+		return err
+	}
+	return srv.Shutdown(ctx)
+}
+
+// LogStop logs what became of the connections of a server that has stopped.
+func (l *Limit) LogStop() {
+	if l == nil {
+		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.Log.Info("connections ended by the stop", "port", l.Port, "open", open, "ended", l.ended.connections, "unread", l.ended.unread,
-		"late_ms", late.Milliseconds())
-	return err
+	l.Log.Info("connections ended by the stop", "port", l.Port, "open", l.openAtStop, "ended", l.ended.connections, "unread", l.ended.unread,
+		"late_ms", l.lateStop.Milliseconds())
 }
 
 // stop makes the listener close itself when it is empty.
-func (l *Limit) stop() {
-	l.stopping.Store(true)
+func (l *Limit) stop(due time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.stopping.Load() {
+		return
+	}
+	l.openAtStop, l.lateStop = len(l.open), time.Since(due)
+	l.acceptEnd.Store(int64(monotonic().Add(acceptTime)))
+	l.stopping.Store(true)
 	for ln := range l.listeners {
 		ln.wake()
 	}
@@ -97,23 +107,35 @@
 
 // accept returns the next connection. When the server stops, it returns those that are in the queue and then closes the listener.
 func (l *listener) accept() (net.Conn, error) {
-	// An accept fails without looking if its deadline has passed, so only the second failure in a row shows that the queue is empty.
-	for expired := 0; ; {
+	for {
+		if l.limit.stopping.Load() {
+			if !l.hasQueued() || monotonic() >= clock.Instant(l.limit.acceptEnd.Load()) {
+				return nil, errors.CombineErrors(net.ErrClosed, l.Close())
+			}
+			l.setDeadline(time.Now().Add(acceptTime))
+		}
 		nc, err := l.Listener.Accept()
 		if err == nil || !l.limit.stopping.Load() || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return nc, err
 		}
-		if expired++; expired > 2 {
-			return nil, errors.CombineErrors(net.ErrClosed, l.Close())
-		}
-		l.wake()
 	}
 }
 
-// wake makes a waiting Accept look again, so that it finds that the server stops.
-func (l *listener) wake() {
+// wake makes a waiting Accept find that the server stops.
+func (l *listener) wake() { l.setDeadline(time.Unix(1, 0)) }
+
+func (l *listener) setDeadline(t time.Time) {
 	if d, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); ok {
 		// An error means that the listener is closed.
-		_ = d.SetDeadline(time.Now().Add(acceptWait))
+		_ = d.SetDeadline(t)
 	}
 }
+
+// hasQueued reports whether a connection waits to be accepted.
+func (l *listener) hasQueued() (queued bool) {
+	control(l.Listener, func(fd int) {
+		n, err := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+		queued = n > 0 && err == nil
+	})
+	return queued
+}
--- a/core/httplisten/stop_test.go
+++ b/core/httplisten/stop_test.go
@@ -58,6 +58,7 @@
 		l.pause.wait()
 		return nil, err
 	}
+	return &pausingConn{TCPConn: nc, pause: l.pause}, nil
 }
 
 // pausingConn is read in two steps, like a connection of the network poller: the wait for bytes may end in a pause.
@@ -76,8 +77,8 @@
 	if waitErr != nil {
 		return 0, waitErr
 	}
-}
 	return c.TCPConn.Read(p)
+}
 
 // server is a server with a limit that can be paused.
 type server struct {
@@ -239,8 +240,8 @@
 	first, second := dial(t, s.address), dial(t, s.address)
 	c.Assert(first.get("/", ""), qt.Equals, http.StatusOK)
 	c.Assert(second.get("/", ""), qt.Equals, http.StatusOK)
-	s.pause.begin()
 	awaitIdle(t, s.limit, 2)
+	s.pause.begin()
 	first.send()
 	c.Assert(hasArrivedSoon(s.limit), qt.IsTrue)
 	s.limit.add(&conn{Conn: &net.TCPConn{}, limit: s.limit})
@@ -249,7 +250,6 @@
 	c.Assert(second.status(), qt.Equals, 0)
 }
 
-// hasArrivedSoon waits until bytes have arrived on one of the open connections.
 // awaitIdle waits until n connections wait for a request. A client may have its response before the server counts the connection as idle.
 func awaitIdle(t *testing.T, l *Limit, n int) {
 	t.Helper()
@@ -275,6 +275,7 @@
 	return n
 }
 
+// hasArrivedSoon waits until bytes have arrived on one of the open connections.
 func hasArrivedSoon(l *Limit) bool {
 	for range 1000 {
 		l.mu.Lock()
--- a/core/operator/server.go
+++ b/core/operator/server.go
@@ -140,5 +140,6 @@
 		_ = srv.Close()
 	}
 	<-served
+	limit.LogStop()
 	return nil
 }
--- a/router/internal/client/server.go
+++ b/router/internal/client/server.go
@@ -160,6 +160,7 @@
 		}
 	}
 	<-served
+	s.Limit.LogStop()
 	return nil
 }
 
