fix(peer): a stream that crosses the end of its link is in doubt

Callers saw: 502 answer_lost, outcome unknown, for a call without a key whose submission reached a side that ended the link before it read it.

Cause: a process ends links (at its stop, at the idle limit, above the bound on dialled links) by what it has read. A stream may lie unread in the socket, or be sent by a process that has not read the end yet. The sender could not tell a stream that was run from one that was never received. A connection whose handshake was complete could also be closed before it counted as a link, and a link be chosen as idle and closed after a stream had been opened on it.

Why this works: like GOAWAY of HTTP/2, a Goodbye names the last stream that the sender has taken, under the lock that takes streams. Streams are sent in the order of their numbers, so all later ones are known as not received. It is version 7 of the protocol; older programs see links end as before. TestOldRoutersStillCountRequests names the version that it means, which the next version would have changed.

--- a/core/peer/control.go
+++ b/core/peer/control.go
@@ -20,9 +20,9 @@
 // ProtocolVersion is the latest version of the protocol, and minProtocolVersion the oldest that a process still speaks. Version 2
 // added LoadReport and LoadTotals, version 3 CrashEvidence, version 4 UsageReport and UsageTotals, version 5 digests in
 // CrashEvidence, versions of instances in RouterState, StreamOrigins, OriginQuery and OriginReply, version 6 evacuations in RouterState,
-// listings of upstreams in CacheEntries, WorkReport, WorkTotals and StateExchange.
+// listings of upstreams in CacheEntries, WorkReport, WorkTotals and StateExchange, version 7 Goodbye.
 const (
-	ProtocolVersion    = 6
+	ProtocolVersion    = 7
 	minProtocolVersion = 1
 )
 
@@ -56,6 +56,9 @@
 // StateExchangeVersion is the first version with StateExchange.
 const StateExchangeVersion = 6
 
+// GoodbyeVersion is the first version with Goodbye.
+const GoodbyeVersion = 7
+
 // Hello is the first message in each direction of a link.
 type Hello struct {
 	Protocol    int
--- a/core/peer/dial.go
+++ b/core/peer/dial.go
@@ -210,7 +210,7 @@
 	return e.addresses[l]
 }
 
-// Close ends every link.
+// Close ends every link at once.
 func (e *Endpoint) Close() {
 	for _, l := range e.Links() {
 		l.Close(nil)
@@ -243,7 +243,7 @@
 // closeExcess closes dialled links without streams, longest idle first, while there are more than MaxDialled.
 func (e *Endpoint) closeExcess() {
 	for idlest := e.longestIdle(); idlest != nil; idlest = e.longestIdle() {
-		idlest.Close(nil)
+		idlest.finishIfIdle()
 	}
 }
 
@@ -254,19 +254,27 @@
 		return nil
 	}
 	var idlest *Link
+	open := 0
 	for _, d := range e.dialled {
+		if d.ended() {
+			continue
+		}
+		open++
 		select {
 		case <-d.ready:
 		default:
 			continue
 		}
-		if d.ended() || d.link.OpenStreams() > 0 {
+		if d.link.OpenStreams() > 0 {
 			continue
 		}
 		if idlest == nil || d.link.IdleFor() > idlest.IdleFor() {
 			idlest = d.link
 		}
 	}
+	if open <= e.MaxDialled {
+		return nil
+	}
 	return idlest
 }
 
@@ -332,8 +340,8 @@
 // CloseIdle closes links that carry no stream and have received nothing for longer than limit.
 func (e *Endpoint) CloseIdle(limit time.Duration) {
 	for _, l := range e.Links() {
-		if l.OpenStreams() == 0 && l.IdleFor() > limit {
-			l.Close(nil)
+		if l.IdleFor() > limit {
+			l.finishIfIdle()
 		}
 	}
 }
--- a/core/peer/link.go
+++ b/core/peer/link.go
@@ -77,6 +77,8 @@
 	remote Hello
 	queue  chan outgoing
 	closed chan struct{}
+	// opening holds a token while a stream is opened.
+	opening chan struct{}
 	// lastReceived is the time of the last received frame, in nanoseconds of the process's monotonic clock.
 	lastReceived   atomic.Int64
 	openStreams    atomic.Int64
@@ -91,6 +93,11 @@
 	memory           *memorybudget.Budget
 	heartbeatRunning bool
 	retired          bool
+	// finishing reports that the link takes no more streams of the other end. lastInbound is the highest one that it has taken.
+	finishing   bool
+	lastInbound StreamID
+	// goodbye is the announcement of the other end that it ends the link.
+	goodbye *Goodbye
 	// handlers passes the handler to the reader once.
 	handlers chan Handler
 	// minOffset is the smallest difference between the local clock and a message's timestamp so far.
@@ -113,22 +120,25 @@
 		memory:  memory,
 		queue:   make(chan outgoing, writeQueueLength),
 		closed:  make(chan struct{}),
+		opening: make(chan struct{}, 1),
 		streams: make(map[StreamID]*Stream),
 		nextID:  2,
 	}
 	if dialler {
 		l.nextID = 1
 	}
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	defer stop()
 	if err := conn.SetDeadline(time.Now().Add(helloTimeout)); err != nil {
 		return nil, errors.Wrap(err, "setting deadline")
 	}
+	// Once the handshake is complete the other end may have sent a stream, so the connection may not be closed without a word any more.
+	release := interruptOnEnd(ctx, conn)
+	defer release()
 	r := bufio.NewReaderSize(conn, readBufferBytes)
 	if err := l.handshake(r, dialler); err != nil {
 		_ = conn.Close()
 		return nil, err
 	}
+	release()
 	if err := conn.SetDeadline(time.Time{}); err != nil {
 		return nil, errors.Wrap(err, "clearing deadline")
 	}
@@ -313,7 +323,7 @@
 			close(written)
 		}
 		if err != nil {
-			l.Close(errors.Wrap(err, "writing"))
+			time.AfterFunc(lastReadTime, func() { l.Close(errors.Wrap(err, "writing")) })
 			return
 		}
 	}
--- a/core/peer/listener.go
+++ b/core/peer/listener.go
@@ -19,13 +19,13 @@
 // String returns the service's name.
 func (l *Listener) String() string { return "listener" }
 
-// Run accepts links until ctx ends and then closes all links.
+// Run accepts links until ctx ends and then ends all links in order.
 func (l *Listener) Run(ctx context.Context, ready func()) error {
 	ln, err := net.Listen("tcp", l.Address)
 	if err != nil {
 		return errors.Wrapf(err, "listening on %s", l.Address)
 	}
-	defer l.Endpoint.Close()
+	defer l.Endpoint.Shutdown()
 	stop := l.closeIdle(ctx)
 	defer stop()
 	ready()
--- a/core/peer/message.go
+++ b/core/peer/message.go
@@ -43,6 +43,7 @@
 	KindWorkReport
 	KindWorkTotals
 	KindStateExchange
+	KindGoodbye
 )
 
 // Message is one typed message of the protocol.
@@ -132,6 +133,8 @@
 		return &WorkTotals{}
 	case KindStateExchange:
 		return &StateExchange{}
+	case KindGoodbye:
+		return &Goodbye{}
 	}
 	return nil
 }
--- a/core/peer/receive.go
+++ b/core/peer/receive.go
@@ -65,11 +65,14 @@
 }
 
 func (l *Link) dispatch(ctx context.Context, wg *sync.WaitGroup, handler Handler, id StreamID, m Message) error {
-	switch m.(type) {
+	switch v := m.(type) {
 	case *Ping:
 		return l.send(ctx, 0, &Pong{})
 	case *Pong:
 		return nil
+	case *Goodbye:
+		l.endUnreceived(v)
+		return nil
 	}
 	if s := l.stream(id); s != nil {
 		s.deliver(m)
@@ -82,9 +85,11 @@
 	if l.inboundStreams.Load() >= maxInboundStreams {
 		return l.send(ctx, id, &Reset{Reason: "too many open streams"})
 	}
-	l.mu.Lock()
-	s := l.add(id)
-	l.mu.Unlock()
+	s := l.addInbound(id)
+	if s == nil {
+		// The Goodbye tells the other end that the stream was not received.
+		return nil
+	}
 	l.startHeartbeat()
 	l.inboundStreams.Add(1)
 	wg.Add(1)
@@ -130,6 +135,17 @@
 	return s
 }
 
+// addInbound adds a stream that the other end opens, or returns nil if the link takes no more.
+func (l *Link) addInbound(id StreamID) *Stream {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.finishing {
+		return nil
+	}
+	l.lastInbound = max(l.lastInbound, id)
+	return l.add(id)
+}
+
 // startHeartbeat starts the heartbeat if it is not running.
 func (l *Link) startHeartbeat() {
 	l.mu.Lock()
--- a/core/peer/stream.go
+++ b/core/peer/stream.go
@@ -56,7 +56,7 @@
 		select {
 		case <-s.credit:
 		case <-s.link.closed:
-			return s.link.Err()
+			return s.link.streamErr(s.id)
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -106,13 +106,15 @@
 	case m := <-s.inbox:
 		return s.finishReceive(ctx, m)
 	default:
-		return nil, s.link.Err()
+		return nil, s.link.streamErr(s.id)
 	}
 }
 
 // finishReceive turns a Reset into an error and sends a Window when enough chunks were received.
 func (s *Stream) finishReceive(ctx context.Context, m Message) (Message, error) {
 	switch v := m.(type) {
+	case *Goodbye:
+		return nil, &NotReceivedError{}
 	case *Reset:
 		return nil, &ResetError{Reason: v.Reason}
 	case *Chunk:
@@ -153,6 +155,15 @@
 }
 
 func (l *Link) open(ctx context.Context, o outgoing) (*Stream, error) {
+	// Streams are sent in the order of their numbers, which a Goodbye relies on.
+	select {
+	case l.opening <- struct{}{}:
+		defer func() { <-l.opening }()
+	case <-l.closed:
+		return nil, &RetiredError{}
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
 	l.mu.Lock()
 	if l.retired {
 		l.mu.Unlock()
@@ -165,6 +176,9 @@
 	l.startHeartbeat()
 	if err := l.enqueue(ctx, o); err != nil {
 		s.Close()
+		if l.Ended() {
+			err = l.streamErr(o.id)
+		}
 		return nil, err
 	}
 	return s, nil
@@ -180,17 +194,14 @@
 func (l *Link) Retire() {
 	l.mu.Lock()
 	l.retired = true
-	idle := l.openStreams.Load() == 0
 	l.mu.Unlock()
-	if idle {
-		l.Close(&RetiredError{})
-	}
+	l.closeIfRetired()
 }
 
-// closeIfRetired closes a retired link without open streams.
+// closeIfRetired closes a retired link without open streams. One on which a Goodbye was sent is closed by the other end.
 func (l *Link) closeIfRetired() {
 	l.mu.Lock()
-	idle := l.retired && l.openStreams.Load() == 0
+	idle := l.retired && l.openStreams.Load() == 0 && (!l.finishing || l.goodbye != nil)
 	l.mu.Unlock()
 	if idle {
 		l.Close(&RetiredError{})
--- a/router/internal/loads/work_test.go
+++ b/router/internal/loads/work_test.go
@@ -69,7 +69,7 @@
 
 // TestOldRoutersStillCountRequests runs two versions of the program side by side: the old one understands no work.
 func TestOldRoutersStillCountRequests(t *testing.T) {
-	f := startMixedFleet(t, 6, func(i int) int { return peer.ProtocolVersion - i%2 })
+	f := startMixedFleet(t, 6, func(i int) int { return peer.WorkReportVersion - i%2 })
 	for _, n := range f.nodes {
 		n.service.InFlight.Begin("e1")
 		n.service.Work.Begin("e1", work.Amount{Prompt: 1000, Events: 4})
