fix(sides): a call fails for good when its submission crosses the end of a side

Callers saw: 502 answer_lost (unknown) in rolling restarts, within some milliseconds, for calls without a key.

Cause: a router that links to a side which is about to stop, since it avoids all other sides too, submits on a link that ends before the submission is read. It asks for the state of the attempt over a new link, which nobody accepts any more.

Why this works: the link says which streams the side has not received; for these the next candidate follows, as when there is no link.

--- a/router/internal/sides/attempt.go
+++ b/router/internal/sides/attempt.go
@@ -20,7 +20,7 @@
 	endDone ending = iota
 	// endRefused means that the side refused the attempt and did not run it.
 	endRefused
-	// endUnreachable means that the attempt was not sent, since there was no link to the side.
+	// endUnreachable means that the side did not receive the attempt, since there was no link or the side ended it first.
 	endUnreachable
 	// endNotStarted means that the side confirmed that the attempt was not started and will not be.
 	endNotStarted
@@ -89,7 +89,7 @@
 		return attemptResult{ending: endNoMemory, err: err}
 	}
 	var retired *peer.RetiredError
-	if errors.As(err, &retired) {
+	if errors.As(err, &retired) || isUnreceived(err) {
 		return attemptResult{ending: endUnreachable, err: err}
 	}
 	if err != nil {
@@ -107,6 +107,12 @@
 	return res
 }
 
+// isUnreceived reports whether an error means that the side has not received the attempt and will not.
+func isUnreceived(err error) bool {
+	var unreceived *peer.NotReceivedError
+	return errors.As(err, &unreceived)
+}
+
 // frameCopies is how often a body is held beside itself until it is written: in a frame, and in the compressed frame.
 const frameCopies = 2
 
@@ -222,6 +228,9 @@
 	if ctx.Err() != nil {
 		return attemptResult{ending: endCallerGone, err: ctx.Err()}
 	}
+	if isUnreceived(err) {
+		return attemptResult{ending: endUnreachable, err: err}
+	}
 	return attemptResult{ending: endUnknown, err: err}
 }
 
--- a/router/internal/sides/search.go
+++ b/router/internal/sides/search.go
@@ -42,7 +42,7 @@
 		s.handleMove(step, res)
 		return Result{}, false
 	case endUnreachable:
-		// Nothing was sent, so the next candidate follows without a pause.
+		// Nothing was received, so the next candidate follows without a pause.
 		s.unreachable = true
 		return Result{}, false
 	case endNotStarted:
