fix(peer): a link with an unread stream is closed for a new connection

Callers saw, by reading: at the bound on accepted connections a link counts as idle while a stream lies unread on it. A connection counts as a stranger, which goes first, although the other end has been greeted and may send.

Cause: the bound goes by what has been read and recorded, not by what has arrived.

Why this works: the connection that is to go is looked at first, and a connection is no stranger from before the hello that answers its own. The look into the socket is shared with the HTTP servers (core/internal/socket); there nothing changes.

--- a/core/httplisten/conn.go
+++ b/core/httplisten/conn.go
@@ -6,13 +6,12 @@
 	"os"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sys/unix"
 
 	"rattantrack.dev/core/clock"
+	"rattantrack.dev/core/internal/socket"
 )
 
 // conn is one connection of a limited listener.
@@ -62,7 +61,7 @@
 	if !awaiting {
 		return 0, expired
 	}
-	if n := readNow(c.Conn, p); n > 0 {
+	if n := socket.ReadNow(c.Conn, p); n > 0 {
 		return n, nil
 	}
 	if !ending {
@@ -153,7 +152,7 @@
 	c.mu.Lock()
 	awaiting := c.awaiting
 	c.mu.Unlock()
-	return awaiting && hasArrived(c.Conn)
+	return awaiting && socket.HasUnread(c.Conn)
 }
 
 // hasUnhandled reports whether bytes of a request have arrived that no handler got. With TLS they cannot be told from its own messages.
@@ -164,7 +163,7 @@
 	c.mu.Lock()
 	awaiting := c.awaiting
 	c.mu.Unlock()
-	return !awaiting || hasArrived(c.Conn)
+	return !awaiting || socket.HasUnread(c.Conn)
 }
 
 // Close closes the connection. It is counted afterwards: a request could arrive while the count of all connections is awaited.
@@ -177,34 +176,3 @@
 
 // CloseWrite ends the sending side of the connection, so that the client can still read the answer.
 func (c *conn) CloseWrite() error { return closeWrite(c.Conn) }
-
-// hasArrived reports whether bytes have arrived on a connection that nobody has read.
-func hasArrived(nc net.Conn) bool {
-	var n int
-	control(nc, func(fd int) {
-		n, _, _ = unix.Recvfrom(fd, make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
-	})
-	return n > 0
-}
-
-// readNow reads what has arrived on a connection, whatever its deadline, and returns the number of bytes.
-func readNow(nc net.Conn, p []byte) (n int) {
-	control(nc, func(fd int) {
-		n, _, _ = unix.Recvfrom(fd, p, unix.MSG_DONTWAIT)
-	})
-	return max(0, n)
-}
-
-// control calls f with the descriptor of a connection or listener, unless it has none or is closed.
-func control(v any, f func(fd int)) {
-	sc, ok := v.(syscall.Conn)
-	if !ok {
-		return
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return
-	}
-	// An error means that the connection is closed.
-	_ = raw.Control(func(fd uintptr) { f(int(fd)) })
-}
--- a/core/httplisten/stop.go
+++ b/core/httplisten/stop.go
@@ -8,9 +8,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sys/unix"
 
 	"rattantrack.dev/core/clock"
+	"rattantrack.dev/core/internal/socket"
 )
 
 // Times of a stop.
@@ -109,7 +109,7 @@
 func (l *listener) accept() (net.Conn, error) {
 	for {
 		if l.limit.stopping.Load() {
-			if !l.hasQueued() || monotonic() >= clock.Instant(l.limit.acceptEnd.Load()) {
+			if !socket.HasQueued(l.Listener) || monotonic() >= clock.Instant(l.limit.acceptEnd.Load()) {
 				return nil, errors.CombineErrors(net.ErrClosed, l.Close())
 			}
 			l.setDeadline(time.Now().Add(acceptTime))
@@ -130,12 +130,3 @@
 		_ = d.SetDeadline(t)
 	}
 }
-
-// hasQueued reports whether a connection waits to be accepted.
-func (l *listener) hasQueued() (queued bool) {
-	control(l.Listener, func(fd int) {
-		n, err := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
-		queued = n > 0 && err == nil
-	})
-	return queued
-}
--- a/core/httplisten/stop_test.go
+++ b/core/httplisten/stop_test.go
@@ -16,6 +16,8 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/sys/unix"
+
+	"rattantrack.dev/core/internal/socket"
 )
 
 // pause stands for times in which a process does not run: nothing is accepted or read, while connections and bytes arrive.
@@ -72,7 +74,7 @@
 	if err != nil {
 		return 0, err
 	}
-	waitErr := raw.Read(func(uintptr) bool { return hasArrived(c.TCPConn) || hasEnded(c.TCPConn) })
+	waitErr := raw.Read(func(uintptr) bool { return socket.HasUnread(c.TCPConn) || hasEnded(c.TCPConn) })
 	c.pause.wait()
 	if waitErr != nil {
 		return 0, waitErr
@@ -293,7 +295,7 @@
 
 // hasEnded reports whether the other end has closed a connection.
 func hasEnded(nc net.Conn) (ended bool) {
-	control(nc, func(fd int) {
+	socket.Control(nc, func(fd int) {
 		n, _, err := unix.Recvfrom(fd, make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		ended = n == 0 && err == nil || err != nil && err != unix.EAGAIN
 	})
--- /dev/null
+++ b/core/internal/socket/doc.go
@@ -0,0 +1,2 @@
+// Package socket looks at what has arrived on connections.
+package socket
--- a/core/peer/accepted.go
+++ b/core/peer/accepted.go
@@ -6,6 +6,7 @@
 
 	"rattantrack.dev/core/clock"
 	"rattantrack.dev/core/connections"
+	"rattantrack.dev/core/internal/socket"
 )
 
 // TooManyError reports a connection for which no other one could be closed.
@@ -18,7 +19,9 @@
 // acceptedConn is an accepted connection, with its link once the other end has said who it is.
 type acceptedConn struct {
 	since clock.Instant
-	link  *Link
+	// greeted reports that the other end has said who it is.
+	greeted bool
+	link    *Link
 }
 
 // admit counts an accepted connection, and closes another one if there are too many. It returns false if none could be closed.
@@ -41,14 +44,18 @@
 }
 
 // victim returns the accepted connection to close: one that has not said who it is, or else the link that has been idle for longest; nil
-// if all have open streams. The caller must hold e.mu.
+// if all have open streams or bytes that were not read. The caller must hold e.mu.
 func (e *Endpoint) victim() net.Conn {
 	var strangers, links candidates
 	for conn, a := range e.accepted {
-		if a.link == nil {
+		if !a.greeted {
 			strangers.add(conn, connections.Connection{LastRead: a.since})
 			continue
 		}
+		if a.link == nil {
+			links.add(conn, connections.Connection{Served: true, LastRead: a.since})
+			continue
+		}
 		links.add(conn, connections.Connection{
 			Serving: a.link.OpenStreams() > 0, Served: true, LastRead: clock.Instant(a.link.lastReceived.Load()),
 		})
@@ -70,10 +77,25 @@
 }
 
 func (c *candidates) victim() net.Conn {
-	if i := connections.Victim(clock.Instant(monotonic()), c.known); i >= 0 {
-		return c.conns[i]
+	for {
+		i := connections.Victim(clock.Instant(monotonic()), c.known)
+		if i < 0 {
+			return nil
+		}
+		if !c.known[i].Served || !socket.HasUnread(c.conns[i]) {
+			return c.conns[i]
+		}
+		c.known[i].Serving = true
+	}
+}
+
+// greeted records that the other end of an accepted connection has said who it is.
+func (e *Endpoint) greeted(conn net.Conn) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if a := e.accepted[conn]; a != nil {
+		a.greeted = true
 	}
-	return nil
 }
 
 // established records the link of an accepted connection until it ends.
--- a/core/peer/dial.go
+++ b/core/peer/dial.go
@@ -160,7 +160,7 @@
 	if e.Identity != nil {
 		conn = tls.Server(conn, e.Identity.ServerConfig())
 	}
-	l, err := newLink(ctx, conn, e.LocalHello(), false, e.Memory)
+	l, err := newLink(ctx, conn, e.LocalHello(), false, e.Memory, func() { e.greeted(raw) })
 	if err != nil {
 		e.forget(raw)
 		e.reject(err)
@@ -320,7 +320,7 @@
 	if e.Identity != nil {
 		conn = tls.Client(conn, e.Identity.ClientConfig())
 	}
-	l, err := newLink(ctx, conn, hello, true, e.Memory)
+	l, err := newLink(ctx, conn, hello, true, e.Memory, func() {})
 	if err != nil {
 		return nil, errors.Wrapf(err, "handshake with %s", address)
 	}
--- a/core/peer/goodbye_test.go
+++ b/core/peer/goodbye_test.go
@@ -22,13 +22,13 @@
 	go func() {
 		conn, err := net.Dial("tcp", ln.Addr().String())
 		qt.Check(t, err, qt.IsNil)
-		l, err := newLink(context.Background(), conn, Hello{Protocol: ProtocolVersion, ID: "dialler"}, true, nil)
+		l, err := newLink(context.Background(), conn, Hello{Protocol: ProtocolVersion, ID: "dialler"}, true, nil, func() {})
 		qt.Check(t, err, qt.IsNil)
 		dialled <- l
 	}()
 	conn, err := ln.Accept()
 	c.Assert(err, qt.IsNil)
-	acceptor, err = newLink(context.Background(), conn, Hello{Protocol: ProtocolVersion, ID: "acceptor"}, false, nil)
+	acceptor, err = newLink(context.Background(), conn, Hello{Protocol: ProtocolVersion, ID: "acceptor"}, false, nil, func() {})
 	c.Assert(err, qt.IsNil)
 	dialler = <-dialled
 	t.Cleanup(func() {
--- a/core/peer/link.go
+++ b/core/peer/link.go
@@ -112,8 +112,10 @@
 func monotonic() time.Duration { return time.Since(processStart) }
 
 // newLink exchanges Hello messages on conn and returns the link. The dialler uses odd stream numbers. Large messages that are received take
-// memory from the budget, which may be nil.
-func newLink(ctx context.Context, conn net.Conn, local Hello, dialler bool, memory *memorybudget.Budget) (*Link, error) {
+// memory from the budget, which may be nil. onHello is called when the other end has said who it is, before it can know that.
+func newLink(
+	ctx context.Context, conn net.Conn, local Hello, dialler bool, memory *memorybudget.Budget, onHello func(),
+) (*Link, error) {
 	l := &Link{
 		conn:    conn,
 		local:   local,
@@ -134,7 +136,7 @@
 	release := interruptOnEnd(ctx, conn)
 	defer release()
 	r := bufio.NewReaderSize(conn, readBufferBytes)
-	if err := l.handshake(r, dialler); err != nil {
+	if err := l.handshake(r, dialler, onHello); err != nil {
 		_ = conn.Close()
 		return nil, err
 	}
@@ -157,7 +159,7 @@
 }
 
 // handshake exchanges the Hello messages. The acceptor replies with the version of the dialler if that is older than its own.
-func (l *Link) handshake(r *bufio.Reader, dialler bool) error {
+func (l *Link) handshake(r *bufio.Reader, dialler bool, onHello func()) error {
 	if dialler {
 		if err := l.sendHello(); err != nil {
 			return err
@@ -172,6 +174,7 @@
 	}
 	l.remote = *hello
 	l.Lateness(hello.Sent)
+	onHello()
 	if dialler {
 		return nil
 	}
