fix(caller): an answer during the stop does not announce the end of its connection

Callers saw, by reading: a call that came before the stop began is answered during it, without Connection: close, and the next call may cross the end of the connection.

Cause: whether the router stops was asked when the call came, not when its answer begins.

Why this works: the question is asked again when the head is written.

--- a/router/internal/caller/server.go
+++ b/router/internal/caller/server.go
@@ -110,12 +110,18 @@
 	return app, nil
 }
 
-// closeWhenStopping makes callers of a stopping router use a new connection for their next call.
+// closeWhenStopping announces the end of the connection in responses that the router's own handlers do not write.
 func (s *Server) closeWhenStopping(ctx iris.Context) {
+	s.announceEnd(ctx)
+	ctx.Next()
+}
+
+// announceEnd makes callers of a stopping router use a new connection for their next call. It is called again when the head is written, since
+// the stop may have begun after the call.
+func (s *Server) announceEnd(ctx iris.Context) {
 	if s.Stopping() {
 		ctx.Header("Connection", "close")
 	}
-	ctx.Next()
 }
 
 // acquire counts an open call of a team; it returns false if a limit of the process or the team is reached.
@@ -230,7 +236,7 @@
 	}
 	defer s.release(call.Team)
 	start := s.Clock.Now()
-	sink := &responseSink{ctx: ctx}
+	sink := &responseSink{server: s, ctx: ctx}
 	result := s.Dispatcher.Do(ctx.Request().Context(), call, sink)
 	elapsed := s.Clock.Now().Sub(start)
 	s.Scope.Timer("call_duration").Record(elapsed)
--- a/router/internal/caller/sink.go
+++ b/router/internal/caller/sink.go
@@ -14,6 +14,7 @@
 
 // responseSink writes an answer to the caller.
 type responseSink struct {
+	server   *Server
 	ctx      iris.Context
 	headSent bool
 }
@@ -27,6 +28,7 @@
 	}
 	w.Header().Set(headerHint, string(side))
 	w.Header().Set(headerOutcome, string(peer.OutcomeDone))
+	s.server.announceEnd(s.ctx)
 	w.WriteHeader(status)
 	return nil
 }
@@ -56,6 +58,7 @@
 
 // writeJSON writes an answer of the router itself.
 func (s *Server) writeJSON(ctx iris.Context, v any) {
+	s.announceEnd(ctx)
 	err := setWriteDeadline(ctx)
 	if err == nil {
 		err = ctx.JSON(v)
