fix(operator): a SIGHUP ends a side, and a router with sides, with all open requests

Callers saw: streams cut and connections closed without an answer when an operator sends SIGHUP to a side or to a router that uses sides.

Cause: only the router without sides catches the signal, and it only from the start of its services on; its default action ends a process.

Why this works: the programs catch the signal from their start and log it. The router without sides reloads its peers as before, which closes no connection.

--- a/core/operator/main.go
+++ b/core/operator/main.go
@@ -42,6 +42,7 @@
 	w := NewBoundedWriter(os.Stdout)
 	defer w.Close()
 	l := NewLog(w, name)
+	logHangups(l)
 	return ExitCode(l, start(ctx, f.Config, l))
 }
 
@@ -56,6 +57,17 @@
 	}()
 }
 
+// logHangups logs each SIGHUP, which would end the process if it were not caught. A program that can reload its settings catches it too.
+func logHangups(l *log.Logger) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	go func() {
+		for range signals {
+			l.Info("SIGHUP received")
+		}
+	}()
+}
+
 // ExitCode logs the error that ended a program and returns the exit code. Faults in settings are logged one by one.
 func ExitCode(l *log.Logger, err error) int {
 	if err == nil {
--- a/standin/internal/fleet/stop_test.go
+++ b/standin/internal/fleet/stop_test.go
@@ -96,6 +96,55 @@
 	c.Assert(res.Tokens, qt.Equals, 60)
 }
 
+// TestHangupEndsProcess guards against a signal that asks for a reload and ends the process with its open requests.
+func TestHangupEndsProcess(t *testing.T) {
+	c := qt.New(t)
+	ctx := testContext(t)
+	f := start(t, Options{Routers: 1, Engines: 1, DecodeRate: 30})
+	req := chatRequest("A letter")
+	req.MaxTokens = 30
+	result := make(chan Response, 1)
+	go func() {
+		res, err := client(t, f.Routers[0].URL).Chat(ctx, req)
+		qt.Check(t, err, qt.IsNil)
+		result <- res
+	}()
+	time.Sleep(500 * time.Millisecond)
+	for _, p := range []*Process{f.Routers[0].Process, f.Engines[0].Side} {
+		c.Assert(p.Signal(syscall.SIGHUP), qt.IsNil)
+	}
+	res := <-result
+	c.Assert(res.Complete, qt.IsTrue, qt.Commentf("%+v", res))
+}
+
+// TestSecondSignalCutsRequests guards against a stop that is cut short by another signal to stop or by one to reload.
+func TestSecondSignalCutsRequests(t *testing.T) {
+	for _, second := range []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP} {
+		t.Run(second.String(), func(t *testing.T) {
+			c := qt.New(t)
+			ctx := testContext(t)
+			f := start(t, Options{Routers: 1, Engines: 2, DecodeRate: 30})
+			req := chatRequest("A long letter")
+			req.MaxTokens = 60
+			result := make(chan Response, 1)
+			go func() {
+				res, err := client(t, f.Routers[0].URL).Chat(ctx, req)
+				qt.Check(t, err, qt.IsNil)
+				result <- res
+			}()
+			time.Sleep(500 * time.Millisecond)
+			for _, p := range []*Process{busyEngine(ctx, t, f).Side, f.Routers[0].Process} {
+				c.Assert(p.Signal(syscall.SIGTERM), qt.IsNil)
+				time.Sleep(50 * time.Millisecond)
+				c.Assert(p.Signal(second), qt.IsNil)
+			}
+			res := <-result
+			c.Assert(res.Complete, qt.IsTrue, qt.Commentf("%+v", res))
+			c.Assert(res.Tokens, qt.Equals, 60)
+		})
+	}
+}
+
 // startedChats returns the number of chats that an engine has started.
 func startedChats(ctx context.Context, t *testing.T, u *Upstream) int64 {
 	t.Helper()
