fix(app): a stopping router reads the directory and tells nobody

A request got 404, as an older version says, 2.2 to 5 s after the store had acknowledged a change of a route, while routers were stopped in turn.

Cause: services stop in the reverse order of their start, and gossip started after the client server, since it is ready only with declarations. So it ended with the signal, while the client server went on for the notice and the drain time, and the directory was read for as long. If the routers that read for all others are stopping, their reads keep the others from reading, and what they read is not announced; the others find it at a comparison, one each 2 s.

Why this works: the start of a service and its readiness are two entries of the kernel, so that gossip starts first, stops after the clients and is waited for in the place where it was.

--- a/core/kernel/kernel_test.go
+++ b/core/kernel/kernel_test.go
@@ -52,6 +52,37 @@
 	c.Assert(events, qt.DeepEquals, []string{"start a", "stop a"})
 }
 
+// lateService is ready when release is closed, and records its end only, since it starts beside others.
+type lateService struct {
+	events  *[]string
+	release chan struct{}
+}
+
+func (l *lateService) String() string { return "late" }
+
+func (l *lateService) Run(ctx context.Context, ready func()) error {
+	<-l.release
+	ready()
+	<-ctx.Done()
+	*l.events = append(*l.events, "stop late")
+	return nil
+}
+
+// TestServiceThatIsReadyLateStopsBeforeItsUsers guards against stopping a service before those that need it until their end, since they start
+// before it is ready.
+func TestServiceThatIsReadyLateStopsBeforeItsUsers(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	c := qt.New(t)
+	var events []string
+	ctx, cancel := context.WithCancel(context.Background())
+	release := make(chan struct{})
+	runs, waits := Split(&lateService{events: &events, release: release})
+	k := &Kernel{}
+	k.Add(runs, &hook{run: func() { close(release) }}, &recorder{name: "user", events: &events}, waits, &hook{run: cancel})
+	c.Assert(k.Run(ctx), qt.IsNil)
+	c.Assert(events[len(events)-2:], qt.DeepEquals, []string{"stop user", "stop late"})
+}
+
 func TestLookupFindsByNameAndType(t *testing.T) {
 	c := qt.New(t)
 	k := &Kernel{}
--- /dev/null
+++ b/core/kernel/split.go
@@ -0,0 +1,46 @@
+package kernel
+
+import (
+	"context"
+	"sync"
+)
+
+// Split returns two services for s. The first one runs s and counts as ready at once; the second one is ready when s is. Services that are added
+// between the two start without waiting for s, and stop before it.
+func Split(s Service) (runs, waits Service) {
+	e := &early{Service: s, ready: make(chan struct{})}
+	return e, &awaited{early: e}
+}
+
+// early runs a service and counts as ready before it is.
+type early struct {
+	Service
+	once  sync.Once
+	ready chan struct{}
+}
+
+// Run runs the service until ctx ends.
+func (e *early) Run(ctx context.Context, ready func()) error {
+	ready()
+	return e.Service.Run(ctx, func() { e.once.Do(func() { close(e.ready) }) })
+}
+
+// awaited is ready when an early service is.
+type awaited struct {
+	*early
+}
+
+// String returns the name of the service, which differs from that of the early one.
+func (a *awaited) String() string { return a.early.String() + " ready" }
+
+// Run waits until the early service is ready, and then until ctx ends.
+func (a *awaited) Run(ctx context.Context, ready func()) error {
+	select {
+	case <-a.ready:
+		ready()
+	case <-ctx.Done():
+		return nil
+	}
+	<-ctx.Done()
+	return nil
+}
--- a/router/internal/app/direct.go
+++ b/router/internal/app/direct.go
@@ -235,8 +235,10 @@
 	defer stop()
 	k := &kernel.Kernel{}
 	retryBudget := &retries{budget: d.budget, routers: d.routers}
-	// The client server starts before gossip, which is ready only with declarations, so that an early client gets a
-	// failure response with Retry-After instead of a refused connection.
+	// The client server does not wait for gossip, which is ready only with declarations, so that an early client gets a failure response with
+	// Retry-After instead of a refused connection. It stops before gossip: a router that reads the directory until its last client is served
+	// must tell the others what it reads.
+	gossip, declarations := kernel.Split(d.gossip)
 	k.Add(
 		&operator.Server{
 			Address: d.cfg.Operator,
@@ -261,8 +263,9 @@
 		d.origins,
 		d.watcher,
 		d.warmup,
+		gossip,
 		d.client,
-		d.gossip,
+		declarations,
 		d.announcer,
 	)
 	return k.Run(ctx)
