fix(router/upstream): a status that is none is taken for an answer

Cause: net/http parses any three characters that make a number of 0 or more. Statuses below 200 were skipped as informational, and their body was read as the next head.

Evidence: TestInvalidStatusIsTakenForAnswer failed before, in all of its ten cases.

Why this works: bytes that do not begin with HTTP/1 and a status from 100 to 599 (RFC 9112, section 4; RFC 9110, section 15) end the attempt without an answer, like a connection that breaks: it may have run, and its connection closes.

--- a/router/internal/upstream/conn.go
+++ b/router/internal/upstream/conn.go
@@ -17,6 +17,7 @@
 
 	"rattantrack.dev/core/call"
 	"rattantrack.dev/core/members"
+	"rattantrack.dev/core/responsehead"
 	"rattantrack.dev/core/settings"
 )
 
@@ -267,6 +268,9 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "reading the response")
 		}
+		if err := responsehead.Check(res); err != nil {
+			return nil, err
+		}
 		if embedsHead(res) {
 			return nil, &EmbeddedAnswerError{}
 		}
--- a/router/internal/upstream/conn_test.go
+++ b/router/internal/upstream/conn_test.go
@@ -11,10 +11,12 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	qt "github.com/frankban/quicktest"
 
 	"rattantrack.dev/core/call"
 	"rattantrack.dev/core/members"
+	"rattantrack.dev/core/responsehead"
 )
 
 type idDialect struct{}
@@ -155,3 +157,47 @@
 		})
 	}
 }
+
+// requestOnce sends a request without a body to an upstream that answers with the given bytes, and returns the response.
+func requestOnce(t *testing.T, answer string) (*Response, error) {
+	t.Helper()
+	address := serveOne(t, func(conn *net.TCPConn, r *bufio.Reader) {
+		readHead(r)
+		_, _ = io.WriteString(conn, answer)
+	})
+	p := &Pool{Dialect: idDialect{}}
+	conn, err := p.Get(context.Background(), members.Instance{ID: "i", Address: address}, ReuseRecent)
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(conn.Close)
+	return conn.Do(&Request{ID: "r", Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{}})
+}
+
+// TestInvalidStatusIsTakenForAnswer guards against a status line of something else that counts as the answer, or whose body does.
+func TestInvalidStatusIsTakenForAnswer(t *testing.T) {
+	const inner = "HTTP/1.1 200 OK\r\nId: r\r\nContent-Length: 2\r\n\r\nhi"
+	lines := []string{
+		"HTTP/1.1 000 Trouble", "HTTP/1.1 001 Trouble", "HTTP/1.1 099 Trouble", "HTTP/1.1 +20 Trouble", "HTTP/1.1 -00 Trouble",
+		"HTTP/1.1 600 Trouble", "HTTP/1.1 999 Trouble", "HTTP/1.1 000", "HTTP/1.0 000 Trouble", "HTTP/2.0 200 OK",
+	}
+	for _, line := range lines {
+		t.Run(line, func(t *testing.T) {
+			res, err := requestOnce(t, fmt.Sprintf("%s\r\nId: r\r\nContent-Length: %d\r\n\r\n%s", line, len(inner), inner))
+			if err == nil {
+				t.Fatalf("status %d is the answer", res.StatusCode)
+			}
+			var invalid *responsehead.InvalidError
+			qt.Assert(t, errors.As(err, &invalid), qt.IsTrue, qt.Commentf("%v", err))
+			var notSent *NotSentError
+			qt.Assert(t, errors.As(err, &notSent), qt.IsFalse)
+		})
+	}
+}
+
+// TestUnusualStatusIsInvalid guards against statuses without a meaning of their own that count as invalid (RFC 9110, section 15).
+func TestUnusualStatusIsInvalid(t *testing.T) {
+	for _, status := range []int{200, 299, 399, 471, 599} {
+		res, err := requestOnce(t, fmt.Sprintf("HTTP/1.1 %d\r\nId: r\r\nContent-Length: 0\r\n\r\n", status))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, res.StatusCode, qt.Equals, status)
+	}
+}
