--- a/router/internal/upstream/conn_test.go
+++ b/router/internal/upstream/conn_test.go
@@ -201,3 +201,30 @@
 		qt.Assert(t, res.StatusCode, qt.Equals, status)
 	}
 }
+
+// TestBodyOfInformationalIsTakenForAnswer guards against an answer that is read from the body of a response that can have none.
+func TestBodyOfInformationalIsTakenForAnswer(t *testing.T) {
+	const inner = "HTTP/1.1 200 OK\r\nId: r\r\nContent-Length: 2\r\n\r\nhi"
+	heads := []string{
+		"100 Continue\r\nContent-Length: 48", "102 Processing\r\nContent-Length: 48", "103 Early Hints\r\nContent-Length: 48",
+		"100 Continue\r\nTransfer-Encoding: chunked", "101 Switching Protocols", "101 Switching Protocols\r\nContent-Length: 48",
+		"101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: other",
+	}
+	for _, head := range heads {
+		t.Run(head, func(t *testing.T) {
+			res, err := requestOnce(t, "HTTP/1.1 "+head+"\r\nId: r\r\n\r\n"+inner)
+			if err == nil {
+				t.Fatalf("status %d is the answer", res.StatusCode)
+			}
+			var invalid *responsehead.InvalidError
+			qt.Assert(t, errors.As(err, &invalid), qt.IsTrue, qt.Commentf("%v", err))
+		})
+	}
+}
+
+// TestInformationalIsTakenForAnswer guards against informational responses that count as invalid, or as the answer.
+func TestInformationalIsTakenForAnswer(t *testing.T) {
+	res, err := requestOnce(t, "HTTP/1.1 100 Continue\r\nContent-Length: 0\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 204 No Content\r\nId: r\r\n\r\n")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, res.StatusCode, qt.Equals, http.StatusNoContent)
+}
