fix(side/upstream): bytes that are no response are passed on as an answer

After 100 or 103 with a length, the caller gets the answer that the body holds, and an engine's prefix may be read from one.

Cause: net/http takes any three characters that make a number of 0 or more for a status, and what follows an informational response for the next head.

Evidence: TestInvalidStatusIsPassedOn (nine cases), TestBodyOfInformationalIsPassedOn (four) and TestInvalidResponseIsTakenForPrefix failed before. TestInvalidResponseKeepsConnection fails where the connection is not closed: the transport keeps one after a status from 200 without a body. TestInformationalsWithoutEndAreRead holds before; it fails where the check of informational responses does not count them, since the transport then counts their heads no more.

Why this works: all responses pass the check that the routers' client makes. What fails it ends the attempt as one that may have run, and closes the connection.

--- a/side/internal/upstream/client.go
+++ b/side/internal/upstream/client.go
@@ -6,9 +6,7 @@
 	"context"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -100,8 +98,6 @@
 // Run sends the call and passes the answer to sink. A NotSentError means that nothing was sent, a TruncatedError that the
 // call may have run.
 func (c *Client) Run(ctx context.Context, call Call, sink Sink) (Usage, error) {
-	var gotConn atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { gotConn.Store(true) }})
 	req, err := http.NewRequestWithContext(ctx, call.Method, c.url+call.Path, onceReader{bytes.NewReader(call.Body)})
 	if err != nil {
 		return Usage{}, &NotSentError{Cause: err}
@@ -118,9 +114,9 @@
 	for _, h := range call.Headers {
 		req.Header.Add(h.Name, h.Value)
 	}
-	res, err := c.http.Do(req)
+	res, sent, err := c.do(req)
 	if err != nil {
-		if gotConn.Load() {
+		if sent {
 			return Usage{}, &TruncatedError{Cause: err}
 		}
 		return Usage{}, &NotSentError{Cause: err}
--- a/side/internal/upstream/prefix.go
+++ b/side/internal/upstream/prefix.go
@@ -41,7 +41,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "building a transfer")
 	}
-	res, err := c.http.Do(req)
+	res, _, err := c.do(req)
 	if err != nil {
 		return nil, errors.Wrap(err, "asking the engine")
 	}
