fix(router/sides): a side's answer without a valid status is written

By reading: 100 to 199 are written as informational and followed by a 200, and so is an answer of which the side sends no status.

Cause: the router writes what a side sends, and trusts that the side has checked it. Sides of an older version have not.

Why this works: the attempt counts as broken off before any of it is written. It is retried where it may be, else the caller gets a 502.

--- a/core/responsehead/check.go
+++ b/core/responsehead/check.go
@@ -33,6 +33,9 @@
 	return &InvalidError{Proto: res.Proto, Status: res.Status, Reason: reason}
 }
 
+// IsFinal reports whether a status is one of a response that is not informational.
+func IsFinal(status int) bool { return status >= http.StatusOK && status < 600 }
+
 // isStatus reports whether a text begins with a status code (RFC 9110, section 15).
 func isStatus(text string) bool {
 	return len(text) >= 3 && text[0] >= '1' && text[0] <= '5' && isDigit(text[1]) && isDigit(text[2])
--- a/router/internal/sides/attempt.go
+++ b/router/internal/sides/attempt.go
@@ -58,6 +58,11 @@
 
 func (e *sequenceError) Error() string { return "chunk out of order" }
 
+// NoHeadError reports an answer of a side that has no status.
+type NoHeadError struct{}
+
+func (e *NoHeadError) Error() string { return "answer without a status" }
+
 // attempt submits the call to one side, relays the answer, and logs the error of an attempt that failed.
 func (d *Dispatcher) attempt(ctx context.Context, call *Call, prog *progress, step candidates.Step) attemptResult {
 	res := d.submit(ctx, call, prog, step)
@@ -181,6 +186,7 @@
 // relay passes the answer of one attempt to the caller until the attempt ends.
 func (d *Dispatcher) relay(ctx context.Context, call *Call, prog *progress, st *peer.Stream) attemptResult {
 	var last uint32
+	hasHead := false
 	for {
 		m, err := st.Receive(ctx)
 		if err != nil {
@@ -195,14 +201,22 @@
 			if err := prog.setHead(v); err != nil {
 				return attemptResult{ending: endInterrupted, err: err}
 			}
+			hasHead = true
 		case *peer.Chunk:
+			if !hasHead {
+				return attemptResult{ending: endInterrupted, err: &NoHeadError{}}
+			}
 			if v.Attempt != prog.attempt || v.Seq != last+1 {
 				return attemptResult{ending: endInterrupted, err: &sequenceError{want: last + 1, got: v.Seq}}
 			}
 			last = v.Seq
 			err = prog.writeChunk(v.Data, st.Pending() == 0)
 		case *peer.End:
-			return endResult(v, last)
+			res := endResult(v, last)
+			if res.ending == endDone && !hasHead {
+				return attemptResult{ending: endInterrupted, err: &NoHeadError{}}
+			}
+			return res
 		}
 		var full *memorybudget.FullError
 		if errors.As(err, &full) {
--- a/router/internal/sides/progress.go
+++ b/router/internal/sides/progress.go
@@ -9,6 +9,7 @@
 
 	"rattantrack.dev/core/memorybudget"
 	"rattantrack.dev/core/peer"
+	"rattantrack.dev/core/responsehead"
 	"rattantrack.dev/core/settings"
 )
 
@@ -71,9 +72,21 @@
 	return fmt.Sprintf("answer with status %d does not continue the stream", e.Status)
 }
 
+// InvalidStatusError reports an answer with a status that no answer has.
+type InvalidStatusError struct {
+	Status int
+}
+
+func (e *InvalidStatusError) Error() string {
+	return fmt.Sprintf("status %d is not from 200 to 599", e.Status)
+}
+
 // setHead keeps an attempt's status and header until the answer begins. If the caller already has those of an earlier attempt, it only
 // checks that this one's are of the same kind, since its text is added to the earlier one's.
 func (p *progress) setHead(head *peer.Head) error {
+	if !responsehead.IsFinal(head.Status) {
+		return &InvalidStatusError{Status: head.Status}
+	}
 	if !p.headSent {
 		p.head = head
 		return nil
