fix(side/upstream): half of an answer is taken for the whole after a reset

Callers saw, in trials: an upstream beside a side answers a long upload at once with a 200 without a length, sends a part of the body and resets the connection. The caller gets that part as a complete answer. A whole answer cuts the upload off, if it ends before the upstream has read that.

Cause: the kernel reports a reset once. Where a write of the request's body gets the report, the reader sees the end alone, and net/http takes that for the end of a body without a length. It also closes the connection at that end, whatever is still to be written.

Why this works: as in the routers' client, the end of a connection counts as one only when the request is written. This holds for all responses, since the connection does not know how theirs are framed: one with a length or chunks does not need the end.

--- a/side/internal/upstream/client.go
+++ b/side/internal/upstream/client.go
@@ -76,6 +76,7 @@
 // New returns a client for the upstream at a base URL.
 func New(url string) *Client {
 	t := &http.Transport{
+		DialContext:         dialUpstream,
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
--- a/side/internal/upstream/exchange.go
+++ b/side/internal/upstream/exchange.go
@@ -37,18 +37,32 @@
 type exchange struct {
 	mu            sync.Mutex
 	conn          net.Conn
+	write         *requestWrite
 	informational int
 }
 
 // trace returns a context with which the transport reports to the exchange.
 func (x *exchange) trace(ctx context.Context) context.Context {
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: x.gotConn, Got1xxResponse: x.got1xxResponse})
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: x.gotConn, WroteRequest: x.wroteRequest, Got1xxResponse: x.got1xxResponse,
+	})
 }
 
 func (x *exchange) gotConn(info httptrace.GotConnInfo) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.conn = info.Conn
+	if conn, ok := info.Conn.(*upstreamConn); ok {
+		x.write = conn.begin()
+	}
+}
+
+func (x *exchange) wroteRequest(info httptrace.WroteRequestInfo) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.write != nil {
+		x.write.end(info.Err)
+	}
 }
 
 // got1xxResponse checks an informational response. Its error ends the request.
