fix(side/upstream): a prefix that is cut at the bound is imported as if it were complete

Found by reading: an exported prefix of more than 256 MiB ends there without an error, and the rest is missing where it is imported.

Cause: the end of io.LimitReader at its bound looks like the end of the body.

Why this works: one byte more than the bound is read, and a prefix that has it is refused.

--- a/side/internal/upstream/prefix.go
+++ b/side/internal/upstream/prefix.go
@@ -15,6 +15,15 @@
 
 const maxPrefixBytes = 256 << 20
 
+// PrefixTooLongError reports a prefix of more than Limit bytes.
+type PrefixTooLongError struct {
+	Limit int64
+}
+
+func (e *PrefixTooLongError) Error() string {
+	return fmt.Sprintf("prefix of more than %d bytes", e.Limit)
+}
+
 // importResponse is the engine's response to an import.
 type importResponse struct {
 	Tokens settings.Tokens `json:"tokens"`
@@ -49,6 +58,17 @@
 	if res.StatusCode != http.StatusOK {
 		return nil, errors.Newf("engine answered %d", res.StatusCode)
 	}
-	text, err := io.ReadAll(io.LimitReader(res.Body, maxPrefixBytes))
-	return text, errors.Wrap(err, "reading a prefix")
+	return readPrefix(res.Body, maxPrefixBytes)
+}
+
+// readPrefix reads a prefix of at most limit bytes.
+func readPrefix(body io.Reader, limit int64) ([]byte, error) {
+	text, err := io.ReadAll(io.LimitReader(body, limit+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "reading a prefix")
+	}
+	if int64(len(text)) > limit {
+		return nil, &PrefixTooLongError{Limit: limit}
+	}
+	return text, nil
 }
