fix(router/sides): a part of a body that is no stream is written to a caller that asked for one

Found by reading: an engine answers a streaming call with a body that is no stream, such as a long error, and breaks off. The caller has a part of it. What follows is an error event, or the body of another run with the same status and type, and then a proper end.

Cause: whether an answer is written as it comes went by the call alone. Only events can be continued by another run, or be followed by an error event.

Evidence: TestPartOfBodyIsWrittenToStreamingCaller failed before: the caller gets {"run":1,{"run":2}.

Why this works: an answer without events is kept until it is complete, like the answer to a call that asks for no stream, within the same bounds.

--- a/router/internal/sides/progress.go
+++ b/router/internal/sides/progress.go
@@ -106,9 +106,15 @@
 	return ""
 }
 
-// writeChunk passes one chunk of a streamed answer to the caller; a chunk of any other answer is buffered.
+// isEvents reports whether the body after a head consists of events.
+func isEvents(head *peer.Head) bool {
+	return head != nil && strings.HasPrefix(contentType(head), "text/event-stream")
+}
+
+// writeChunk passes one chunk of a streamed answer to the caller; a chunk of any other answer is buffered, since no other run can continue
+// it.
 func (p *progress) writeChunk(data []byte, flush bool) error {
-	if !p.stream {
+	if !p.stream || !isEvents(p.head) {
 		return p.bufferChunk(data)
 	}
 	if err := p.sendHead(); err != nil {
--- a/router/internal/sides/progress_test.go
+++ b/router/internal/sides/progress_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"rattantrack.dev/core/clock"
 	"rattantrack.dev/core/peer"
 	"rattantrack.dev/core/settings"
 )
@@ -54,3 +55,22 @@
 		})
 	}
 }
+
+// TestPartOfBodyIsWrittenToStreamingCaller guards against an answer that is no stream and is written before it is complete: if it breaks off, the
+// text of an error or another run's body follows, and the caller sees a proper end.
+func TestPartOfBodyIsWrittenToStreamingCaller(t *testing.T) {
+	for _, status := range []int{200, 500} {
+		c := qt.New(t)
+		sink := &textSink{}
+		p := &progress{sink: sink, stream: true, clock: clock.Boot{}}
+		c.Assert(p.setHead(head(status, "application/json")), qt.IsNil)
+		c.Assert(p.writeChunk([]byte(`{"run":1,`), true), qt.IsNil)
+		c.Check(sink.String(), qt.Equals, "")
+		p.discardUnsent()
+		c.Assert(p.setHead(head(status, "application/json")), qt.IsNil)
+		c.Assert(p.writeChunk([]byte(`{"run":2}`), true), qt.IsNil)
+		c.Assert(p.finish(), qt.IsNil)
+		c.Check(sink.String(), qt.Equals, `{"run":2}`)
+		c.Check(sink.heads, qt.Equals, 1)
+	}
+}
