fix(peer): a link dialled during a stop holds it up

Callers saw, by reading: a process that stops waits for a link that was dialled while it ended the others, until the other end finds it idle.

Cause: the links were listed once to end them and again to wait for them.

Evidence: TestLinkDialledDuringShutdownHoldsItUp failed before (5 s).

Why this works: those that are ended are those that are awaited.

--- a/core/peer/goodbye.go
+++ b/core/peer/goodbye.go
@@ -94,12 +94,13 @@
 	return l.Err()
 }
 
-// Shutdown ends every link in order and waits for that.
+// Shutdown ends every link in order and waits for that. A link that is dialled meanwhile is left.
 func (e *Endpoint) Shutdown() {
-	for _, l := range e.Links() {
+	links := e.Links()
+	for _, l := range links {
 		l.finish()
 	}
-	for _, l := range e.Links() {
+	for _, l := range links {
 		<-l.Done()
 	}
 }
--- a/core/peer/goodbye_test.go
+++ b/core/peer/goodbye_test.go
@@ -162,3 +162,25 @@
 	defer s.Close()
 	return s.Receive(ctx)
 }
+
+// TestLinkDialledDuringShutdownHoldsItUp guards against waiting for a link that nobody ends.
+func TestLinkDialledDuringShutdownHoldsItUp(t *testing.T) {
+	c := qt.New(t)
+	_, acceptor := linkPair(t)
+	late, _ := linkPair(t)
+	e := endpointOf(t, acceptor)
+	// A link to an older program ends at once.
+	acceptor.local.Protocol = GoodbyeVersion - 1
+	acceptor.onEnd(func() { e.track(late, "late") })
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		e.Shutdown()
+	}()
+	select {
+	case <-done:
+	case <-time.After(5 * time.Second):
+		t.Error("the shutdown waits")
+	}
+	c.Assert(late.Ended(), qt.IsFalse)
+}
