fix(upstream): heads of very many short fields from upstreams exceed the memory

What clients saw: a router ends by itself, out of memory, and the requests of all its clients with it.

Cause: the head of an answer was bounded by its bytes (64 KiB) and not by its fields, each of which takes a map entry, a slice and two strings. A head of 62 KiB of fields without values takes 951 KiB, and each open attempt may hold one.

Why it works: the reader of a head counts its fields, those of informational heads before it included, and fails after 256.

--- a/router/internal/upstream/conn.go
+++ b/router/internal/upstream/conn.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sys/unix"
 
 	"rattantrack.dev/core/call"
+	"rattantrack.dev/core/httphead"
 	"rattantrack.dev/core/members"
 	"rattantrack.dev/core/responsehead"
 	"rattantrack.dev/core/settings"
@@ -24,8 +25,6 @@
 // Sizes and times of a connection.
 const (
 	readBufferBytes = 4 << 10
-	// maxHeadBytes bounds the head of a response.
-	maxHeadBytes = 64 << 10
 	// maxMismatched bounds the responses to other requests that are skipped while waiting for the right one.
 	maxMismatched = 4
 	// maxMismatchedBytes bounds the body of such a response.
@@ -101,22 +100,33 @@
 // Unwrap returns the cause.
 func (e *NotSentError) Unwrap() error { return e.Cause }
 
-// headReader is a connection that bounds the bytes read while a response head is parsed.
+// headReader is a connection that bounds the bytes and the fields read while a response head is parsed.
 type headReader struct {
 	net.Conn
 	remaining   int
+	fields      httphead.Fields
 	readingHead bool
 }
 
+// beginHead prepares for the next head, of which some bytes may have been read already.
+func (r *headReader) beginHead(buffered []byte) error {
+	r.readingHead, r.remaining = true, httphead.MaxBytes
+	r.fields = httphead.Fields{Limit: httphead.MaxFields, Response: true}
+	return r.fields.Read(buffered)
+}
+
 func (r *headReader) Read(p []byte) (int, error) {
 	if !r.readingHead {
 		return r.Conn.Read(p)
 	}
 	if r.remaining <= 0 {
-		return 0, errors.Newf("response head exceeds %d bytes", maxHeadBytes)
+		return 0, errors.Newf("response head exceeds %d bytes", httphead.MaxBytes)
 	}
 	n, err := r.Conn.Read(p[:min(len(p), r.remaining)])
 	r.remaining -= n
+	if fieldsErr := r.fields.Read(p[:n]); fieldsErr != nil {
+		return 0, fieldsErr
+	}
 	return n, err
 }
 
@@ -261,8 +271,12 @@
 
 // readHead reads the head of the next response that is not informational.
 func (c *Conn) readHead(method string) (*http.Response, error) {
-	c.conn.readingHead, c.conn.remaining = true, maxHeadBytes
 	defer func() { c.conn.readingHead = false }()
+	// What is buffered can be read without an error.
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	if err := c.conn.beginHead(buffered); err != nil {
+		return nil, errors.Wrap(err, "reading the response")
+	}
 	for {
 		res, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
