fix(engines): cache listings without end exceed the memory

What clients saw: a router that starts, or reads caches again, may end by itself, out of memory, and their requests with it.

Cause: eight engines are asked at once. net/http's client keeps a head of up to 10 MB, and of a body up to 16 MiB were read as one value: json.Decoder keeps a value with the blanks before it, and each entry took an array of four slices.

--- a/core/httphead/transport.go
+++ b/core/httphead/transport.go
@@ -30,6 +30,16 @@
 	return &Transport{base: base}
 }
 
+// NewClient returns a client as http.DefaultClient is, whose transport bounds heads.
+func NewClient() *http.Client {
+	base, ok := http.DefaultTransport.(*http.Transport)
+	if !ok {
+		// A program has replaced it.
+		return &http.Client{Transport: NewTransport(&http.Transport{Proxy: http.ProxyFromEnvironment})}
+	}
+	return &http.Client{Transport: NewTransport(base.Clone())}
+}
+
 // RoundTrip sends a request and returns its response.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
--- a/router/internal/app/services.go
+++ b/router/internal/app/services.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"rattantrack.dev/core/clock"
 	"rattantrack.dev/core/cold"
 	"rattantrack.dev/core/gossip"
+	"rattantrack.dev/core/httphead"
 	"rattantrack.dev/core/inflight"
 	"rattantrack.dev/core/members"
 	"rattantrack.dev/core/memorybudget"
@@ -134,7 +134,7 @@
 		Address:    d.cfg.Advertise,
 		Seeds:      d.cfg.Peers,
 		FirstStart: d.cfg.Direct.FirstStart,
-		Cache:      platform.Engines{HTTP: &http.Client{}},
+		Cache:      platform.Engines{HTTP: httphead.NewClient()},
 		Routers:    d.routers,
 		Members:    d.members,
 		Services:   d.cachingServices,
