fix(store,configuration): responses of the platform without end exceed the memory

What clients saw: nothing yet; by reading, and in trials.

Cause: the clients of the store, of the configuration service and of the command line kept heads of up to 10 MB, bodies of 16 and 64 MiB as one value, and pages as long as the store had another one. An item takes many times the memory of a short text.

A response of the configuration service, whose documents are kept, may take what requests may, a fifth of the VM.

--- a/core/configuration/client.go
+++ b/core/configuration/client.go
@@ -2,20 +2,26 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"rattantrack.dev/core/httphead"
+	"rattantrack.dev/core/jsonstream"
 	"rattantrack.dev/core/revision"
 	"rattantrack.dev/core/settings"
 )
 
-// maxResponseBytes bounds the size of a response body.
-const maxResponseBytes = 64 << 20
+// Bounds on a response.
+const (
+	// defaultResponseBytes is used where the client names none.
+	defaultResponseBytes = 64 << 20
+	maxDocumentBytes     = 16 << 20
+	// maxElements bounds the documents and the VMs, which take more memory than their bytes.
+	maxElements = 1 << 16
+)
 
 // StatusError reports a response with a status other than 200.
 type StatusError struct {
@@ -63,13 +69,28 @@
 	ConfigurationURL string
 	VMListURL        string
 	HTTP             *http.Client
+	// MaxBytes bounds a response, 0 for a default.
+	MaxBytes int64
 }
 
+var defaultClient = httphead.NewClient()
+
 // Changes returns the changes after a revision and waits up to wait for one.
 func (c *Client) Changes(ctx context.Context, since settings.Revision, wait time.Duration) (revision.Delta, error) {
 	url := fmt.Sprintf("%s/v1/changes?since=%d&wait_ms=%d", c.ConfigurationURL, since, wait.Milliseconds())
 	var response Changes
-	if err := c.get(ctx, url, &response); err != nil {
+	err := c.get(ctx, url, func(d *jsonstream.Decoder, name string) error {
+		switch name {
+		case "revision":
+			return d.Value(&response.Revision)
+		case "whole":
+			return d.Value(&response.Complete)
+		case "documents":
+			return readArray(d, &response.Documents)
+		}
+		return d.Skip()
+	})
+	if err != nil {
 		return revision.Delta{}, err
 	}
 	delta := revision.Delta{From: since, To: revision.Version{Revision: response.Revision}, Documents: response.Documents}
@@ -82,20 +103,36 @@
 // VMs returns the VM list.
 func (c *Client) VMs(ctx context.Context) ([]VM, error) {
 	var response VMs
-	if err := c.get(ctx, c.VMListURL+"/v1/vms", &response); err != nil {
+	err := c.get(ctx, c.VMListURL+"/v1/vms", func(d *jsonstream.Decoder, name string) error {
+		if name == "vms" {
+			return readArray(d, &response.VMs)
+		}
+		return d.Skip()
+	})
+	if err != nil {
 		return nil, err
 	}
 	return response.VMs, nil
 }
 
-func (c *Client) get(ctx context.Context, url string, into any) error {
+// readArray reads an array element by element.
+func readArray[T any](d *jsonstream.Decoder, into *[]T) error {
+	return d.Array(func() error {
+		var element T
+		err := d.Value(&element)
+		*into = append(*into, element)
+		return err
+	})
+}
+
+func (c *Client) get(ctx context.Context, url string, field func(d *jsonstream.Decoder, name string) error) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return errors.Wrap(err, "building a platform request")
 	}
 	client := c.HTTP
 	if client == nil {
-		client = http.DefaultClient
+		client = defaultClient
 	}
 	res, err := client.Do(req)
 	if err != nil {
@@ -105,6 +142,10 @@
 	if res.StatusCode != http.StatusOK {
 		return &StatusError{URL: url, Status: res.StatusCode}
 	}
-	body := io.LimitReader(res.Body, maxResponseBytes)
-	return errors.Wrap(json.NewDecoder(body).Decode(into), "decoding a platform response")
+	limits := jsonstream.Limits{Bytes: c.MaxBytes, Elements: maxElements}
+	if limits.Bytes == 0 {
+		limits.Bytes = defaultResponseBytes
+	}
+	limits.ValueBytes = min(maxDocumentBytes, limits.Bytes)
+	return errors.Wrap(jsonstream.Read(res.Body, limits, field), "decoding a platform response")
 }
--- a/rattantrack/internal/cmd/send.go
+++ b/rattantrack/internal/cmd/send.go
@@ -8,6 +8,8 @@
 	"net/http"
 
 	"github.com/cockroachdb/errors"
+
+	"rattantrack.dev/core/httphead"
 )
 
 type sendCmd struct {
@@ -46,7 +48,7 @@
 	}
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("Rattantrack-Team", c.Team)
-	res, err := http.DefaultClient.Do(req)
+	res, err := httphead.NewClient().Do(req)
 	if err != nil {
 		return errors.Wrap(err, "sending the chat")
 	}
--- a/rattantrack/internal/process/client.go
+++ b/rattantrack/internal/process/client.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"rattantrack.dev/core/gossip"
+	"rattantrack.dev/core/httphead"
 	"rattantrack.dev/core/settings"
 )
 
@@ -19,6 +20,9 @@
 	maxDumpBytes = 16 << 20
 )
 
+// httpClient bounds the heads of responses.
+var httpClient = httphead.NewClient()
+
 // Section is the state of one component of a process.
 type Section struct {
 	Name  string          `json:"name"`
@@ -44,7 +48,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "building the dump request to %s", address)
 	}
-	res, err := http.DefaultClient.Do(req)
+	res, err := httpClient.Do(req)
 	if err != nil {
 		return nil, errors.Wrapf(err, "requesting the dump of %s", address)
 	}
--- a/router/internal/app/app.go
+++ b/router/internal/app/app.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -10,6 +9,7 @@
 	"rattantrack.dev/core/clock"
 	platformconfig "rattantrack.dev/core/configuration"
 	"rattantrack.dev/core/gossip"
+	"rattantrack.dev/core/httphead"
 	"rattantrack.dev/core/kernel"
 	"rattantrack.dev/core/memorybudget"
 	"rattantrack.dev/core/operator"
@@ -69,7 +69,9 @@
 		Memory:     &memorybudget.Budget{Limit: cfg.Limits.RequestMemory},
 		Limit:      clientLimit("caller", cfg, l, scope),
 	}
-	client := &platformconfig.Client{ConfigurationURL: cfg.Configuration, VMListURL: cfg.VMList, HTTP: &http.Client{}}
+	client := &platformconfig.Client{
+		ConfigurationURL: cfg.Configuration, VMListURL: cfg.VMList, HTTP: httphead.NewClient(), MaxBytes: cfg.Limits.RequestMemory,
+	}
 	r.watcher = &configuration.Watcher{
 		Reader: client,
 		Store:  r.store,
--- a/router/internal/app/direct.go
+++ b/router/internal/app/direct.go
@@ -19,6 +19,7 @@
 	"rattantrack.dev/core/evacuation"
 	"rattantrack.dev/core/fairshare"
 	"rattantrack.dev/core/gossip"
+	"rattantrack.dev/core/httphead"
 	"rattantrack.dev/core/kernel"
 	"rattantrack.dev/core/members"
 	"rattantrack.dev/core/operator"
@@ -198,11 +199,11 @@
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
 		Control:         upstream.UserTimeout(directoryUserTimeout),
 	}
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: httphead.NewTransport(&http.Transport{
 		DialContext:        dialer.DialContext,
 		DisableCompression: true,
 		IdleConnTimeout:    directoryIdleTimeout,
-	}}
+	})}
 }
 
 // applyDeclarations gives the client server the routing table of an accepted version of the declarations.
