fix(upstream): unfinished events of all streams together exceed the memory

What clients saw: a router ends by itself, out of memory, and their requests with it.

Cause: an event is kept until it is complete, up to 1 MiB for each stream, and nothing bounded them together.

TestUnfinishedEventsTakeAllMemory needs the lease.

Why it works: what an event takes above 4 KiB is part of the lease of its request, until the next event.

--- a/router/internal/direct/attempt.go
+++ b/router/internal/direct/attempt.go
@@ -261,7 +261,8 @@
 func (ex *exchange) relayStream(
 	ctx context.Context, inst members.Instance, res *upstream.Response, timer *stallTimer,
 ) (attempt.Ending, bool) {
-	events := upstream.NewEvents(res.Body)
+	events := upstream.NewEvents(res.Body, ex.Memory, ex.dispatcher.Clock)
+	defer events.Close()
 	ex.relay.beginRun()
 	begun := false
 	for {
--- a/router/internal/upstream/events.go
+++ b/router/internal/upstream/events.go
@@ -9,6 +9,8 @@
 	"github.com/cockroachdb/errors"
 
 	"rattantrack.dev/core/call"
+	"rattantrack.dev/core/clock"
+	"rattantrack.dev/core/memorybudget"
 )
 
 // maxEventBytes bounds one event of a stream.
@@ -24,14 +26,29 @@
 
 // Events splits a stream into complete events (WHATWG HTML, section 9.2).
 type Events struct {
-	r   *bufio.Reader
-	raw []byte
-	id  call.EventID
+	r     *bufio.Reader
+	raw   []byte
+	id    call.EventID
+	lease *memorybudget.Lease
+	clock interface{ Now() clock.Instant }
+	// held is what the lease holds for raw.
+	held int64
 }
 
-// NewEvents returns the events of a body.
-func NewEvents(body io.Reader) *Events {
-	return &Events{r: bufio.NewReaderSize(body, readBufferBytes)}
+// NewEvents returns the events of a body. An event that exceeds a buffer is part of what the lease holds, until Close.
+func NewEvents(body io.Reader, lease *memorybudget.Lease, c interface{ Now() clock.Instant }) *Events {
+	return &Events{r: bufio.NewReaderSize(body, readBufferBytes), lease: lease, clock: c}
+}
+
+// Close gives back the memory of the last event, which is not valid any more.
+func (e *Events) Close() {
+	e.raw = nil
+	e.release()
+}
+
+func (e *Events) release() {
+	e.lease.Shrink(e.held)
+	e.held = 0
 }
 
 // Buffered reports whether bytes of the next event have arrived.
@@ -40,6 +57,9 @@
 // Next returns the next complete event, which is valid until the next call. It returns io.EOF if the stream has ended
 // after an event, and io.ErrUnexpectedEOF if it has ended within one.
 func (e *Events) Next() (Event, error) {
+	if e.held > 0 {
+		e.Close()
+	}
 	e.raw, e.id = e.raw[:0], ""
 	known, comment := false, true
 	for {
@@ -74,13 +94,32 @@
 	start := len(e.raw)
 	for {
 		chunk, err := e.r.ReadSlice('\n')
-		e.raw = append(e.raw, chunk...)
-		if len(e.raw) > maxEventBytes {
-			return nil, errors.Newf("event exceeds %d bytes", maxEventBytes)
+		if err := e.grow(len(chunk)); err != nil {
+			return nil, err
 		}
+		e.raw = append(e.raw, chunk...)
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
 		return bytes.TrimRight(e.raw[start:], "\r\n"), err
 	}
 }
+
+// grow makes room for n more bytes of the event.
+func (e *Events) grow(n int) error {
+	need := len(e.raw) + n
+	if need > maxEventBytes {
+		return errors.Newf("event exceeds %d bytes", maxEventBytes)
+	}
+	if need <= max(cap(e.raw), readBufferBytes) {
+		return nil
+	}
+	size := min(max(need, 2*cap(e.raw)), maxEventBytes)
+	if err := e.lease.Grow(e.clock.Now(), int64(size)); err != nil {
+		return errors.Wrap(err, "reading an event")
+	}
+	grown := append(make([]byte, 0, size), e.raw...)
+	e.release()
+	e.raw, e.held = grown, int64(size)
+	return nil
+}
--- a/router/internal/upstream/events_test.go
+++ b/router/internal/upstream/events_test.go
@@ -10,6 +10,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"rattantrack.dev/core/call"
+	"rattantrack.dev/core/clock"
+	"rattantrack.dev/core/memorybudget"
 )
 
 func TestNextReturnsCompleteEvents(t *testing.T) {
@@ -29,7 +31,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			c := qt.New(t)
-			events := NewEvents(iotest.HalfReader(strings.NewReader(tt.body)))
+			events := NewEvents(iotest.HalfReader(strings.NewReader(tt.body)), nil, clock.Boot{})
 			var ids []call.EventID
 			var raw strings.Builder
 			for {
@@ -47,10 +49,53 @@
 	}
 }
 
+// TestUnfinishedEventsTakeAllMemory guards against keeping an event of each client up to its limit.
+func TestUnfinishedEventsTakeAllMemory(t *testing.T) {
+	c := qt.New(t)
+	budget := &memorybudget.Budget{Limit: 4 * maxEventBytes}
+	full := 0
+	var open []*Events
+	var leases []*memorybudget.Lease
+	for range 32 {
+		lease := budget.Open()
+		events := NewEvents(strings.NewReader("data: x\n\ndata: "+strings.Repeat("x", maxEventBytes-100)), lease, clock.Boot{})
+		_, err := events.Next()
+		c.Assert(err, qt.IsNil)
+		_, err = events.Next()
+		var fullErr *memorybudget.FullError
+		if errors.As(err, &fullErr) {
+			full++
+		}
+		open, leases = append(open, events), append(leases, lease)
+	}
+	c.Assert(full > 0, qt.IsTrue)
+	c.Assert(budget.Status().Used <= budget.Limit, qt.IsTrue)
+	for _, events := range open {
+		events.Close()
+	}
+	c.Assert(budget.Status().Used, qt.Equals, int64(0))
+	for _, lease := range leases {
+		lease.Close()
+	}
+}
+
+// TestMemoryOfPastEventsIsHeld guards against holding what a long event took while the short ones after it are read.
+func TestMemoryOfPastEventsIsHeld(t *testing.T) {
+	c := qt.New(t)
+	budget := &memorybudget.Budget{Limit: 4 * maxEventBytes}
+	events := NewEvents(strings.NewReader("data: "+strings.Repeat("x", 100_000)+"\n\ndata: y\n\n"), budget.Open(), clock.Boot{})
+	_, err := events.Next()
+	c.Assert(err, qt.IsNil)
+	c.Assert(budget.Status().Used >= 100_000, qt.IsTrue)
+	_, err = events.Next()
+	c.Assert(err, qt.IsNil)
+	c.Assert(budget.Status().Used, qt.Equals, int64(0))
+}
+
 func FuzzEvents(f *testing.F) {
 	f.Add("id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n")
 	f.Fuzz(func(t *testing.T, body string) {
-		events := NewEvents(strings.NewReader(body))
+		events := NewEvents(strings.NewReader(body), nil, clock.Boot{})
 		var raw strings.Builder
 		for {
 			e, err := events.Next()
