fix(side): heads and prefixes that an engine sends without end exceed the memory

A side ends by itself, out of memory, and the calls at its engine with it.

Cause: net/http's client keeps a head of up to 10 MB, whose short fields take many times that. A prefix was kept whole, up to 256 MiB, at the side that exports it (four at a time) and at each that imports it: more than the memory of a side (216 MB) for a single legal one.

Why it works: the transport bounds heads (core/httphead); such a call ends as one whose answer is cut. A prefix is passed on chunk by chunk as it is read: the window of the stream between the sides, 64 chunks of 64 KiB, is all that is held of it. The bound of 256 MiB stays, now with an error in place of a silent cut. The importing engine gets the prefix in chunks, and no end of one that breaks off, so that a part is not taken for the whole; nothing is sent to it if there is no prefix. `cannot fetch a prefix` is logged. Weighed: a bound by what a side may hold, which turns away legal prefixes.

--- a/core/httphead/transport.go
+++ b/core/httphead/transport.go
@@ -72,6 +72,9 @@
 	return n, err
 }
 
+// NetConn returns the connection below.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 func (c *conn) beginHead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/side/internal/router/prefix.go
+++ b/side/internal/router/prefix.go
@@ -24,7 +24,7 @@
 		var err error
 		imported, err = s.Prefixes.Fetch(ctx, address, j.submit.Chat)
 		if err != nil {
-			s.Log.Debug("cannot fetch a prefix", "request", j.submit.Request, "from", owner, "error", err)
+			s.Log.Info("cannot fetch a prefix", "request", j.submit.Request, "from", owner, "error", err)
 		}
 	}
 	s.mu.Lock()
--- a/side/internal/sides/prefix_transfer.go
+++ b/side/internal/sides/prefix_transfer.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -24,10 +26,17 @@
 
 func (*TooManyTransfersError) Error() string { return "too many prefixes are being sent" }
 
+// PrefixSizeError reports a prefix that is larger than sides transfer.
+type PrefixSizeError struct {
+	Limit int
+}
+
+func (e *PrefixSizeError) Error() string { return fmt.Sprintf("prefix of more than %d bytes", e.Limit) }
+
 // Engine exports and imports prefixes of its cache.
 type Engine interface {
-	Export(ctx context.Context, chat uint64) ([]byte, error)
-	Import(ctx context.Context, chat uint64, prefix []byte) (settings.Tokens, error)
+	Export(ctx context.Context, chat uint64) (io.ReadCloser, error)
+	Import(ctx context.Context, chat uint64, prefix io.Reader) (settings.Tokens, error)
 }
 
 // PrefixTransfer copies prefixes between the engines of two sides.
@@ -54,30 +63,59 @@
 		return 0, err
 	}
 	defer st.Close()
-	prefix, err := receivePrefix(ctx, st)
-	if err != nil {
+	prefix := &prefixReader{ctx: ctx, stream: st}
+	// Nothing is imported if the other side has no prefix to send.
+	if err := prefix.receive(); err != nil && !errors.Is(err, io.EOF) {
 		return 0, err
 	}
-	return p.Engine.Import(ctx, chat, prefix)
+	tokens, err := p.Engine.Import(ctx, chat, prefix)
+	if prefix.err != nil && !errors.Is(prefix.err, io.EOF) {
+		return 0, prefix.err
+	}
+	return tokens, err
 }
 
-func receivePrefix(ctx context.Context, st *peer.Stream) ([]byte, error) {
-	var prefix []byte
-	for {
-		m, err := st.Receive(ctx)
-		if err != nil {
-			return nil, err
-		}
-		switch v := m.(type) {
-		case *peer.Chunk:
-			prefix = append(prefix, v.Data...)
-		case *peer.End:
-			return prefix, nil
+// prefixReader reads a prefix while it is received, so that no part of it is kept.
+type prefixReader struct {
+	ctx    context.Context
+	stream *peer.Stream
+	chunk  []byte
+	bytes  int
+	err    error
+}
+
+// Read returns io.EOF only if the prefix has arrived completely.
+func (r *prefixReader) Read(p []byte) (int, error) {
+	for len(r.chunk) == 0 {
+		if err := r.receive(); err != nil {
+			return 0, err
 		}
-		if len(prefix) > maxPrefixBytes {
-			return nil, errors.Newf("prefix of more than %d bytes", maxPrefixBytes)
+	}
+	n := copy(p, r.chunk)
+	r.chunk = r.chunk[n:]
+	return n, nil
+}
+
+// receive waits for the next chunk. It returns io.EOF after the last one.
+func (r *prefixReader) receive() error {
+	if r.err != nil {
+		return r.err
+	}
+	m, err := r.stream.Receive(r.ctx)
+	if err != nil {
+		r.err = err
+		return err
+	}
+	switch v := m.(type) {
+	case *peer.Chunk:
+		r.chunk = v.Data
+		if r.bytes += len(v.Data); r.bytes > maxPrefixBytes {
+			r.err = &PrefixSizeError{Limit: maxPrefixBytes}
 		}
+	case *peer.End:
+		r.err = io.EOF
 	}
+	return r.err
 }
 
 // Serve sends the prefix that another side requests.
@@ -100,14 +138,36 @@
 	if err != nil {
 		return err
 	}
-	seq := uint32(0)
-	for len(prefix) > 0 {
-		n := min(len(prefix), prefixChunkBytes)
-		seq++
-		if err := st.Send(ctx, &peer.Chunk{Seq: seq, Data: prefix[:n]}); err != nil {
+	defer func() { _ = prefix.Close() }()
+	sent := 0
+	for seq := uint32(1); ; seq++ {
+		chunk, err := readChunk(prefix)
+		if err != nil && !errors.Is(err, io.EOF) {
+			return errors.Wrap(err, "reading a prefix")
+		}
+		if sent += len(chunk); sent > maxPrefixBytes {
+			return &PrefixSizeError{Limit: maxPrefixBytes}
+		}
+		ended := err != nil
+		if err := st.Send(ctx, &peer.Chunk{Seq: seq, Data: chunk}); err != nil {
 			return err
 		}
-		prefix = prefix[n:]
+		if ended {
+			return st.Send(ctx, &peer.End{Chunks: seq})
+		}
+	}
+}
+
+// readChunk reads the next chunk of a prefix. It returns io.EOF with the last one, which may be empty.
+func readChunk(prefix io.Reader) ([]byte, error) {
+	chunk := make([]byte, prefixChunkBytes)
+	n := 0
+	for n < len(chunk) {
+		m, err := prefix.Read(chunk[n:])
+		n += m
+		if err != nil {
+			return chunk[:n], err
+		}
 	}
-	return st.Send(ctx, &peer.End{Chunks: seq})
+	return chunk, nil
 }
--- a/side/internal/upstream/client.go
+++ b/side/internal/upstream/client.go
@@ -13,6 +13,7 @@
 	"github.com/tidwall/gjson"
 	"github.com/tidwall/sjson"
 
+	"rattantrack.dev/core/httphead"
 	"rattantrack.dev/core/peer"
 	"rattantrack.dev/core/settings"
 )
@@ -81,7 +82,7 @@
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
 	}
-	return &Client{url: strings.TrimSuffix(url, "/"), http: &http.Client{Transport: t, CheckRedirect: noRedirect}}
+	return &Client{url: strings.TrimSuffix(url, "/"), http: &http.Client{Transport: httphead.NewTransport(t), CheckRedirect: noRedirect}}
 }
 
 // noRedirect returns redirects to the caller, since following one would run the request again.
--- a/side/internal/upstream/exchange.go
+++ b/side/internal/upstream/exchange.go
@@ -52,7 +52,11 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.conn = info.Conn
-	if conn, ok := info.Conn.(*upstreamConn); ok {
+	nc := info.Conn
+	if upper, ok := nc.(interface{ NetConn() net.Conn }); ok {
+		nc = upper.NetConn()
+	}
+	if conn, ok := nc.(*upstreamConn); ok {
 		x.write = conn.begin()
 	}
 }
