fix(side): unfinished events of all calls together exceed the memory

What callers saw: nothing yet; by reading, after the same fault at a router.

Cause: an event of an engine's stream is kept until it is complete, up to 1 MiB for each call, and nothing bounded them together.

Evidence: TestUnfinishedEventsTakeAllMemory; with a lease that is not asked, no call of 16 found that memory was short.

Why it works: the lease of a call holds the buffer of its events above 4 KiB until the answer ends.

--- a/side/internal/router/run.go
+++ b/side/internal/router/run.go
@@ -54,7 +54,7 @@
 	service := s.service
 	s.mu.Unlock()
 	m := j.submit
-	call := upstream.Call{Method: m.Method, Path: m.Path, Headers: m.Headers, Body: m.Body}
+	call := upstream.Call{Method: m.Method, Path: m.Path, Headers: m.Headers, Body: m.Body, Memory: j.memory}
 	if service.Kind != settings.KindModel {
 		return call, nil
 	}
--- a/side/internal/upstream/client.go
+++ b/side/internal/upstream/client.go
@@ -13,7 +13,9 @@
 	"github.com/tidwall/gjson"
 	"github.com/tidwall/sjson"
 
+	"rattantrack.dev/core/clock"
 	"rattantrack.dev/core/httphead"
+	"rattantrack.dev/core/memorybudget"
 	"rattantrack.dev/core/peer"
 	"rattantrack.dev/core/settings"
 )
@@ -22,6 +24,7 @@
 const (
 	readBufferBytes = 32 << 10
 	maxEventBytes   = 1 << 20
+	firstEventBytes = 4 << 10
 	idleConnTimeout = 30 * time.Second
 	maxIdleConns    = 64
 )
@@ -52,6 +55,8 @@
 	Path    string
 	Headers []peer.Header
 	Body    []byte
+	// Memory is what the call holds, nil for no bound.
+	Memory *memorybudget.Lease
 }
 
 // Usage is the token usage that an engine reports for a finished answer.
@@ -128,7 +133,7 @@
 		return Usage{}, errors.Wrap(err, "forwarding the head")
 	}
 	if strings.HasPrefix(res.Header.Get("Content-Type"), "text/event-stream") {
-		return relayEvents(res.Body, sink)
+		return relayEvents(res.Body, sink, call.Memory)
 	}
 	return relayBody(res.Body, sink)
 }
@@ -162,10 +167,12 @@
 }
 
 // relayEvents passes server-sent events to sink, one per chunk, and fails if the final [DONE] event is missing.
-func relayEvents(body io.Reader, sink Sink) (Usage, error) {
+func relayEvents(body io.Reader, sink Sink, lease *memorybudget.Lease) (Usage, error) {
+	memory := &eventMemory{lease: lease}
+	defer memory.close()
 	scanner := bufio.NewScanner(body)
-	scanner.Buffer(make([]byte, 0, 4<<10), maxEventBytes)
-	scanner.Split(splitEvents)
+	scanner.Buffer(make([]byte, 0, firstEventBytes), maxEventBytes)
+	scanner.Split(memory.split)
 	var usage Usage
 	for scanner.Scan() {
 		event := bytes.Clone(scanner.Bytes())
@@ -205,6 +212,30 @@
 	return 0, nil, nil
 }
 
+// eventMemory makes a lease hold the buffer of a stream's events, apart from its first bytes.
+type eventMemory struct {
+	lease *memorybudget.Lease
+	held  int64
+}
+
+// split works as splitEvents, and fails if there is no memory for more of an unfinished event.
+func (m *eventMemory) split(data []byte, atEOF bool) (advance int, token []byte, err error) {
+	advance, token, err = splitEvents(data, atEOF)
+	if err != nil || token != nil || len(data) < firstEventBytes {
+		return advance, token, err
+	}
+	// A scanner doubles its buffer, and keeps it.
+	if more := min(2*int64(len(data)), maxEventBytes) - m.held; more > 0 {
+		if err := m.lease.Grow(clock.Boot{}.Now(), more); err != nil {
+			return 0, nil, err
+		}
+		m.held += more
+	}
+	return advance, token, nil
+}
+
+func (m *eventMemory) close() { m.lease.Shrink(m.held) }
+
 func parseUsage(text []byte) Usage {
 	if !bytes.Contains(text, usageField) {
 		return Usage{}
--- a/side/internal/upstream/limits_test.go
+++ b/side/internal/upstream/limits_test.go
@@ -15,6 +15,7 @@
 
 	"rattantrack.dev/core/httphead"
 	"rattantrack.dev/core/jsonstream"
+	"rattantrack.dev/core/memorybudget"
 	"rattantrack.dev/core/peer"
 )
 
@@ -33,9 +34,9 @@
 			return
 		}
 		defer func() { _ = nc.Close() }()
-		// The client closes the connection.
+		// The client closes the connection at some time.
 		_, _ = io.WriteString(nc, text)
-		_, _ = buffered.ReadByte()
+		_, _ = io.Copy(io.Discard, buffered)
 	}))
 	t.Cleanup(srv.Close)
 	return srv.URL
@@ -65,6 +66,35 @@
 	})
 }
 
+// TestUnfinishedEventsTakeAllMemory guards against keeping an event of each call up to its limit.
+func TestUnfinishedEventsTakeAllMemory(t *testing.T) {
+	c := qt.New(t)
+	event := "data: " + strings.Repeat("x", maxEventBytes/2)
+	url := serveRaw(t, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: 10000000\r\n\r\ndata: y\n\n"+event)
+	budget := &memorybudget.Budget{Limit: 4 * maxEventBytes}
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	results := make(chan error)
+	const calls = 16
+	for range calls {
+		go func() {
+			lease := budget.Open()
+			defer lease.Close()
+			_, err := New(url).Run(ctx, Call{Method: http.MethodPost, Path: "/", Body: []byte("a"), Memory: lease}, discardSink{})
+			results <- err
+		}()
+	}
+	full := 0
+	for range calls {
+		var fullErr *memorybudget.FullError
+		if errors.As(<-results, &fullErr) {
+			full++
+		}
+	}
+	c.Assert(full >= calls-4, qt.IsTrue, qt.Commentf("%d calls found no memory", full))
+	c.Assert(budget.Status().Used, qt.Equals, int64(0))
+}
+
 // TestImportReplyWithoutEndIsRead guards against keeping whatever an engine replies.
 func TestImportReplyWithoutEndIsRead(t *testing.T) {
 	c := qt.New(t)
