--- a/standin/internal/fleet/crowd_test.go
+++ b/standin/internal/fleet/crowd_test.go
@@ -37,6 +37,8 @@
 	crowdChunkedBytes = 2 << 20
 	// crowdChats is the number of chats with very many messages.
 	crowdChats = 8
+	// crowdHeadFields make a head of about 3 MB.
+	crowdHeadFields = 400_000
 	// crowdSendTime bounds the wait for clients that the router lets wait.
 	crowdSendTime = 30 * time.Second
 )
@@ -282,6 +284,24 @@
 	ct.checkLimits()
 }
 
+// TestCrowdOfUpstreamsThatSendEndlessHeadsTakesAllMemoryOfSides guards against keeping whatever upstreams send in heads.
+func TestCrowdOfUpstreamsThatSendEndlessHeadsTakesAllMemoryOfSides(t *testing.T) {
+	ct := startCrowdTarget(t)
+	for _, u := range ct.PlainServices {
+		qt.Assert(t, Post(ct.ctx, u.URL+"/faults", plain.Faults{HeadFields: crowdHeadFields}, nil), qt.IsNil)
+	}
+	crowd := clienttest.Start(t, crowdClients, ct.callerAddress(), clienttest.Whole(callHead(), []byte("trip")))
+	crowd.Wait(crowdSendTime)
+	time.Sleep(3 * time.Second)
+	ct.checkLimits()
+	crowd.Close()
+	for _, u := range ct.PlainServices {
+		qt.Assert(t, Post(ct.ctx, u.URL+"/faults", plain.Faults{}, nil), qt.IsNil)
+	}
+	eventually(t, "an ordinary call is answered", func() bool { return ct.isAnswered(http.MethodGet, "") })
+	ct.checkLimits()
+}
+
 // TestLoneCallAtLimitIsRefused guards against bounds for many that a single call meets.
 func TestLoneCallAtLimitIsRefused(t *testing.T) {
 	ct := startCrowdTarget(t)
--- a/standin/internal/plain/service.go
+++ b/standin/internal/plain/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"sync"
@@ -18,6 +19,8 @@
 	DelayMS int `json:"delay_ms"`
 	// CutAfterRun runs each call and then closes the connection without a response.
 	CutAfterRun bool `json:"cut_after_run"`
+	// HeadFields is the number of short header fields that each call is answered with, in a head that does not end, 0 for none.
+	HeadFields int `json:"head_fields"`
 }
 
 // Run is one recorded call.
@@ -80,6 +83,26 @@
 	if active.CutAfterRun {
 		panic(http.ErrAbortHandler)
 	}
+	if active.HeadFields > 0 {
+		writeEndlessHead(w, active.HeadFields)
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(response)
 }
+
+// writeEndlessHead writes a head of n short fields without its end, and waits until the client has gone.
+func writeEndlessHead(w http.ResponseWriter, n int) {
+	nc, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = nc.Close() }()
+	head := []byte("HTTP/1.1 200 OK\r\n")
+	for i := range n {
+		head = fmt.Appendf(head, "%x:\r\n", i)
+	}
+	// The client may close the connection at any time.
+	_, _ = nc.Write(head)
+	_, _ = io.Copy(io.Discard, buffered)
+}
