feat(upstream): count the answers that exceed a limit, by what they had too much of

`answer lost` and `answer broken off` name the limit, but the log leaves out lines when there are many. The errors are types of their own.

--- a/router/internal/direct/attempt.go
+++ b/router/internal/direct/attempt.go
@@ -167,6 +167,7 @@
 	}
 	ex.dispatcher.Log.Warn("answer lost", "request", ex.ID, "upstream", inst.ID, "digest", ex.Digest.String(),
 		"blocks", blockList(ex.sharedBlocks()), "error", err)
+	ex.countOverLimit(err)
 	ex.recordBroken(inst, err)
 	return attempt.Lost
 }
@@ -250,6 +251,7 @@
 	ex.dispatcher.Log.Warn("answer broken off", "request", ex.ID, "upstream", inst.ID, "events", ex.relay.events,
 		"answered_ms", ex.dispatcher.Clock.Now().Sub(ex.answeredAt).Milliseconds(), "digest", ex.Digest.String(),
 		"blocks", blockList(ex.sharedBlocks()), "error", err)
+	ex.countOverLimit(err)
 	ex.recordBroken(inst, err)
 	if ex.relay.headSent {
 		return attempt.Cut
@@ -257,6 +259,13 @@
 	return attempt.Lost
 }
 
+// countOverLimit counts an answer that ended for what it had too much of.
+func (ex *exchange) countOverLimit(err error) {
+	if part, ok := upstream.OverLimit(err); ok {
+		ex.dispatcher.Scope.Tagged(map[string]string{"part": string(part)}).Counter("upstream_answers_over_limit").Inc(1)
+	}
+}
+
 // relayStream relays events until the stream ends.
 func (ex *exchange) relayStream(
 	ctx context.Context, inst members.Instance, res *upstream.Response, timer *stallTimer,
--- a/router/internal/upstream/conn.go
+++ b/router/internal/upstream/conn.go
@@ -120,7 +120,7 @@
 		return r.Conn.Read(p)
 	}
 	if r.remaining <= 0 {
-		return 0, errors.Newf("response head exceeds %d bytes", httphead.MaxBytes)
+		return 0, &SizeError{Part: PartHead, Limit: httphead.MaxBytes}
 	}
 	n, err := r.Conn.Read(p[:min(len(p), r.remaining)])
 	r.remaining -= n
--- a/router/internal/upstream/events.go
+++ b/router/internal/upstream/events.go
@@ -109,7 +109,7 @@
 func (e *Events) grow(n int) error {
 	need := len(e.raw) + n
 	if need > maxEventBytes {
-		return errors.Newf("event exceeds %d bytes", maxEventBytes)
+		return &SizeError{Part: PartEvent, Limit: maxEventBytes}
 	}
 	if need <= max(cap(e.raw), readBufferBytes) {
 		return nil
--- a/router/internal/upstream/head_test.go
+++ b/router/internal/upstream/head_test.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	qt "github.com/frankban/quicktest"
 
+	"rattantrack.dev/core/clock"
 	"rattantrack.dev/core/httphead"
 	"rattantrack.dev/core/members"
 )
@@ -80,3 +81,21 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(string(got) == body, qt.IsTrue)
 }
+
+// TestReasonOfLimitIsLost guards against ending attempts without saying which limit an answer exceeded.
+func TestReasonOfLimitIsLost(t *testing.T) {
+	c := qt.New(t)
+	_, err := answer(t, "HTTP/1.1 200 OK\r\nId: r\r\n"+shortFields(8000))
+	part, ok := OverLimit(err)
+	c.Check(ok, qt.IsTrue)
+	c.Check(part, qt.Equals, PartFields)
+	_, err = answer(t, "HTTP/1.1 200 OK\r\nId: r\r\nA: "+strings.Repeat("x", 1<<20))
+	part, _ = OverLimit(err)
+	c.Check(part, qt.Equals, PartHead)
+	_, err = NewEvents(strings.NewReader(strings.Repeat("x", 2*maxEventBytes)), nil, clock.Boot{}).Next()
+	part, _ = OverLimit(err)
+	c.Check(part, qt.Equals, PartEvent)
+	_, err = NewEvents(strings.NewReader("data: x"), nil, clock.Boot{}).Next()
+	_, ok = OverLimit(err)
+	c.Check(ok, qt.IsFalse)
+}
