refactor(httplisten): a file for the listener, and what the states of a connection are

No change of behaviour: the listener has a file of its own, the counts of a stop are one value, and the fields of a connection say what they are for.

--- a/core/httplisten/conn.go
+++ b/core/httplisten/conn.go
@@ -14,15 +14,16 @@
 	"rattantrack.dev/core/internal/socket"
 )
 
-// conn is one connection of a limited listener.
+// conn is one connection of a limited listener. Its state goes round: it awaits a request, whose first byte ends that; a handler gets the request
+// (handled), and later has all of it (serving), until the server reports the connection as idle.
 type conn struct {
 	net.Conn
 	limit    *Limit
 	accepted clock.Instant
 	// encrypted reports that the server speaks TLS on the connection.
 	encrypted bool
-	serving   atomic.Bool
-	served    atomic.Bool
+	// serving reports that a complete request is in service, served that one has been.
+	serving, served atomic.Bool
 	// handled reports that a handler has got the request whose bytes were read last.
 	handled  atomic.Bool
 	lastRead atomic.Int64
@@ -43,7 +44,7 @@
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
-		n, err = c.readArrived(p, err)
+		n, err = c.readOrEnd(p, err)
 	}
 	if n > 0 {
 		c.lastRead.Store(int64(monotonic()))
@@ -52,9 +53,9 @@
 	return n, err
 }
 
-// readArrived returns what has arrived on a connection that waits for a request. If nothing has, it returns expired, or ends the connection if that
-// is due.
-func (c *conn) readArrived(p []byte, expired error) (int, error) {
+// readOrEnd returns what has arrived on a connection that waits for a request and whose read deadline has passed. If nothing has, it returns
+// expired, or ends the connection if that is due.
+func (c *conn) readOrEnd(p []byte, expired error) (int, error) {
 	c.mu.Lock()
 	awaiting, ending := c.awaiting, c.ending
 	c.mu.Unlock()
@@ -147,7 +148,7 @@
 	return errors.CombineErrors(c.SetReadDeadline(t), c.SetWriteDeadline(t))
 }
 
-// hasUnread reports whether a request has arrived that nobody has read.
+// hasUnread reports whether the first bytes of a request have arrived that nobody has read, for the bound on connections.
 func (c *conn) hasUnread() bool {
 	c.mu.Lock()
 	awaiting := c.awaiting
@@ -155,7 +156,7 @@
 	return awaiting && socket.HasUnread(c.Conn)
 }
 
-// hasUnhandled reports whether bytes of a request have arrived that no handler got. With TLS they cannot be told from its own messages.
+// hasUnhandled reports whether bytes of a request have arrived that no handler got, read or not, for the log of a stop. With TLS they cannot be told from its own messages.
 func (c *conn) hasUnhandled() bool {
 	if c.encrypted || c.handled.Load() {
 		return false
--- a/core/httplisten/doc.go
+++ b/core/httplisten/doc.go
@@ -1,2 +1,2 @@
-// Package httplisten bounds the connections of an HTTP server.
+// Package httplisten bounds the connections of an HTTP server, and ends them when the server stops.
 package httplisten
--- a/core/httplisten/stop.go
+++ b/core/httplisten/stop.go
@@ -2,30 +2,27 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
-	"os"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"rattantrack.dev/core/clock"
-	"rattantrack.dev/core/internal/socket"
 )
 
 // Times of a stop.
 const (
 	// firstRequestTime is how long a new connection has for its first request.
 	firstRequestTime = time.Second
-	// acceptTime bounds the time in which a listener that stops empties its queue, while clients go on connecting.
-	acceptTime = 250 * time.Millisecond
 	// stopInterval is how often a stop looks for connections that it may end.
 	stopInterval = 10 * time.Millisecond
 )
 
-// stopCount counts the connections that a stop has ended. Unread are those on which bytes had arrived that no handler got.
+// stopCount is what a stop has done so far.
 type stopCount struct {
-	connections, unread int
+	// open is the number of connections when it began, and late how long after it was due that was.
+	open int
+	late time.Duration
+	// ended are the connections that have ended since, unread those of them on which bytes had arrived that no handler got.
+	ended, unread int
 }
 
 // Shutdown stops accepting connections and ends the open ones when no request is on them, until ctx ends. Unlike the server's own Shutdown it
@@ -49,8 +46,8 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.Log.Info("connections ended by the stop", "port", l.Port, "open", l.openAtStop, "ended", l.ended.connections, "unread", l.ended.unread,
-		"late_ms", l.lateStop.Milliseconds())
+	l.Log.Info("connections ended by the stop", "port", l.Port, "open", l.stopped.open, "ended", l.stopped.ended, "unread", l.stopped.unread,
+		"late_ms", l.stopped.late.Milliseconds())
 }
 
 // stop makes the listener close itself when it is empty.
@@ -60,7 +57,7 @@
 	if l.stopping.Load() {
 		return
 	}
-	l.openAtStop, l.lateStop = len(l.open), time.Since(due)
+	l.stopped.open, l.stopped.late = len(l.open), time.Since(due)
 	l.acceptEnd.Store(int64(monotonic().Add(acceptTime)))
 	l.stopping.Store(true)
 	for ln := range l.listeners {
@@ -98,35 +95,9 @@
 	if !l.stopping.Load() {
 		return
 	}
-	l.ended.connections++
+	l.stopped.ended++
 	if unread {
-		l.ended.unread++
+		l.stopped.unread++
 		l.Scope.Tagged(map[string]string{"port": l.Port}).Counter("connections_ended_unread").Inc(1)
 	}
 }
-
-// accept returns the next connection. When the server stops, it returns those that are in the queue and then closes the listener.
-func (l *listener) accept() (net.Conn, error) {
-	for {
-		if l.limit.stopping.Load() {
-			if !socket.HasQueued(l.Listener) || monotonic() >= clock.Instant(l.limit.acceptEnd.Load()) {
-				return nil, errors.CombineErrors(net.ErrClosed, l.Close())
-			}
-			l.setDeadline(time.Now().Add(acceptTime))
-		}
-		nc, err := l.Listener.Accept()
-		if err == nil || !l.limit.stopping.Load() || !errors.Is(err, os.ErrDeadlineExceeded) {
-			return nc, err
-		}
-	}
-}
-
-// wake makes a waiting Accept find that the server stops.
-func (l *listener) wake() { l.setDeadline(time.Unix(1, 0)) }
-
-func (l *listener) setDeadline(t time.Time) {
-	if d, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); ok {
-		// An error means that the listener is closed.
-		_ = d.SetDeadline(t)
-	}
-}
