--- a/core/httphead/transport.go
+++ b/core/httphead/transport.go
@@ -59,6 +59,8 @@
 
 	mu     sync.Mutex
 	fields Fields
+	// counts reports that a head has begun. Above TLS none does, whose bytes are not those of heads.
+	counts bool
 }
 
 // Read reads from the connection.
@@ -66,6 +68,9 @@
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !c.counts {
+		return n, err
+	}
 	if fieldsErr := c.fields.Read(p[:n]); fieldsErr != nil {
 		return 0, fieldsErr
 	}
@@ -78,5 +83,6 @@
 func (c *conn) beginHead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.counts = true
 	c.fields.Begin()
 }
