--- a/core/peer/unwritable_test.go
+++ b/core/peer/unwritable_test.go
@@ -23,9 +23,9 @@
 	return 0, errUnwritable
 }
 
-// TestUnwritableLinkOpensStreams guards against streams that are never sent and yet in doubt, since the link on which they are opened cannot be
-// written to any more.
-func TestUnwritableLinkOpensStreams(t *testing.T) {
+// TestStreamThatWasNeverSentIsInDoubt guards against streams that are opened on a link that cannot be written to any more, are never sent, and yet
+// are in doubt.
+func TestStreamThatWasNeverSentIsInDoubt(t *testing.T) {
 	c := qt.New(t)
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
@@ -33,12 +33,21 @@
 	failed := make(chan struct{})
 	dialler.conn = &unwritableConn{Conn: dialler.conn, failed: failed}
 	dialler.Serve(nil)
-	s, err := dialler.Open(ctx, &Submit{})
+	first, err := dialler.Open(ctx, &Submit{})
 	c.Assert(err, qt.IsNil)
-	defer s.Close()
+	defer first.Close()
 	<-failed
 	time.Sleep(lastReadTime / 4)
-	_, err = dialler.Open(ctx, &Submit{})
+	second, err := dialler.Open(ctx, &Submit{})
+	if err == nil {
+		defer second.Close()
+		_, err = second.Receive(ctx)
+	}
 	var retired *RetiredError
-	c.Assert(errors.As(err, &retired), qt.IsTrue, qt.Commentf("%v", err))
+	var unreceived *NotReceivedError
+	c.Check(errors.As(err, &retired) || errors.As(err, &unreceived), qt.IsTrue, qt.Commentf("%v", err))
+	// A part of the first one may have been sent.
+	_, err = first.Receive(ctx)
+	c.Check(errors.As(err, &unreceived), qt.IsFalse)
+	c.Check(errors.Is(err, errUnwritable), qt.IsTrue, qt.Commentf("%v", err))
 }
