fix(peer): a stream that was never sent is in doubt

The writer keeps the highest stream that it has encoded. After a failed write a stream beyond it was not sent and will not be, since the writer has ended; one up to it may have been.

--- a/core/peer/goodbye.go
+++ b/core/peer/goodbye.go
@@ -23,7 +23,7 @@
 // Kind returns KindGoodbye.
 func (*Goodbye) Kind() Kind { return KindGoodbye }
 
-// NotReceivedError reports a stream that the other end has not received and will not, because it has ended the link.
+// NotReceivedError reports a stream that the other end has not received and will not, because the link has ended.
 type NotReceivedError struct{}
 
 func (*NotReceivedError) Error() string { return "stream not received before the end of the link" }
@@ -78,9 +78,13 @@
 	l.Retire()
 }
 
-// isUnreceived reports whether the other end has said that it has not received a stream of this end; l.mu is held.
+// isUnreceived reports whether the other end has said that it has not received a stream of this end, or nothing of it was sent and will be; l.mu
+// is held.
 func (l *Link) isUnreceived(id StreamID) bool {
-	return l.goodbye != nil && id%2 == l.nextID%2 && id > l.goodbye.Last
+	if id%2 != l.nextID%2 {
+		return false
+	}
+	return (l.goodbye != nil && id > l.goodbye.Last) || (l.unwritable && id > l.lastEncoded[id%2])
 }
 
 // streamErr returns why a stream has ended with its link.
--- a/core/peer/link.go
+++ b/core/peer/link.go
@@ -98,6 +98,10 @@
 	lastInbound StreamID
 	// goodbye is the announcement of the other end that it ends the link.
 	goodbye *Goodbye
+	// unwritable reports that a write has failed. No stream with a higher number than lastEncoded, by parity, has been sent or will be. The
+	// writer alone uses lastEncoded before.
+	unwritable  bool
+	lastEncoded [2]StreamID
 	// handlers passes the handler to the reader once.
 	handlers chan Handler
 	// minOffset is the smallest difference between the local clock and a message's timestamp so far.
@@ -326,6 +330,9 @@
 			close(written)
 		}
 		if err != nil {
+			l.mu.Lock()
+			l.unwritable = true
+			l.mu.Unlock()
 			time.AfterFunc(lastReadTime, func() { l.Close(errors.Wrap(err, "writing")) })
 			return
 		}
@@ -347,6 +354,7 @@
 
 // encode appends a message to buf, and the channel to close when it has been written to waiting.
 func (l *Link) encode(buf *bytes.Buffer, o outgoing, waiting []chan struct{}) []chan struct{} {
+	l.lastEncoded[o.id%2] = max(l.lastEncoded[o.id%2], o.id)
 	if err := appendFrame(buf, o.id, o.m); err != nil {
 		// The message cannot be encoded. The reset keeps the other end from waiting for it.
 		_ = appendFrame(buf, o.id, &Reset{Reason: err.Error()})
