--- a/Makefile
+++ b/Makefile
@@ -116,6 +116,7 @@
 	@cat KNOWN-RED.txt
 	@cd standin && go test -race -count=1 -run '^($(KNOWN_RED))$$' ./internal/fleet || echo "known fault seen"
 	@cd platform && go test -race -count=1 -run '^($(KNOWN_RED))$$' . || echo "known fault seen"
+	@cd core && go test -race -count=1 -run '^($(KNOWN_RED))$$' ./httplisten || echo "known fault seen"
 	@cd router && go test -race -count=1 -run '^($(KNOWN_RED))$$' ./internal/direct ./internal/routers ./internal/crashes || echo "known fault seen"
 
 clean:
