--- a/review/standins-2/engine.go
+++ b/review/standins-2/engine.go
@@ -125,6 +125,9 @@
 	e.handle(e, p, w, req)
 }
 
+// unit is the number of tokens in which an engine keeps parts; what does not fill a unit is not listed.
+const unit = 16
+
 // hold records that the parts of a prompt are cached.
 func (p *engineProcess) hold(req *http.Request) {
 	p.mu.Lock()
@@ -132,8 +135,8 @@
 	for _, f := range strings.Split(req.Header.Get("Prompt-Prefix"), ",") {
 		id, size, ok := strings.Cut(f, ":")
 		n := 0
-		if _, err := fmt.Sscan(size, &n); ok && err == nil {
-			p.held[id] = n
+		if _, err := fmt.Sscan(size, &n); ok && err == nil && n >= unit {
+			p.held[id] = n - n%unit
 		}
 	}
 }
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -13,6 +13,7 @@
 	"slow-crashes":  slowCrashes,
 	"late-crashes":  lateCrashes,
 	"long-prompts":  longPrompts,
+	"take-ups":      takeUps,
 }
 
 func main() {
