--- a/review/standins-2/engine.go
+++ b/review/standins-2/engine.go
@@ -125,9 +125,6 @@
 	e.handle(e, p, w, req)
 }
 
-// unit is the number of tokens in which an engine keeps parts; what does not fill a unit is not listed.
-const unit = 16
-
 // hold records that the parts of a prompt are cached.
 func (p *engineProcess) hold(req *http.Request) {
 	p.mu.Lock()
@@ -135,12 +132,20 @@
 	for _, f := range strings.Split(req.Header.Get("Prompt-Prefix"), ",") {
 		id, size, ok := strings.Cut(f, ":")
 		n := 0
-		if _, err := fmt.Sscan(size, &n); ok && err == nil && n >= unit {
-			p.held[id] = n - n%unit
+		if _, err := fmt.Sscan(size, &n); ok && err == nil {
+			p.held[id] = n
 		}
 	}
 }
 
+// grow adds generated tokens to the own part of a request.
+func (p *engineProcess) grow(req *http.Request, n int) {
+	list := parts(req)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.held[list[len(list)-1]] += n
+}
+
 // wait waits for d, or returns false if the process ends or the channel closes before.
 func (p *engineProcess) wait(req *http.Request, d time.Duration) bool {
 	t := time.NewTimer(d)
--- a/review/standins-2/takeup.go
+++ b/review/standins-2/takeup.go
@@ -16,12 +16,23 @@
 
 // streamEvents is the number of events of a stream, eventPause the time between two.
 const (
-	streamEvents = 60
-	eventPause   = 50 * time.Millisecond
+	streamEvents   = 60
+	eventPause     = 50 * time.Millisecond
+	tokensPerEvent = 5
 )
 
-// takeUps kills one machine, whose requesters take their streams up again at the others. All runners have one software version. Without the
-// trouble, the requesters close their channels to that machine and take the streams up.
+// The times of the kills, and how long a killed machine is away.
+const (
+	firstKill = 20 * time.Second
+	killEvery = 5 * time.Second
+	kills     = 3
+	downTime  = 500 * time.Millisecond
+	// inTouchTime is stable-ms of the site.
+	inTouchTime = 4 * time.Second
+)
+
+// takeUps kills three machines one after the other, whose requesters take their streams up again at machines in touch. All runners have one
+// software version. Without the trouble, the requesters close their channels to these machines and take the streams up.
 func takeUps(root string, rec *record, trouble bool) (bool, error) {
 	st, err := startStore()
 	if err != nil {
@@ -46,6 +57,7 @@
 			for i := first; i <= streamEvents; i++ {
 				fmt.Fprintf(w, "id: %d\ndata: token\n\n", i)
 				w.(http.Flusher).Flush()
+				p.grow(req, tokensPerEvent)
 				if !p.wait(req, eventPause) {
 					panic(http.ErrAbortHandler)
 				}
@@ -66,15 +78,29 @@
 	rec.line("4 machines are ready")
 	var mu sync.Mutex
 	var begun, asked, takenUp, wentOn int
-	broken, breakOff := context.WithCancel(context.Background())
-	defer breakOff()
+	// calmSince holds since when each machine is undisturbed. broken ends the channels of a machine's requesters.
+	calmSince := map[*routerProcess]time.Time{}
+	broken, breakOff := map[*routerProcess]context.Context{}, map[*routerProcess]context.CancelFunc{}
+	for _, r := range f.routers {
+		broken[r], breakOff[r] = context.WithCancel(context.Background())
+	}
+	// inTouch returns a machine in touch, the n-th one as far as possible.
+	inTouch := func(n int) *routerProcess {
+		mu.Lock()
+		defer mu.Unlock()
+		for i := range f.routers {
+			if r := f.routers[(n+i)%len(f.routers)]; time.Since(calmSince[r]) >= inTouchTime {
+				return r
+			}
+		}
+		return f.routers[len(f.routers)-1]
+	}
 	// attempt sends one requester attempt and returns its id and the last event, whether the stream is whole, and whether events came.
 	attempt := func(r *routerProcess, prompt, resumes string, last int) (id string, at int, whole, got bool, pause time.Duration) {
 		id = fmt.Sprintf("%016x", rand.Uint64())
-		ctx := context.Background()
-		if r == f.routers[0] {
-			ctx = broken
-		}
+		mu.Lock()
+		ctx := broken[r]
+		mu.Unlock()
 		req, _ := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s:%d/letter/2f", r.ip, f.caller), strings.NewReader("body of "+prompt))
 		req.Host = "desk.example"
 		for name, value := range map[string]string{
@@ -120,11 +146,8 @@
 			case <-time.After(40 * time.Millisecond):
 			}
 			wg.Go(func() {
-				prompt := fmt.Sprintf("a1:512,5%03x:580,%x:12", n%40, rand.Uint64())
-				r := f.routers[n%len(f.routers)]
-				if !r.running() || broken.Err() != nil {
-					r = f.routers[1+n%3]
-				}
+				prompt := fmt.Sprintf("a1:512,5%03x:580,%x:130", n%40, rand.Uint64())
+				r := inTouch(n)
 				id, last, whole, got, _ := attempt(r, prompt, "", 0)
 				mu.Lock()
 				asked++
@@ -140,7 +163,7 @@
 				mu.Unlock()
 				// A requester retries a few times, on a new channel each.
 				for range 3 {
-					_, _, _, on, pause := attempt(f.routers[1+rand.IntN(3)], prompt, id, last)
+					_, _, _, on, pause := attempt(inTouch(rand.IntN(len(f.routers))), prompt, id, last)
 					if on {
 						mu.Lock()
 						wentOn++
@@ -152,15 +175,33 @@
 			})
 		}
 	})
-	time.Sleep(20 * time.Second)
-	if trouble {
-		rec.say("%s is killed", f.routers[0].name)
-		f.routers[0].signal(syscall.SIGKILL)
-	} else {
-		rec.say("the requesters of %s close their channels", f.routers[0].name)
-		breakOff()
+	time.Sleep(firstKill)
+	for _, r := range f.routers[:kills] {
+		mu.Lock()
+		calmSince[r] = time.Now()
+		end := breakOff[r]
+		broken[r], breakOff[r] = context.WithCancel(context.Background())
+		before := wentOn
+		mu.Unlock()
+		if trouble {
+			rec.say("%s is killed", r.name)
+			r.signal(syscall.SIGKILL)
+			<-r.done
+			time.Sleep(downTime)
+			if err := r.run(false); err != nil {
+				return false, err
+			}
+		} else {
+			rec.say("the requesters of %s close their channels", r.name)
+			end()
+			time.Sleep(downTime)
+		}
+		time.Sleep(killEvery - downTime)
+		mu.Lock()
+		rec.say("until now taken up: %d, went on: %d (%d of the last ones)", takenUp, wentOn, wentOn-before)
+		mu.Unlock()
 	}
-	time.Sleep(8 * time.Second)
+	time.Sleep(4 * time.Second)
 	close(stop)
 	wg.Wait()
 	rec.say("new streams: %d of %d began; taken up: %d, of which %d went on", begun, asked, takenUp, wentOn)
