--- a/review/standins-2/crashbudget.go
+++ b/review/standins-2/crashbudget.go
@@ -113,6 +113,8 @@
 			defer func() { mu.Lock(); open[p.id]--; mu.Unlock() }()
 			if bad {
 				rec.line("request %s with the crashing part reaches %s", id, p.id)
+			} else {
+				rec.line("runner %s runs %s", p.id, id)
 			}
 			w.Header().Set("Response-Seal", "seal-"+p.id)
 			w.Header().Set("Content-Type", "text/event-stream")
@@ -206,6 +208,7 @@
 			wg.Go(func() {
 				r := f.routers[n%len(f.routers)]
 				text, ok := chat(r, c.sound(n), 130)
+				rec.line("sound request at %s: %s", r.name, text)
 				mu.Lock()
 				defer mu.Unlock()
 				if ok {
@@ -213,7 +216,6 @@
 					return
 				}
 				cut++
-				rec.line("sound request at %s: %s", r.name, text)
 			})
 		}
 	})
--- a/review/standins-2/crashingpart.go
+++ b/review/standins-2/crashingpart.go
@@ -53,6 +53,8 @@
 			bad := strings.Contains(strings.Join(list[:len(list)-1], ","), badPart)
 			if bad {
 				rec.line("request %s with the crashing part reaches %s", id, p.id)
+			} else {
+				rec.line("runner %s runs %s", p.id, id)
 			}
 			if !p.wait(req, prefill) {
 				return
--- a/review/standins-2/takeup.go
+++ b/review/standins-2/takeup.go
@@ -50,6 +50,7 @@
 			if !p.wait(req, 30*time.Millisecond) {
 				panic(http.ErrAbortHandler)
 			}
+			rec.line("runner %s runs %s from event %d", p.id, req.Header.Get("Attempt-Id"), first)
 			p.hold(req)
 			w.Header().Set("Response-Seal", "seal-"+p.id)
 			w.Header().Set("Content-Type", "text/event-stream")
