--- a/review/standins-2/engine.go
+++ b/review/standins-2/engine.go
@@ -18,6 +18,8 @@
 	version string
 	address string
 	slots   int
+	// lies makes the engine say that it is well and fail all requests.
+	lies bool
 	// handle answers a request that is meant for this process; it returns without an answer if the process has ended.
 	handle func(e *engine, p *engineProcess, w http.ResponseWriter, req *http.Request)
 
@@ -99,6 +101,10 @@
 
 func (e *engine) serve(p *engineProcess, w http.ResponseWriter, req *http.Request) {
 	switch {
+	case e.lies && req.URL.Path != "/health":
+		w.Header().Set("Attempt-Id", req.Header.Get("Attempt-Id"))
+		w.WriteHeader(http.StatusInternalServerError)
+		return
 	case req.URL.Path == "/v1/kv-list":
 		p.mu.Lock()
 		list := [][]any{}
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -14,6 +14,7 @@
 	"late-crashes":  lateCrashes,
 	"long-prompts":  longPrompts,
 	"take-ups":      takeUps,
+	"lost-records":  lostRecords,
 }
 
 func main() {
