feat(origins): log gaps in the history of versions and the age of cache lists

A stream that no router remembers is refused with origin_unknown. The line 'origin of a stream unknown' said that the history was not complete, but not since when or why, and that all caches had been read, but not how long ago. Three explanations could not be told apart: a gap at the start, a gap at a kill, and lists that are older than the stream.

Now a line begins and ends each gap with the directory's age, the counter version_history_gaps counts them, and the refusal names the age of the oldest list. No logic changes.

--- a/core/affinity/listing.go
+++ b/core/affinity/listing.go
@@ -140,10 +140,17 @@
 
 // WasRead reports whether the cache of a process has been read within readingTime.
 func (ix *Index) WasRead(now clock.Instant, id settings.UpstreamID, incarnation members.Incarnation) bool {
+	_, ok := ix.ReadAge(now, id, incarnation)
+	return ok
+}
+
+// ReadAge returns how long ago the cache of a process was read, false if not within readingTime.
+func (ix *Index) ReadAge(now clock.Instant, id settings.UpstreamID, incarnation members.Incarnation) (time.Duration, bool) {
 	ix.mu.Lock()
 	defer ix.mu.Unlock()
 	l, ok := ix.readings.read[id]
-	return ok && l.Incarnation == incarnation && now.Sub(l.at) < readingTime
+	age := now.Sub(l.at)
+	return age, ok && l.Incarnation == incarnation && age < readingTime
 }
 
 // isListing reports whether an owner was recorded by its listing alone.
--- a/core/origin/decide.go
+++ b/core/origin/decide.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"rattantrack.dev/core/call"
 	"rattantrack.dev/core/settings"
@@ -20,8 +21,9 @@
 // Engine is what a router knows of an instance that may have begun a stream.
 type Engine struct {
 	Origin Origin
-	// HasListed reports that the instance has listed its cache.
+	// HasListed reports that the instance has listed its cache, ListAge ago.
 	HasListed bool
+	ListAge   time.Duration
 }
 
 // Listing is the statement of an instance, which may have ended since, that it has a stream's own block cached.
--- a/core/origin/history.go
+++ b/core/origin/history.go
@@ -55,9 +55,15 @@
 
 // Complete reports whether the history has all versions of the last KeepTime.
 func (h *History) Complete(now clock.Instant) bool {
+	missing, started := h.Missing(now)
+	return started && missing == 0
+}
+
+// Missing returns how much of KeepTime the history does not reach back yet, false if it has not started.
+func (h *History) Missing(now clock.Instant) (time.Duration, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.completeAt != 0 && now >= h.completeAt
+	return max(0, h.completeAt.Sub(now)), h.completeAt != 0
 }
 
 // Apply applies changes of instances.
--- a/router/internal/origins/find.go
+++ b/router/internal/origins/find.go
@@ -68,7 +68,8 @@
 		s.Log.Warn("origin of a stream unknown", "first_attempt", q.FirstAttempt, "service", q.Service, "asked", k.Contact.Asked,
 			"replies", k.Contact.Replies, "versions", versionsOf(k.Versions), "complete", k.Complete, "whole", k.Contact.Whole,
 			"refreshed", k.Contact.Refreshed, "fresh", k.Contact.Current(),
-			"cached_at", cachedAt(k.Listings), "caches_unread", unread(k.Engines), "listings_complete", k.ListingsComplete)
+			"cached_at", cachedAt(k.Listings), "caches_unread", unread(k.Engines), "oldest_list_ms", oldestList(k.Engines).Milliseconds(),
+			"listings_complete", k.ListingsComplete)
 	}
 	return o, verdict
 }
@@ -103,6 +104,17 @@
 	return n
 }
 
+// oldestList returns the age of the oldest list among those of the instances.
+func oldestList(engines []origin.Engine) time.Duration {
+	var oldest time.Duration
+	for _, e := range engines {
+		if e.HasListed {
+			oldest = max(oldest, e.ListAge)
+		}
+	}
+	return oldest
+}
+
 // addCaches adds what the engines have listed when the routers started.
 func (s *Service) addCaches(now clock.Instant, q *origin.Question, k *origin.Knowledge) {
 	k.Own, k.Listings, k.Engines = q.Own.Tokens, nil, nil
@@ -118,7 +130,8 @@
 		return
 	}
 	for _, p := range s.history.Processes(q.Service) {
-		k.Engines = append(k.Engines, origin.Engine{Origin: p.Origin, HasListed: s.Caches.WasRead(now, p.ID, p.Incarnation)})
+		age, ok := s.Caches.ReadAge(now, p.ID, p.Incarnation)
+		k.Engines = append(k.Engines, origin.Engine{Origin: p.Origin, HasListed: ok, ListAge: age})
 	}
 }
 
--- a/router/internal/origins/send.go
+++ b/router/internal/origins/send.go
@@ -109,9 +109,22 @@
 
 // recordGap makes the history incomplete while an instance may join and end that only routers out of reach hear of.
 func (s *Service) recordGap(now clock.Instant) {
-	if s.DirectoryAge() <= maxDirectoryAge || s.Routers.InTouch() {
+	age := s.DirectoryAge()
+	if age <= maxDirectoryAge || s.Routers.InTouch() {
+		if s.gapSince != 0 {
+			missing, _ := s.history.Missing(now)
+			s.Log.Info("gap in the history of versions has ended", "lasted_ms", now.Sub(s.gapSince).Milliseconds(),
+				"incomplete_for_ms", missing.Milliseconds(), "directory_age_ms", age.Milliseconds())
+			s.gapSince = 0
+		}
 		return
 	}
+	if s.gapSince == 0 {
+		s.gapSince = now
+		s.Scope.Counter("version_history_gaps").Inc(1)
+		s.Log.Info("gap in the history of versions", "was_complete", s.history.Complete(now), "directory_age_ms", age.Milliseconds(),
+			"routers", len(s.Routers.OriginRouters()))
+	}
 	s.history.Interrupt(now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/router/internal/origins/service.go
+++ b/router/internal/origins/service.go
@@ -56,8 +56,8 @@
 type Caches interface {
 	// Listed returns which upstreams have listed a block, false if some may be missing.
 	Listed(now clock.Instant, block call.PromptBlockID) ([]affinity.Listed, bool)
-	// WasRead reports whether the cache of a process has been read.
-	WasRead(now clock.Instant, id settings.UpstreamID, incarnation members.Incarnation) bool
+	// ReadAge returns how long ago the cache of a process was read, false if its list no longer tells what the cache lacks.
+	ReadAge(now clock.Instant, id settings.UpstreamID, incarnation members.Incarnation) (time.Duration, bool)
 }
 
 // Clock returns the current instant.
@@ -86,6 +86,8 @@
 	Scope   tally.Scope
 
 	history origin.History
+	// gapSince is when the present gap in the history began, 0 outside one. Only the review uses it.
+	gapSince clock.Instant
 	// began holds the streams that began or went on here, held those of other routers.
 	began, held origin.Records
 
@@ -108,6 +110,7 @@
 // Run sends records until ctx ends.
 func (s *Service) Run(ctx context.Context, ready func()) error {
 	s.history.Start(s.Clock.Now(), s.FirstStart)
+	s.Log.Info("history of versions begins", "complete", s.FirstStart)
 	ready()
 	defer s.wg.Wait()
 	review := time.NewTicker(reviewInterval)
