fix(origins): share where streams began while no router can conclude it

What callers saw: a client whose router was killed took its stream up at another router and was refused with 503 origin_unknown, each time it came back, although one version of the engines alone had served.

Cause: a router that does not remember a stream and finds nobody who does may place it by the only version, which needs a complete history of versions. The record of the stream went to other routers only while several versions served, whatever the history. So with one version and an incomplete history the record was in the memory of the router that began the stream alone, and was lost with it. What was left are the lists of the engines' caches, which are read at most once in 15 s.

Why this works: origin.Sharing makes the two decisions one. Records go to the holders whenever a router that does not know the stream could not conclude its version, or could not once this router is lost: several versions, an incomplete history, or a directory that is out of date. When this begins, the records of streams that have begun before are sent too, as when a second version comes. With one version, a complete history and a directory that is read nothing is sent, as before.

--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -252,3 +252,42 @@
 		})
 	}
 }
+
+// TestOriginIsNotSharedWhileOthersCannotConcludeIt guards against streams whose origin one router alone knows, though the others may not
+// take the only version that they know for it.
+func TestOriginIsNotSharedWhileOthersCannotConcludeIt(t *testing.T) {
+	tests := []struct {
+		name   string
+		first  bool
+		gap    bool
+		age    time.Duration
+		after  int
+		mixed  bool
+		shared bool
+	}{
+		{name: "one version since the fleet's first start", first: true},
+		{name: "several versions", first: true, mixed: true, shared: true},
+		{name: "after the loss of all routers", shared: true},
+		{name: "a minute after the loss of all routers", after: 60},
+		{name: "after a gap", first: true, gap: true, shared: true},
+		{name: "a minute after a gap", first: true, gap: true, after: 60},
+		{name: "the directory is out of date", first: true, age: MaxDirectoryAge + 1, shared: true},
+		{name: "the directory is not out of date", first: true, age: MaxDirectoryAge},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			var h History
+			h.Start(at(0), tt.first)
+			h.Apply(at(0), []members.Event{event(members.EventAdded, "a", "v1")})
+			if tt.mixed {
+				h.Apply(at(0), []members.Event{event(members.EventAdded, "b", "v2")})
+			}
+			if tt.gap {
+				h.Interrupt(at(0))
+			}
+			sharing := h.Sharing(at(tt.after), tt.age)
+			c.Assert(sharing.Of("letters"), qt.Equals, tt.shared)
+		})
+	}
+}
--- a/router/internal/origins/find.go
+++ b/router/internal/origins/find.go
@@ -31,9 +31,6 @@
 	cachesTimeout = time.Second
 	// demandPause is the time between two demands for the lists of a service.
 	demandPause = 5 * time.Second
-	// maxDirectoryAge is the age of the directory from which on an instance may have joined and ended since it was read. Entries of
-	// instances that have ended stay for longer.
-	maxDirectoryAge = 2500 * time.Millisecond
 	// refreshTimeout bounds the read of the directory for a stream whose origin other routers may know that are out of reach.
 	refreshTimeout = 500 * time.Millisecond
 )
--- a/router/internal/origins/send.go
+++ b/router/internal/origins/send.go
@@ -8,7 +8,6 @@
 	"rattantrack.dev/core/clock"
 	"rattantrack.dev/core/origin"
 	"rattantrack.dev/core/peer"
-	"rattantrack.dev/core/settings"
 )
 
 // entry is a record that waits to be sent.
@@ -41,22 +40,17 @@
 	}
 }
 
-// review takes note of routers that have come or gone, and of services that have got a second version, and sends the records that
-// other routers now hold. A router that has started asks others for their history.
+// review takes note of routers that have come or gone, and of services whose records are to be shared from now on, and sends the records
+// that other routers now hold. A router that has started asks others for their history.
 func (s *Service) review(ctx context.Context) {
 	now := s.Clock.Now()
 	s.began.Expire(now)
 	s.held.Expire(now)
 	s.recordGap(now)
-	mixed := make(map[settings.ServiceName]bool)
-	for _, v := range s.history.Seen(now, "") {
-		_, several := mixed[v.Service]
-		mixed[v.Service] = several
-	}
-	maps.DeleteFunc(mixed, func(_ settings.ServiceName, several bool) bool { return !several })
+	sharing := s.history.Sharing(now, s.DirectoryAge())
 	routers := s.Routers.OriginRouters()
 	s.mu.Lock()
-	before, mixedBefore := s.holders, s.mixed
+	before, sharedBefore := s.holders, s.sharing
 	fresh := make(map[string]bool)
 	partners := make(map[string]*partner, len(routers))
 	for _, r := range routers {
@@ -68,7 +62,7 @@
 		partners[r.Address] = p
 	}
 	changed := len(fresh) > 0 || len(partners) != len(s.partners)
-	s.partners, s.mixed = partners, mixed
+	s.partners, s.sharing = partners, sharing
 	if changed || s.holders == nil {
 		s.holders = origin.NewHolders(append(slices.Collect(maps.Keys(partners)), s.Address))
 	}
@@ -78,16 +72,20 @@
 		s.inheritAt = now.Add(inheritPause)
 	}
 	s.mu.Unlock()
+	if sharing.Uncertain != sharedBefore.Uncertain {
+		s.Log.Info("origins of all streams are shared", "shared", sharing.Uncertain, "history_complete", s.history.Complete(now),
+			"streams", s.began.Len())
+	}
 
 	var moved []entry
 	s.began.Each(now, func(id origin.StreamID, o origin.Origin) {
-		if mixed[o.Service] && (changed || !mixedBefore[o.Service]) {
+		if sharing.Of(o.Service) && (changed || !sharedBefore.Of(o.Service)) {
 			moved = append(moved, entry{stream: id, origin: o})
 		}
 	})
 	for _, e := range moved {
 		var had []string
-		if before != nil && mixedBefore[e.origin.Service] {
+		if before != nil && sharedBefore.Of(e.origin.Service) {
 			had = before.Of(e.stream, s.Address)
 		}
 		for _, address := range after.Of(e.stream, s.Address) {
@@ -110,7 +108,7 @@
 // recordGap makes the history incomplete while an instance may join and end that only routers out of reach hear of.
 func (s *Service) recordGap(now clock.Instant) {
 	age := s.DirectoryAge()
-	if age <= maxDirectoryAge || s.Routers.InTouch() {
+	if age <= origin.MaxDirectoryAge || s.Routers.InTouch() {
 		if s.gapSince != 0 {
 			missing, _ := s.history.Missing(now)
 			s.Log.Info("gap in the history of versions has ended", "lasted_ms", now.Sub(s.gapSince).Milliseconds(),
--- a/router/internal/origins/service.go
+++ b/router/internal/origins/service.go
@@ -65,8 +65,8 @@
 	Now() clock.Instant
 }
 
-// Service holds origins of streams. A router that begins a stream at a service with several versions sends the record to few others,
-// chosen by the stream, which one that does not know the stream asks. With one version nothing is sent.
+// Service holds origins of streams. A router that begins a stream sends the record to few others, chosen by the stream, which one that
+// does not know the stream asks. Nothing is sent while all can conclude that one version alone has served (origin.Sharing).
 type Service struct {
 	ID      inflight.RouterID
 	Address string
@@ -94,7 +94,7 @@
 	mu       sync.Mutex
 	holders  *origin.Holders
 	partners map[string]*partner
-	mixed    map[settings.ServiceName]bool
+	sharing  origin.Sharing
 	// inherited reports that another router with a complete history has replied. inheritAt is when the next ones are asked.
 	inherited bool
 	inheritAt clock.Instant
@@ -148,12 +148,10 @@
 	now := s.Clock.Now()
 	id := origin.NewStreamID(attempt)
 	s.began.Add(now, id, o)
-	if !s.history.Mixed(now, o.Service) {
-		return
-	}
+	mixed := s.history.Mixed(now, o.Service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.holders == nil {
+	if s.holders == nil || !mixed && !s.sharing.Of(o.Service) {
 		return
 	}
 	for _, address := range s.holders.Of(id, s.Address) {
@@ -197,20 +195,22 @@
 
 // status is the state of the service in a dump.
 type status struct {
-	Began           int                    `json:"began"`
-	Held            int                    `json:"held"`
-	HistoryComplete bool                   `json:"history_complete"`
-	Mixed           []settings.ServiceName `json:"mixed_services"`
-	Pending         int                    `json:"pending"`
+	Began           int  `json:"began"`
+	Held            int  `json:"held"`
+	HistoryComplete bool `json:"history_complete"`
+	// SharesAll reports that the origins of all streams are shared, Mixed has the services of which they are shared anyway.
+	SharesAll bool                   `json:"shares_all"`
+	Mixed     []settings.ServiceName `json:"mixed_services"`
+	Pending   int                    `json:"pending"`
 }
 
-// Dump returns the numbers of records and the services with several versions.
+// Dump returns the numbers of records and which of them are shared.
 func (s *Service) Dump() any {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out := status{
 		Began: s.began.Len(), Held: s.held.Len(), HistoryComplete: s.history.Complete(s.Clock.Now()),
-		Mixed: slices.Sorted(maps.Keys(s.mixed)),
+		SharesAll: s.sharing.Uncertain, Mixed: slices.Sorted(maps.Keys(s.sharing.Mixed)),
 	}
 	for _, p := range s.partners {
 		out.Pending += len(p.pending)
--- a/router/internal/origins/service_test.go
+++ b/router/internal/origins/service_test.go
@@ -44,6 +44,8 @@
 	blind atomic.Bool
 	// cut means that the router and the others do not reach each other.
 	cut atomic.Bool
+	// directoryAge is the age of the newest news from the directory.
+	directoryAge atomic.Int64
 	// refreshed is called for a read of the directory, nil if that cannot be read.
 	refreshed func()
 }
@@ -104,7 +106,7 @@
 	n.service = &Service{
 		ID: inflight.RouterID(n.address), Address: n.address, FirstStart: first, Routers: n, Dialer: endpoint, Clock: clock.Boot{},
 		Caches: &affinity.Index{}, Demand: func(settings.ServiceName) {},
-		DirectoryAge: func() time.Duration { return 0 }, Refresh: func(context.Context) error { return n.refresh() },
+		DirectoryAge: func() time.Duration { return time.Duration(n.directoryAge.Load()) }, Refresh: func(context.Context) error { return n.refresh() },
 		Log: log.New(io.Discard), Scope: tally.NoopScope,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -435,3 +437,62 @@
 	_, ok = n.service.CachedAt("letters", own)
 	c.Assert(ok, qt.IsFalse)
 }
+
+// TestOnlyRouterThatKnowsStreamIsLost guards against streams whose origin is in the memory of one router, while the others cannot conclude
+// that one version alone has served.
+func TestOnlyRouterThatKnowsStreamIsLost(t *testing.T) {
+	v1 := origin.Origin{Service: "letters", Version: "v1"}
+	// remember checks that three others hold a stream, and that it is found once the router that began it has ended.
+	remember := func(c *qt.C, f *fleet, nodes []*node, attempt call.ID) {
+		c.Assert(f.holdersOf(attempt, nodes[0]), qt.Equals, 3)
+		nodes[0].stop()
+		for _, n := range nodes[1:] {
+			version, verdict := n.find(attempt)
+			c.Check(verdict, qt.Equals, origin.Remembered)
+			c.Check(version, qt.Equals, v1.Version)
+		}
+	}
+	t.Run("after the loss of all routers", func(t *testing.T) {
+		c := qt.New(t)
+		f := &fleet{t: t}
+		var nodes []*node
+		for range 6 {
+			n := f.start("", false)
+			n.list("a", "v1")
+			nodes = append(nodes, n)
+		}
+		time.Sleep(3 * reviewInterval)
+		nodes[0].service.Begin("s", v1)
+		remember(c, f, nodes, "s")
+	})
+	t.Run("while the directory is out of date", func(t *testing.T) {
+		c := qt.New(t)
+		f := &fleet{t: t}
+		nodes := f.startServing(6)
+		nodes[0].service.Begin("s", v1)
+		time.Sleep(5 * flushInterval)
+		c.Assert(f.holdersOf("s", nodes[0]), qt.Equals, 0)
+		for _, n := range nodes {
+			n.directoryAge.Store(int64(origin.MaxDirectoryAge + time.Millisecond))
+		}
+		time.Sleep(3 * reviewInterval)
+		remember(c, f, nodes, "s")
+	})
+	t.Run("after a gap", func(t *testing.T) {
+		c := qt.New(t)
+		f := &fleet{t: t}
+		nodes := f.startServing(6)
+		nodes[0].service.Begin("s", v1)
+		for _, n := range nodes {
+			n.directoryAge.Store(int64(time.Minute))
+			n.cut.Store(true)
+		}
+		time.Sleep(3 * reviewInterval)
+		for _, n := range nodes {
+			n.directoryAge.Store(0)
+			n.cut.Store(false)
+		}
+		time.Sleep(3 * reviewInterval)
+		remember(c, f, nodes, "s")
+	})
+}
