fix(origins): the start of a fleet is no gap in the history of versions

What callers saw: in a fleet's first minute, streams that no router remembered were refused with 503 origin_unknown although one version alone had ever served.

Cause: a fleet that starts for the first time has a complete history at once, but the first review takes the time before the first read of the directory for a gap: the directory has no age yet, which counts as an hour, and no other router has been met. The history is then incomplete for a minute, and through a rolling restart for longer, since the routers that start find none with a complete history.

Why this works: nothing was before a fleet's first start, so the news from the directory is at most as old as the fleet (History.NewsAge). At a router that starts later nothing changes.

Tests: TestFirstReadOfFleetIsTakenForGap failed before (no verdict only_version at any of 5 routers, and the record at 3 others); TestNewsAreOlderThanTheFleet; TestRouterOutOfReachSinceFleetStartKnowsAllVersions guards the gap that remains. Two cases of TestOnlyRouterThatKnowsStreamIsLost wait until the fleet is as old as the news that they state.

--- a/core/origin/history.go
+++ b/core/origin/history.go
@@ -34,6 +34,8 @@
 	left map[Origin]clock.Instant
 	// completeAt is when the history reaches back KeepTime, 0 if that is not known.
 	completeAt clock.Instant
+	// fleetStart is when the router started together with the whole fleet for the first time, 0 if it did not.
+	fleetStart clock.Instant
 }
 
 // Start begins the history of a router. first reports that the fleet starts for the first time, so that nothing was before.
@@ -42,10 +44,21 @@
 	defer h.mu.Unlock()
 	h.completeAt = now.Add(KeepTime)
 	if first {
-		h.completeAt = now
+		h.completeAt, h.fleetStart = now, now
 	}
 }
 
+// NewsAge returns how long instances may have come and gone since the directory was last read, directoryAge ago. A fleet that starts for
+// the first time has missed nothing before its start, although it has not read the directory yet.
+func (h *History) NewsAge(now clock.Instant, directoryAge time.Duration) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.fleetStart == 0 {
+		return directoryAge
+	}
+	return min(directoryAge, now.Sub(h.fleetStart))
+}
+
 // Interrupt records that versions may have come and gone unnoticed.
 func (h *History) Interrupt(now clock.Instant) {
 	h.mu.Lock()
--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -291,3 +291,16 @@
 		})
 	}
 }
+
+// TestNewsAreOlderThanTheFleet guards against news that count as older than the fleet itself, and as younger than they are at a router that
+// starts in a fleet that runs.
+func TestNewsAreOlderThanTheFleet(t *testing.T) {
+	c := qt.New(t)
+	var first, later History
+	first.Start(at(0), true)
+	later.Start(at(0), false)
+	c.Assert(first.NewsAge(at(1), time.Hour), qt.Equals, time.Second)
+	c.Assert(first.NewsAge(at(90), time.Hour), qt.Equals, 90*time.Second)
+	c.Assert(first.NewsAge(at(90), time.Second), qt.Equals, time.Second)
+	c.Assert(later.NewsAge(at(1), time.Hour), qt.Equals, time.Hour)
+}
--- a/core/origin/sharing.go
+++ b/core/origin/sharing.go
@@ -24,8 +24,8 @@
 
 // Sharing returns which origins have to be shared. A router that does not know a stream places it by the only version that has served.
 // It cannot while its history is incomplete, and a loss of routers makes the history incomplete while the directory is out of date.
-func (h *History) Sharing(now clock.Instant, directoryAge time.Duration) Sharing {
-	s := Sharing{Uncertain: !h.Complete(now) || directoryAge > MaxDirectoryAge, Mixed: make(map[settings.ServiceName]bool)}
+func (h *History) Sharing(now clock.Instant, newsAge time.Duration) Sharing {
+	s := Sharing{Uncertain: !h.Complete(now) || newsAge > MaxDirectoryAge, Mixed: make(map[settings.ServiceName]bool)}
 	var last settings.ServiceName
 	for _, v := range h.Seen(now, "") {
 		if v.Service == last {
--- a/router/internal/origins/send.go
+++ b/router/internal/origins/send.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"time"
 
 	"rattantrack.dev/core/clock"
 	"rattantrack.dev/core/origin"
@@ -46,8 +47,9 @@
 	now := s.Clock.Now()
 	s.began.Expire(now)
 	s.held.Expire(now)
-	s.recordGap(now)
-	sharing := s.history.Sharing(now, s.DirectoryAge())
+	newsAge := s.history.NewsAge(now, s.DirectoryAge())
+	s.recordGap(now, newsAge)
+	sharing := s.history.Sharing(now, newsAge)
 	routers := s.Routers.OriginRouters()
 	s.mu.Lock()
 	before, sharedBefore := s.holders, s.sharing
@@ -73,8 +75,8 @@
 	}
 	s.mu.Unlock()
 	if sharing.Uncertain != sharedBefore.Uncertain {
-		s.Log.Info("origins of all streams are shared", "shared", sharing.Uncertain, "history_complete", s.history.Complete(now),
-			"streams", s.began.Len())
+		s.Log.Info("sharing of stream origins", "all", sharing.Uncertain, "history_complete", s.history.Complete(now),
+			"news_age_ms", newsAge.Milliseconds(), "streams", s.began.Len())
 	}
 
 	var moved []entry
@@ -106,13 +108,12 @@
 }
 
 // recordGap makes the history incomplete while an instance may join and end that only routers out of reach hear of.
-func (s *Service) recordGap(now clock.Instant) {
-	age := s.DirectoryAge()
-	if age <= origin.MaxDirectoryAge || s.Routers.InTouch() {
+func (s *Service) recordGap(now clock.Instant, newsAge time.Duration) {
+	if newsAge <= origin.MaxDirectoryAge || s.Routers.InTouch() {
 		if s.gapSince != 0 {
 			missing, _ := s.history.Missing(now)
 			s.Log.Info("gap in the history of versions has ended", "lasted_ms", now.Sub(s.gapSince).Milliseconds(),
-				"incomplete_for_ms", missing.Milliseconds(), "directory_age_ms", age.Milliseconds())
+				"incomplete_for_ms", missing.Milliseconds(), "news_age_ms", newsAge.Milliseconds())
 			s.gapSince = 0
 		}
 		return
@@ -120,7 +121,7 @@
 	if s.gapSince == 0 {
 		s.gapSince = now
 		s.Scope.Counter("version_history_gaps").Inc(1)
-		s.Log.Info("gap in the history of versions", "was_complete", s.history.Complete(now), "directory_age_ms", age.Milliseconds(),
+		s.Log.Info("gap in the history of versions", "was_complete", s.history.Complete(now), "news_age_ms", newsAge.Milliseconds(),
 			"routers", len(s.Routers.OriginRouters()))
 	}
 	s.history.Interrupt(now)
--- a/router/internal/origins/service_test.go
+++ b/router/internal/origins/service_test.go
@@ -31,6 +31,8 @@
 	mu    sync.Mutex
 	nodes map[string]*node
 	runs  int
+	// unread makes routers start that have neither read the directory nor met each other.
+	unread bool
 }
 
 // node is one router of a fleet.
@@ -97,6 +99,10 @@
 	f.runs++
 	n := &node{fleet: f, address: ln.Addr().String(), incarnation: peer.Incarnation(fmt.Sprint(f.runs))}
 	f.mu.Unlock()
+	if f.unread {
+		n.directoryAge.Store(int64(time.Hour))
+		n.cut.Store(true)
+	}
 	endpoint := &peer.Endpoint{
 		LocalHello: func() peer.Hello {
 			return peer.Hello{Protocol: peer.ProtocolVersion, Role: peer.RoleRouter, ID: n.address, Incarnation: n.incarnation}
@@ -472,6 +478,7 @@
 		nodes[0].service.Begin("s", v1)
 		time.Sleep(5 * flushInterval)
 		c.Assert(f.holdersOf("s", nodes[0]), qt.Equals, 0)
+		time.Sleep(origin.MaxDirectoryAge)
 		for _, n := range nodes {
 			n.directoryAge.Store(int64(origin.MaxDirectoryAge + time.Millisecond))
 		}
@@ -483,6 +490,8 @@
 		f := &fleet{t: t}
 		nodes := f.startServing(6)
 		nodes[0].service.Begin("s", v1)
+		// News cannot be older than the fleet.
+		time.Sleep(origin.MaxDirectoryAge)
 		for _, n := range nodes {
 			n.directoryAge.Store(int64(time.Minute))
 			n.cut.Store(true)
@@ -496,3 +505,45 @@
 		remember(c, f, nodes, "s")
 	})
 }
+
+// TestFirstReadOfFleetIsTakenForGap guards against a fleet that refuses streams, or sends their origins around, for its first minute, because
+// it takes the time before its routers have read the directory for one in which versions may have come and gone.
+func TestFirstReadOfFleetIsTakenForGap(t *testing.T) {
+	c := qt.New(t)
+	f := &fleet{t: t, unread: true}
+	var nodes []*node
+	for range 6 {
+		n := f.start("", true)
+		n.list("a", "v1")
+		nodes = append(nodes, n)
+	}
+	time.Sleep(3 * reviewInterval)
+	for _, n := range nodes {
+		n.directoryAge.Store(0)
+		n.cut.Store(false)
+	}
+	time.Sleep(3 * reviewInterval)
+	nodes[0].service.Begin("s", origin.Origin{Service: "letters", Version: "v1"})
+	time.Sleep(5 * flushInterval)
+	c.Check(f.holdersOf("s", nodes[0]), qt.Equals, 0)
+	nodes[0].stop()
+	for _, n := range nodes[1:] {
+		version, verdict := n.find("s")
+		c.Check(verdict, qt.Equals, origin.OnlyVersion)
+		c.Check(version, qt.Equals, members.Version("v1"))
+	}
+}
+
+// TestRouterOutOfReachSinceFleetStartKnowsAllVersions guards against a router that takes its history for complete, though it has neither read
+// the directory nor met the others for so long that a version may have come and gone.
+func TestRouterOutOfReachSinceFleetStartKnowsAllVersions(t *testing.T) {
+	c := qt.New(t)
+	f := &fleet{t: t, unread: true}
+	n := f.start("", true)
+	time.Sleep(origin.MaxDirectoryAge + 3*reviewInterval)
+	n.directoryAge.Store(0)
+	n.cut.Store(false)
+	n.refreshed = func() { n.list("a", "v2") }
+	_, verdict := n.find("s")
+	c.Assert(verdict, qt.Equals, origin.Unknown)
+}
