fix(origins): a list of a cache tells nothing of streams that began after it

What callers saw: when nearly all routers were killed within 15 s of an earlier loss, streams that no router remembered were refused with 503 origin_unknown although an engine had their prompts cached.

Cause: such a stream is placed by the lists of the engines' caches. A list counted as read for 15 s and was read again after that only, but a stream that began after the reading is not in it. The same list ruled out another version although it was older than the stream.

Why this works: a stream that no router remembers began before its router was lost. So a list tells what an engine lacks only if it was read after the last loss of a router, or after this router's own start; an older one is demanded again. A loss is what the exchange of states has noticed, or another process at a router's address. After a loss each router reads a process once more on demand, and demands come at least a second apart, so routers that are lost again and again do not lead to more reads.

TestRouterThatRestartedIsNotLost guards losses between two exchanges.

--- a/core/affinity/listing.go
+++ b/core/affinity/listing.go
@@ -138,12 +138,6 @@
 	return !ix.readings.evicted && (at == 0 || now.Sub(at) >= entryLifetime)
 }
 
-// WasRead reports whether the cache of a process has been read within readingTime.
-func (ix *Index) WasRead(now clock.Instant, id settings.UpstreamID, incarnation members.Incarnation) bool {
-	_, ok := ix.ReadAge(now, id, incarnation)
-	return ok
-}
-
 // ReadAge returns how long ago the cache of a process was read, false if not within readingTime.
 func (ix *Index) ReadAge(now clock.Instant, id settings.UpstreamID, incarnation members.Incarnation) (time.Duration, bool) {
 	ix.mu.Lock()
--- a/core/affinity/listing_test.go
+++ b/core/affinity/listing_test.go
@@ -46,15 +46,15 @@
 		c.Assert(list, qt.HasLen, 1)
 		c.Assert(list[0].Upstream, qt.Equals, settings.UpstreamID("a"))
 		c.Assert(list[0].Listing, qt.Equals, Listing{Incarnation: 7, Service: "letters", Version: "v1", Tokens: 75})
-		c.Assert(ix.WasRead(now, "a", 7), qt.IsTrue)
-		c.Assert(ix.WasRead(now, "b", 7), qt.IsTrue)
-		c.Assert(ix.WasRead(now, "a", 8), qt.IsFalse)
-		c.Assert(ix.WasRead(now, "c", 7), qt.IsFalse)
+		c.Assert(wasRead(ix, now, "a", 7), qt.IsTrue)
+		c.Assert(wasRead(ix, now, "b", 7), qt.IsTrue)
+		c.Assert(wasRead(ix, now, "a", 8), qt.IsFalse)
+		c.Assert(wasRead(ix, now, "c", 7), qt.IsFalse)
 		c.Assert(ix.CachedTokens(now, []call.PromptBlock{{ID: 1, Tokens: 300}}, []settings.UpstreamID{"a", "b"}),
 			qt.DeepEquals, []settings.Tokens{300, 0})
 		// A second loss of routers follows: what has begun since is not in the list.
-		c.Assert(ix.WasRead(now.Add(readingTime-1), "a", 7), qt.IsTrue)
-		c.Assert(ix.WasRead(now.Add(readingTime), "a", 7), qt.IsFalse)
+		c.Assert(wasRead(ix, now.Add(readingTime-1), "a", 7), qt.IsTrue)
+		c.Assert(wasRead(ix, now.Add(readingTime), "a", 7), qt.IsFalse)
 		list, _ = ix.Listed(now.Add(entryLifetime), 2)
 		c.Assert(list, qt.HasLen, 0)
 	}
@@ -83,7 +83,7 @@
 	ix.RecordListing(now, []call.PromptBlock{{ID: 2, Tokens: 75}, {ID: 3, Tokens: 75}}, engine("a", "v1"))
 	var cut Index
 	cut.Merge(now, exchanged(c, ix.Recent(now, 2)))
-	c.Assert(cut.WasRead(now, "a", 7), qt.IsFalse)
+	c.Assert(wasRead(&cut, now, "a", 7), qt.IsFalse)
 
 	for i := range maxListings + 1 {
 		ix.RecordListing(now, []call.PromptBlock{{ID: 9, Tokens: 300}}, engine(settings.UpstreamID('c'+rune(i)), "v1"))
@@ -100,10 +100,16 @@
 	c.Assert(complete, qt.IsFalse)
 	var late Index
 	late.Merge(now, exchanged(c, ix.Recent(now, 2*maxBlocks)))
-	c.Assert(late.WasRead(now, "a", 7), qt.IsFalse)
+	c.Assert(wasRead(&late, now, "a", 7), qt.IsFalse)
 	ix.TakeUpdates(now)
 	_, complete = ix.Listed(now.Add(entryLifetime-1), 2)
 	c.Assert(complete, qt.IsFalse)
 	_, complete = ix.Listed(now.Add(entryLifetime), 2)
 	c.Assert(complete, qt.IsTrue)
 }
+
+// wasRead reports whether the cache of a process has been read within readingTime.
+func wasRead(ix *Index, now clock.Instant, id settings.UpstreamID, incarnation members.Incarnation) bool {
+	_, ok := ix.ReadAge(now, id, incarnation)
+	return ok
+}
--- a/router/internal/app/services.go
+++ b/router/internal/app/services.go
@@ -105,7 +105,7 @@
 		Routers:      originRouters{Service: d.routers, directoryAge: d.directoryAge},
 		Dialer:       d.endpoint,
 		Caches:       d.affinity,
-		Demand:       func(name settings.ServiceName) { d.warmup.Demand(name) },
+		Demand:       func(name settings.ServiceName, after clock.Instant) { d.warmup.Demand(name, after) },
 		DirectoryAge: d.directoryAge,
 		Refresh:      func(ctx context.Context) error { return d.watcher.Refresh(ctx) },
 		Clock:        clock.Boot{},
--- a/router/internal/engines/demand.go
+++ b/router/internal/engines/demand.go
@@ -16,7 +16,8 @@
 const (
 	// demandTime is how long a demand lasts.
 	demandTime = 2 * time.Second
-	// rereadTime is the time within which a process is read at most once on demand, also if it did not respond.
+	// rereadTime is the time within which a process is read at most once on demand, also if it did not respond. After a loss of routers
+	// it is read once more.
 	rereadTime = 15 * time.Second
 )
 
@@ -26,10 +27,16 @@
 	incarnation members.Incarnation
 }
 
+// demand asks for the lists of a service's engines.
+type demand struct {
+	// since is when the demand came. Lists that were read at the time after, or before, do not meet it.
+	since, after clock.Instant
+}
+
 // demands holds the services whose caches are to be read; its zero value is ready to use.
 type demands struct {
-	mu    sync.Mutex
-	since map[settings.ServiceName]clock.Instant
+	mu       sync.Mutex
+	services map[settings.ServiceName]demand
 	// readAt is when each process was last read on demand.
 	readAt map[process]clock.Instant
 	wake   chan struct{}
@@ -44,18 +51,18 @@
 	return d.wake
 }
 
-// add adds a service and reports whether it was not demanded yet.
-func (d *demands) add(now clock.Instant, name settings.ServiceName) bool {
+// add adds a demand and reports whether there was none yet that asks for the same.
+func (d *demands) add(now clock.Instant, name settings.ServiceName, after clock.Instant) bool {
 	wake := d.channel()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if since, ok := d.since[name]; ok && now.Sub(since) < demandTime {
+	if dem, ok := d.services[name]; ok && now.Sub(dem.since) < demandTime && after <= dem.after {
 		return false
 	}
-	if d.since == nil {
-		d.since = make(map[settings.ServiceName]clock.Instant)
+	if d.services == nil {
+		d.services = make(map[settings.ServiceName]demand)
 	}
-	d.since[name] = now
+	d.services[name] = demand{since: now, after: after}
 	select {
 	case wake <- struct{}{}:
 	default:
@@ -63,23 +70,23 @@
 	return true
 }
 
-// active returns the services with a demand and since when.
-func (d *demands) active(now clock.Instant) map[settings.ServiceName]clock.Instant {
+// active returns the services with a demand.
+func (d *demands) active(now clock.Instant) map[settings.ServiceName]demand {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	list := make(map[settings.ServiceName]clock.Instant)
-	for name, since := range d.since {
-		if now.Sub(since) >= demandTime {
-			delete(d.since, name)
+	list := make(map[settings.ServiceName]demand)
+	for name, dem := range d.services {
+		if now.Sub(dem.since) >= demandTime {
+			delete(d.services, name)
 			continue
 		}
-		list[name] = since
+		list[name] = dem
 	}
 	return list
 }
 
-// begin reserves the read of a process. It returns false if the process was read within rereadTime.
-func (d *demands) begin(now clock.Instant, p process) bool {
+// begin reserves the read of a process. It returns false if the process was read within rereadTime and after the given time.
+func (d *demands) begin(now clock.Instant, p process, after clock.Instant) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for other, at := range d.readAt {
@@ -87,7 +94,7 @@
 			delete(d.readAt, other)
 		}
 	}
-	if _, ok := d.readAt[p]; ok {
+	if at, ok := d.readAt[p]; ok && at > after {
 		return false
 	}
 	if d.readAt == nil {
@@ -97,17 +104,17 @@
 	return true
 }
 
-// Demand asks for the caches of a service's engines, because streams have come that nobody can place. Most routers were lost, and the
-// others have passed on where prompts are cached, without what the engines have listed.
-func (w *Warmup) Demand(name settings.ServiceName) {
-	if w.demand.add(w.Clock.Now(), name) {
-		w.Log.Info("caches demanded", "service", name)
+// Demand asks for lists of the caches of a service's engines that are read after a time, because streams have come that nobody can place.
+// Most routers were lost, and the others have passed on where prompts are cached, without what the engines have listed since.
+func (w *Warmup) Demand(name settings.ServiceName, after clock.Instant) {
+	if now := w.Clock.Now(); w.demand.add(now, name, after) {
+		w.Log.Info("caches demanded", "service", name, "lists_since_ms", now.Sub(after).Milliseconds())
 	}
 }
 
 // round is a part of a demand: at first the engines that are assigned to this router, after warmup.TakeoverDelay all that are left.
 type round struct {
-	since    clock.Instant
+	demand
 	takeover bool
 	pending  []members.Instance
 }
@@ -126,8 +133,8 @@
 				return
 			}
 		}
-		for name, since := range w.demand.active(w.Clock.Now()) {
-			rounds[name] = w.nextRound(rounds[name], name, since)
+		for name, dem := range w.demand.active(w.Clock.Now()) {
+			rounds[name] = w.nextRound(rounds[name], name, dem)
 			w.readPending(ctx, rounds[name], slots, &wg)
 		}
 		if !clock.Sleep(ctx, pollInterval) {
@@ -137,17 +144,17 @@
 }
 
 // nextRound returns the round of a demand, which is r unless a new one begins.
-func (w *Warmup) nextRound(r *round, name settings.ServiceName, since clock.Instant) *round {
+func (w *Warmup) nextRound(r *round, name settings.ServiceName, dem demand) *round {
 	now := w.Clock.Now()
-	takeover := now.Sub(since) >= warmup.TakeoverDelay
-	if r != nil && r.since == since && r.takeover == takeover {
+	takeover := now.Sub(dem.since) >= warmup.TakeoverDelay
+	if r != nil && r.demand == dem && r.takeover == takeover {
 		return r
 	}
-	r = &round{since: since, takeover: takeover}
+	r = &round{demand: dem, takeover: takeover}
 	if !slices.Contains(w.Services(), name) {
 		return r
 	}
-	assigned := warmup.AssignedOnDemand(warmup.State{Self: w.Address, Reachable: w.Routers.Reachable(), Elapsed: now.Sub(since)})
+	assigned := warmup.AssignedOnDemand(warmup.State{Self: w.Address, Reachable: w.Routers.Reachable(), Elapsed: now.Sub(dem.since)})
 	for _, inst := range w.enginesOf(name) {
 		if assigned(inst.ID) {
 			r.pending = append(r.pending, inst)
@@ -160,7 +167,8 @@
 func (w *Warmup) readPending(ctx context.Context, r *round, slots chan struct{}, wg *sync.WaitGroup) {
 	for len(r.pending) > 0 {
 		inst := r.pending[0]
-		if w.Affinity.WasRead(w.Clock.Now(), inst.ID, inst.Incarnation) {
+		now := w.Clock.Now()
+		if age, ok := w.Affinity.ReadAge(now, inst.ID, inst.Incarnation); ok && now.Add(-age) > r.after {
 			r.pending = r.pending[1:]
 			continue
 		}
@@ -170,7 +178,7 @@
 			return
 		}
 		r.pending = r.pending[1:]
-		if !w.demand.begin(w.Clock.Now(), process{inst.ID, inst.Incarnation}) {
+		if !w.demand.begin(now, process{inst.ID, inst.Incarnation}, r.after) {
 			<-slots
 			continue
 		}
--- a/router/internal/engines/warmup_test.go
+++ b/router/internal/engines/warmup_test.go
@@ -69,6 +69,12 @@
 	return all
 }
 
+// wasRead reports whether a router knows what the cache of an engine's process 5 lacks.
+func wasRead(w *Warmup, id settings.UpstreamID) bool {
+	_, ok := w.Affinity.ReadAge(clock.Boot{}.Now(), id, 5)
+	return ok
+}
+
 // TestEachEngineIsQueriedOnce starts a fleet at once, so that no router has reached another one: the routers that the
 // settings name divide the engines among them.
 func TestEachEngineIsQueriedOnce(t *testing.T) {
@@ -124,7 +130,7 @@
 			queryAll(w, warmup.TakeoverDelay)
 			queryAll(w, 2*time.Second)
 			c.Assert(cache.queries["e1"], qt.Equals, map[members.Version]int{"v1": 0, "v2": 1}[version])
-			c.Assert(w.Affinity.WasRead(clock.Boot{}.Now(), "e1", 5), qt.Equals, version == "v2")
+			c.Assert(wasRead(w, "e1"), qt.Equals, version == "v2")
 		})
 	}
 }
@@ -168,8 +174,8 @@
 	n, _ := queries()
 	c.Assert(n, qt.Equals, 0)
 	for range 20 {
-		routers[0].Demand("letters")
-		routers[1].Demand("letters")
+		routers[0].Demand("letters", 0)
+		routers[1].Demand("letters", 0)
 	}
 	time.Sleep(5 * pollInterval)
 	n, total := queries()
@@ -180,15 +186,32 @@
 	c.Assert(n, qt.Equals, 6)
 	c.Assert(total <= 12, qt.IsTrue)
 	for _, inst := range routers[0].Members.Serving("letters") {
-		read := func(w *Warmup) bool { return w.Affinity.WasRead(clock.Boot{}.Now(), inst.ID, 5) }
+		read := func(w *Warmup) bool { return wasRead(w, inst.ID) }
 		c.Assert(read(routers[0]) || read(routers[1]), qt.IsTrue)
 	}
 	time.Sleep(demandTime)
 	for _, w := range routers {
-		w.Demand("letters")
-		w.Demand("drafts")
+		w.Demand("letters", 0)
+		w.Demand("drafts", 0)
 	}
 	time.Sleep(warmup.TakeoverDelay + 5*pollInterval)
 	_, again := queries()
 	c.Assert(again <= 12, qt.IsTrue, qt.Commentf("a process is queried once in rereadTime by a router"))
+	// A router has been lost since.
+	lost := clock.Boot{}.Now()
+	_, before := queries()
+	for range 20 {
+		for _, w := range routers {
+			w.Demand("letters", lost)
+		}
+	}
+	time.Sleep(warmup.TakeoverDelay + 5*pollInterval)
+	_, after := queries()
+	c.Assert(after-before >= 6 && after-before <= 12, qt.IsTrue, qt.Commentf("%d reads after the loss", after-before))
+	for _, inst := range routers[0].Members.Serving("letters") {
+		age, ok := routers[0].Affinity.ReadAge(clock.Boot{}.Now(), inst.ID, 5)
+		other, okOther := routers[1].Affinity.ReadAge(clock.Boot{}.Now(), inst.ID, 5)
+		c.Assert(ok || okOther, qt.IsTrue)
+		c.Assert(min(age, other) < clock.Boot{}.Now().Sub(lost), qt.IsTrue)
+	}
 }
--- a/router/internal/origins/find.go
+++ b/router/internal/origins/find.go
@@ -29,7 +29,7 @@
 	maxSources = 3
 	// cachesTimeout is how long a stream waits for the lists of the engines' caches.
 	cachesTimeout = time.Second
-	// demandPause is the time between two demands for the lists of a service.
+	// demandPause is the time between two demands for the lists of a service, unless a router has been lost since the first one.
 	demandPause = 5 * time.Second
 	// refreshTimeout bounds the read of the directory for a stream whose origin other routers may know that are out of reach.
 	refreshTimeout = 500 * time.Millisecond
@@ -65,7 +65,7 @@
 		s.Log.Warn("origin of a stream unknown", "first_attempt", q.FirstAttempt, "service", q.Service, "asked", k.Contact.Asked,
 			"replies", k.Contact.Replies, "versions", versionsOf(k.Versions), "complete", k.Complete, "whole", k.Contact.Whole,
 			"refreshed", k.Contact.Refreshed, "fresh", k.Contact.Current(),
-			"cached_at", cachedAt(k.Listings), "caches_unread", unread(k.Engines), "oldest_list_ms", oldestList(k.Engines).Milliseconds(),
+			"router_lost_ms_ago", s.Clock.Now().Sub(s.lastLoss()).Milliseconds(), "cached_at", cachedAt(k.Listings), "caches_unread", unread(k.Engines), "oldest_list_ms", oldestList(k.Engines).Milliseconds(),
 			"listings_complete", k.ListingsComplete)
 	}
 	return o, verdict
@@ -126,9 +126,10 @@
 	if k.Complete && len(versionsOf(k.Versions)) < 2 {
 		return
 	}
+	lost := s.lastLoss()
 	for _, p := range s.history.Processes(q.Service) {
 		age, ok := s.Caches.ReadAge(now, p.ID, p.Incarnation)
-		k.Engines = append(k.Engines, origin.Engine{Origin: p.Origin, HasListed: ok, ListAge: age})
+		k.Engines = append(k.Engines, origin.Engine{Origin: p.Origin, HasListed: ok && now.Add(-age) > lost, ListAge: age})
 	}
 }
 
@@ -138,20 +139,32 @@
 	return q.Own.ID != 0 && k.Contact.Current() && unread(k.Engines) > 0
 }
 
-// demand demands the lists of a service's engines and returns until when a stream may wait for them. Engines that have not listed by
-// then may never do so, so that the streams that come later are not held for them.
+// lastLoss returns when the last router was lost that this one knows of. Others may have been until it started itself.
+func (s *Service) lastLoss() clock.Instant {
+	lost := s.Routers.LastLoss()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(lost, s.startedAt)
+}
+
+// demand demands the lists of a service's engines since the last loss of a router, and returns until when a stream may wait for them.
+// Engines that have not listed by then may never do so, so that the streams that come later are not held for them.
 func (s *Service) demand(name settings.ServiceName) clock.Instant {
-	now := s.Clock.Now()
+	now, lost := s.Clock.Now(), s.lastLoss()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	at, ok := s.demandedAt[name]
-	if !ok || now.Sub(at) >= demandPause {
+	pause := demandPause
+	if at <= lost {
+		pause = cachesTimeout
+	}
+	if !ok || now.Sub(at) >= pause {
 		if s.demandedAt == nil {
 			s.demandedAt = make(map[settings.ServiceName]clock.Instant)
 		}
 		at = now
 		s.demandedAt[name] = at
-		s.Demand(name)
+		s.Demand(name, lost)
 	}
 	return at.Add(cachesTimeout)
 }
--- a/router/internal/origins/service.go
+++ b/router/internal/origins/service.go
@@ -45,6 +45,8 @@
 	OriginRouters() []Router
 	// InTouch reports that no known router has been out of reach since the newest news from the directory.
 	InTouch() bool
+	// LastLoss returns when another router was last lost.
+	LastLoss() clock.Instant
 }
 
 // Dialer provides links to addresses.
@@ -75,8 +77,8 @@
 	Routers    Routers
 	Dialer     Dialer
 	Caches     Caches
-	// Demand asks for the lists of the caches of a service's engines; it does not wait for them.
-	Demand func(name settings.ServiceName)
+	// Demand asks for lists of the caches of a service's engines that are read after a time; it does not wait for them.
+	Demand func(name settings.ServiceName, after clock.Instant)
 	// DirectoryAge returns the age of the newest directory read that this router knows of.
 	DirectoryAge func() time.Duration
 	// Refresh returns once a read of the directory has been applied that began after the call.
@@ -91,10 +93,12 @@
 	// began holds the streams that began or went on here, held those of other routers.
 	began, held origin.Records
 
-	mu       sync.Mutex
-	holders  *origin.Holders
-	partners map[string]*partner
-	sharing  origin.Sharing
+	mu sync.Mutex
+	// startedAt is when this router started in a fleet that ran before, 0 if the fleet starts for the first time.
+	startedAt clock.Instant
+	holders   *origin.Holders
+	partners  map[string]*partner
+	sharing   origin.Sharing
 	// inherited reports that another router with a complete history has replied. inheritAt is when the next ones are asked.
 	inherited bool
 	inheritAt clock.Instant
@@ -109,7 +113,13 @@
 
 // Run sends records until ctx ends.
 func (s *Service) Run(ctx context.Context, ready func()) error {
-	s.history.Start(s.Clock.Now(), s.FirstStart)
+	now := s.Clock.Now()
+	s.history.Start(now, s.FirstStart)
+	if !s.FirstStart {
+		s.mu.Lock()
+		s.startedAt = now
+		s.mu.Unlock()
+	}
 	s.Log.Info("history of versions begins", "complete", s.FirstStart)
 	ready()
 	defer s.wg.Wait()
--- a/router/internal/origins/service_test.go
+++ b/router/internal/origins/service_test.go
@@ -48,6 +48,8 @@
 	cut atomic.Bool
 	// directoryAge is the age of the newest news from the directory.
 	directoryAge atomic.Int64
+	// lostAt is when another router was last lost.
+	lostAt atomic.Int64
 	// refreshed is called for a read of the directory, nil if that cannot be read.
 	refreshed func()
 }
@@ -66,6 +68,9 @@
 // InTouch reports that the router reaches the others.
 func (n *node) InTouch() bool { return !n.cut.Load() }
 
+// LastLoss returns when another router was last lost.
+func (n *node) LastLoss() clock.Instant { return clock.Instant(n.lostAt.Load()) }
+
 // OriginRouters returns the other routers that run.
 func (n *node) OriginRouters() (list []Router) {
 	if n.blind.Load() || n.cut.Load() {
@@ -111,13 +116,14 @@
 	}
 	n.service = &Service{
 		ID: inflight.RouterID(n.address), Address: n.address, FirstStart: first, Routers: n, Dialer: endpoint, Clock: clock.Boot{},
-		Caches: &affinity.Index{}, Demand: func(settings.ServiceName) {},
+		Caches: &affinity.Index{}, Demand: func(settings.ServiceName, clock.Instant) {},
 		DirectoryAge: func() time.Duration { return time.Duration(n.directoryAge.Load()) }, Refresh: func(context.Context) error { return n.refresh() },
 		Log: log.New(io.Discard), Scope: tally.NoopScope,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
-	wg.Go(func() { _ = n.service.Run(ctx, func() {}) })
+	running := make(chan struct{})
+	wg.Go(func() { _ = n.service.Run(ctx, func() { close(running) }) })
 	wg.Go(func() { _ = endpoint.Listen(ctx, ln) })
 	f.mu.Lock()
 	if f.nodes == nil {
@@ -125,6 +131,7 @@
 	}
 	f.nodes[n.address] = n
 	f.mu.Unlock()
+	<-running
 	n.stop = sync.OnceFunc(func() {
 		f.mu.Lock()
 		if f.nodes[n.address] == n {
@@ -357,7 +364,7 @@
 	n.service.Caches = index
 	old := members.Instance{ID: "a", Service: "letters", Version: "v1", Incarnation: 1}
 	n.service.Apply([]members.Event{{ID: old.ID, Kind: members.EventAdded, Instance: old}})
-	n.service.Demand = func(settings.ServiceName) {
+	n.service.Demand = func(settings.ServiceName, clock.Instant) {
 		index.RecordListing(clock.Boot{}.Now(), []call.PromptBlock{{ID: 7, Tokens: 90}}, old)
 	}
 	find := func(own call.PromptBlock) (members.Version, origin.Verdict) {
@@ -423,7 +430,7 @@
 	n.service.demandedAt = nil
 	n.service.mu.Unlock()
 	demanded := 0
-	n.service.Demand = func(name settings.ServiceName) {
+	n.service.Demand = func(name settings.ServiceName, _ clock.Instant) {
 		demanded++
 		c.Check(name, qt.Equals, settings.ServiceName("letters"))
 		time.AfterFunc(2*askPause, func() { index.RecordListing(clock.Boot{}.Now(), nil, unread) })
@@ -547,3 +554,71 @@
 	_, verdict := n.find("s")
 	c.Assert(verdict, qt.Equals, origin.Unknown)
 }
+
+// TestListOlderThanLossTellsNothing guards against streams of lost routers that are refused because their engines listed their caches before
+// the streams began, and against a list that rules out another version although it is older than the stream.
+func TestListOlderThanLossTellsNothing(t *testing.T) {
+	own := call.PromptBlock{ID: 7, Tokens: 50}
+	// start returns a router that has outlived others, with an engine of each version, whose caches it read before the others were lost.
+	start := func(t *testing.T, versions ...members.Version) (*node, *affinity.Index, []members.Instance) {
+		f := &fleet{t: t}
+		n := f.start("", false)
+		n.refreshed = func() {}
+		index := &affinity.Index{}
+		n.service.Caches = index
+		var engines []members.Instance
+		for i, v := range versions {
+			inst := members.Instance{ID: settings.UpstreamID(fmt.Sprint("i", i)), Service: "letters", Version: v, Incarnation: 1}
+			n.service.Apply([]members.Event{{ID: inst.ID, Kind: members.EventAdded, Instance: inst}})
+			index.RecordListing(clock.Boot{}.Now(), nil, inst)
+			engines = append(engines, inst)
+		}
+		return n, index, engines
+	}
+	find := func(n *node) (members.Version, origin.Verdict) {
+		o, verdict := n.service.Find(context.Background(), &origin.Question{FirstAttempt: "s", Service: "letters", Own: own})
+		return o.Version, verdict
+	}
+	t.Run("the stream began after the list", func(t *testing.T) {
+		c := qt.New(t)
+		n, index, engines := start(t, "v1")
+		_, verdict := find(n)
+		c.Assert(verdict, qt.Equals, origin.Unknown)
+		lost := clock.Boot{}.Now()
+		n.lostAt.Store(int64(lost))
+		demanded := 0
+		n.service.Demand = func(_ settings.ServiceName, after clock.Instant) {
+			demanded++
+			c.Check(after, qt.Equals, lost)
+			index.RecordListing(clock.Boot{}.Now(), []call.PromptBlock{{ID: own.ID, Tokens: 90}}, engines[0])
+		}
+		version, verdict := find(n)
+		c.Assert(verdict, qt.Equals, origin.Cached)
+		c.Assert(version, qt.Equals, members.Version("v1"))
+		c.Assert(demanded, qt.Equals, 1)
+	})
+	t.Run("the list of another version is older", func(t *testing.T) {
+		c := qt.New(t)
+		n, index, engines := start(t, "v1", "v2")
+		n.lostAt.Store(int64(clock.Boot{}.Now()))
+		index.RecordListing(clock.Boot{}.Now(), []call.PromptBlock{{ID: own.ID, Tokens: 90}}, engines[0])
+		n.service.Demand = func(settings.ServiceName, clock.Instant) {
+			index.RecordListing(clock.Boot{}.Now(), []call.PromptBlock{{ID: own.ID, Tokens: 90}}, engines[1])
+		}
+		_, verdict := find(n)
+		c.Assert(verdict, qt.Equals, origin.Unknown)
+	})
+	t.Run("routers are lost again and again", func(t *testing.T) {
+		c := qt.New(t)
+		n, _, _ := start(t, "v1")
+		var demanded atomic.Int64
+		n.service.Demand = func(settings.ServiceName, clock.Instant) { demanded.Add(1) }
+		began := time.Now()
+		for time.Since(began) < 2*cachesTimeout {
+			n.lostAt.Store(int64(clock.Boot{}.Now()))
+			_, verdict := find(n)
+			c.Assert(verdict, qt.Equals, origin.Unknown)
+		}
+		c.Assert(demanded.Load() <= 1+int64(time.Since(began)/cachesTimeout), qt.IsTrue, qt.Commentf("%d demands", demanded.Load()))
+	})
+}
--- a/router/internal/routers/service.go
+++ b/router/internal/routers/service.go
@@ -76,9 +76,10 @@
 	// when the router was added or, later, when an exchange last failed.
 	lastExchange, lastReceived, since clock.Instant
 	lost                              bool
-	// lostAt is when the router was last lost.
-	lostAt     clock.Instant
-	exchanging bool
+	// lostAt is when the router was last lost, restartedAt when another process was first noticed at its address.
+	lostAt      clock.Instant
+	restartedAt clock.Instant
+	exchanging  bool
 	// hasCacheEntries reports that the cache warm-up of the router has ended, so that it can send its cache entries.
 	hasCacheEntries bool
 	// directoryRead is when the router last read the directory, directoryFailing reports that it cannot read it.
@@ -95,6 +96,18 @@
 // exchange from here did not fail.
 func (r *router) reachable() bool { return !r.lost && r.lastSign() != 0 }
 
+// runsAs records the process that runs at the router's address, and reports whether it is another one than before.
+func (r *router) runsAs(now clock.Instant, incarnation peer.Incarnation) bool {
+	if r.incarnation == incarnation {
+		return false
+	}
+	if r.incarnation != "" {
+		r.restartedAt = now
+	}
+	r.incarnation = incarnation
+	return true
+}
+
 // lastSign is when the router last showed that it runs.
 func (r *router) lastSign() clock.Instant { return max(r.lastExchange, r.lastReceived, r.beatAt) }
 
@@ -345,10 +358,10 @@
 	}
 	s.mu.Lock()
 	r := s.routerAt(state.Address)
-	if r.incarnation != state.Incarnation {
-		r.incarnation, r.fullStateSent, r.sentAddresses = state.Incarnation, false, 0
-	}
 	r.lastReceived = s.Clock.Now()
+	if r.runsAs(r.lastReceived, state.Incarnation) {
+		r.fullStateSent, r.sentAddresses = false, 0
+	}
 	if s.tree.large {
 		// This router may not begin another exchange with it.
 		r.lost = false
--- a/router/internal/routers/service_test.go
+++ b/router/internal/routers/service_test.go
@@ -262,3 +262,22 @@
 	s.recordFailure(r, nil, now)
 	c.Assert(s.newAddresses(now, r), qt.HasLen, 3)
 }
+
+// TestRouterThatRestartedIsNotLost guards against a router that another one takes for the process before, because it has started again
+// between two exchanges: what that process alone knew is lost.
+func TestRouterThatRestartedIsNotLost(t *testing.T) {
+	c := qt.New(t)
+	now := clock.Boot{}.Now()
+	after := func(s int) clock.Instant { return now.Add(time.Duration(s) * time.Second) }
+	r := &router{address: "a"}
+	s := &Service{Address: "self", routers: map[string]*router{"a": r}, Log: log.New(io.Discard), Scope: tally.NoopScope}
+	c.Assert(r.runsAs(now, "1"), qt.IsTrue)
+	c.Assert(r.runsAs(now, "1"), qt.IsFalse)
+	c.Assert(s.LastLoss(), qt.Equals, clock.Instant(0))
+	c.Assert(r.runsAs(after(1), "2"), qt.IsTrue)
+	c.Assert(s.LastLoss(), qt.Equals, after(1))
+	s.applyEntry(after(2), "b", routerEntry{Address: "a", Incarnation: "3", Beat: 1})
+	c.Assert(s.LastLoss(), qt.Equals, after(2))
+	s.recordFailure(r, nil, after(3))
+	c.Assert(s.LastLoss(), qt.Equals, after(3))
+}
--- a/router/internal/routers/table.go
+++ b/router/internal/routers/table.go
@@ -146,7 +146,8 @@
 		return
 	}
 	before, wasLost := r.entry(), r.lost
-	r.id, r.incarnation, r.dataCentre, r.version, r.cores = e.ID, e.Incarnation, e.DataCentre, e.Version, e.Cores
+	r.runsAs(now, e.Incarnation)
+	r.id, r.dataCentre, r.version, r.cores = e.ID, e.DataCentre, e.Version, e.Cores
 	r.hasCacheEntries, r.directoryFailing = e.HasCacheEntries, e.DirectoryFailing
 	r.beat, r.claimedLost, r.source = e.Beat, e.Lost, source
 	if e.Lost {
--- a/router/internal/routers/tree.go
+++ b/router/internal/routers/tree.go
@@ -177,8 +177,8 @@
 	defer s.mu.Unlock()
 	now := s.Clock.Now()
 	r := s.routerAt(address)
-	if r.incarnation != incarnation {
-		r.incarnation, r.fullStateSent, r.sentAddresses = incarnation, false, 0
+	if r.runsAs(now, incarnation) {
+		r.fullStateSent, r.sentAddresses = false, 0
 	}
 	if r.lost {
 		s.Log.Info("router met", "router", address, "lost", true)
--- a/router/internal/routers/view.go
+++ b/router/internal/routers/view.go
@@ -153,6 +153,19 @@
 	return true
 }
 
+// LastLoss returns when this router last noticed that another one was lost or had started again, 0 for never or long ago.
+func (s *Service) LastLoss() clock.Instant {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var latest clock.Instant
+	for address, r := range s.routers {
+		if address != s.Address {
+			latest = max(latest, r.lostAt, r.restartedAt)
+		}
+	}
+	return latest
+}
+
 // known reports whether the router may be running: it is reachable or, for forgetTime, it was lost or only heard of.
 func (r *router) known(now clock.Instant) bool {
 	silentSince := r.since
