--- a/router/internal/origins/service_test.go
+++ b/router/internal/origins/service_test.go
@@ -146,10 +146,10 @@
 	return n
 }
 
-// startServing starts routers of a new fleet, all of which list an instance a of version v1.
-func (f *fleet) startServing(n int) (nodes []*node) {
+// startServing starts routers, of a new fleet if first is set, all of which list an instance a of version v1.
+func (f *fleet) startServing(n int, first bool) (nodes []*node) {
 	for range n {
-		started := f.start("", true)
+		started := f.start("", first)
 		started.list("a", "v1")
 		nodes = append(nodes, started)
 	}
@@ -323,7 +323,7 @@
 func TestCutOffRouterMixesVersions(t *testing.T) {
 	c := qt.New(t)
 	f := &fleet{t: t}
-	nodes := f.startServing(4)
+	nodes := f.startServing(4, true)
 	cut, others := nodes[0], nodes[1:]
 	cut.cut.Store(true)
 	time.Sleep(3 * reviewInterval)
@@ -343,7 +343,7 @@
 func TestReachableRouterRefusesStreamsOfTheOnlyVersion(t *testing.T) {
 	c := qt.New(t)
 	f := &fleet{t: t}
-	nodes := f.startServing(4)
+	nodes := f.startServing(4, true)
 	_, verdict := nodes[0].find("s")
 	c.Assert(verdict, qt.Equals, origin.OnlyVersion)
 	nodes[0].cut.Store(true)
@@ -468,20 +468,14 @@
 	t.Run("after the loss of all routers", func(t *testing.T) {
 		c := qt.New(t)
 		f := &fleet{t: t}
-		var nodes []*node
-		for range 6 {
-			n := f.start("", false)
-			n.list("a", "v1")
-			nodes = append(nodes, n)
-		}
-		time.Sleep(3 * reviewInterval)
+		nodes := f.startServing(6, false)
 		nodes[0].service.Begin("s", v1)
 		remember(c, f, nodes, "s")
 	})
 	t.Run("while the directory is out of date", func(t *testing.T) {
 		c := qt.New(t)
 		f := &fleet{t: t}
-		nodes := f.startServing(6)
+		nodes := f.startServing(6, true)
 		nodes[0].service.Begin("s", v1)
 		time.Sleep(5 * flushInterval)
 		c.Assert(f.holdersOf("s", nodes[0]), qt.Equals, 0)
@@ -495,7 +489,7 @@
 	t.Run("after a gap", func(t *testing.T) {
 		c := qt.New(t)
 		f := &fleet{t: t}
-		nodes := f.startServing(6)
+		nodes := f.startServing(6, true)
 		nodes[0].service.Begin("s", v1)
 		// News cannot be older than the fleet.
 		time.Sleep(origin.MaxDirectoryAge)
@@ -518,13 +512,7 @@
 func TestFirstReadOfFleetIsTakenForGap(t *testing.T) {
 	c := qt.New(t)
 	f := &fleet{t: t, unread: true}
-	var nodes []*node
-	for range 6 {
-		n := f.start("", true)
-		n.list("a", "v1")
-		nodes = append(nodes, n)
-	}
-	time.Sleep(3 * reviewInterval)
+	nodes := f.startServing(6, true)
 	for _, n := range nodes {
 		n.directoryAge.Store(0)
 		n.cut.Store(false)
