fix(origins): routers do not have caches read again for a loss that others noticed before

Routers notice a loss at different times within about a second, so each would have the caches read again that another one had just read for the same loss, and while routers are lost one after the other (a rolling restart too) each router could read each engine once a second. Found by reading.

A list that was read within the last second counts although a router has been lost since. So whatever routers are lost, an engine is read about once a second by the fleet. A stream that began in that second is refused once.

--- a/core/origin/decide.go
+++ b/core/origin/decide.go
@@ -21,8 +21,8 @@
 // Engine is what a router knows of an instance that may have begun a stream.
 type Engine struct {
 	Origin Origin
-	// HasListed reports that the instance has listed its cache, ListAge ago, since the last loss of a router. A stream of a lost router
-	// may have begun after an older list.
+	// HasListed reports that the instance has listed its cache, ListAge ago, since the last loss of a router or just before. A stream of a
+	// lost router may have begun after an older list.
 	HasListed bool
 	ListAge   time.Duration
 }
--- a/router/internal/origins/find.go
+++ b/router/internal/origins/find.go
@@ -25,6 +25,9 @@
 	maxEarlyAsks = 6
 	// graceTime is how long the last routers may take once more than half of those asked have replied.
 	graceTime = 60 * time.Millisecond
+	// recentList is the age up to which a list counts although a router has been lost since. Routers notice a loss at different times,
+	// and each would have the caches read again that another one has read just now.
+	recentList = time.Second
 	// maxSources is how many routers one that has started asks for their history at a time.
 	maxSources = 3
 	// cachesTimeout is how long a stream waits for the lists of the engines' caches.
@@ -126,10 +129,10 @@
 	if k.Complete && len(versionsOf(k.Versions)) < 2 {
 		return
 	}
-	lost := s.lastLoss()
+	after := s.listsAfter(now)
 	for _, p := range s.history.Processes(q.Service) {
 		age, ok := s.Caches.ReadAge(now, p.ID, p.Incarnation)
-		k.Engines = append(k.Engines, origin.Engine{Origin: p.Origin, HasListed: ok && now.Add(-age) > lost, ListAge: age})
+		k.Engines = append(k.Engines, origin.Engine{Origin: p.Origin, HasListed: ok && now.Add(-age) > after, ListAge: age})
 	}
 }
 
@@ -147,10 +150,16 @@
 	return max(lost, s.startedAt)
 }
 
+// listsAfter returns the time after which a list must have been read to tell what the engine lacks.
+func (s *Service) listsAfter(now clock.Instant) clock.Instant {
+	return min(s.lastLoss(), now.Add(-recentList))
+}
+
 // demand demands the lists of a service's engines since the last loss of a router, and returns until when a stream may wait for them.
 // Engines that have not listed by then may never do so, so that the streams that come later are not held for them.
 func (s *Service) demand(name settings.ServiceName) clock.Instant {
-	now, lost := s.Clock.Now(), s.lastLoss()
+	now := s.Clock.Now()
+	lost, after := s.lastLoss(), s.listsAfter(now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	at, ok := s.demandedAt[name]
@@ -164,7 +173,7 @@
 		}
 		at = now
 		s.demandedAt[name] = at
-		s.Demand(name, lost)
+		s.Demand(name, after)
 	}
 	return at.Add(cachesTimeout)
 }
