--- a/review/standin3/case_takeup.go
+++ b/review/standin3/case_takeup.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"time"
@@ -23,15 +24,26 @@
 		streamEvents(up, w, req, events, pause)
 	}
 	s := newStore(1)
-	runners := []*runner{newRunner(r.rec, "i-0001", desk, "v1", 64, handle), newRunner(r.rec, "i-0002", desk, "v1", 64, handle)}
+	// PROMPT=1 does the same with streams of a model service, whose runners list what they keep of their prompts.
+	prompts := os.Getenv("PROMPT") == "1"
+	service := desk
 	route := plainRoute("watch", "/watch/", "stream", 2, 15000, 400)
 	route["stream-resume"], route["gap-target-ms"] = true, 300
+	if prompts {
+		service = model
+		route = streamRoute("watch", "/watch/", true, 2, 15000, 400)
+	}
+	runners := []*runner{newRunner(r.rec, "i-0001", service, "v1", 64, handle), newRunner(r.rec, "i-0002", service, "v1", 64, handle)}
 	routers := r.startFleet(s, newConfig(1, route), runners, 2)
 	request := func(budget time.Duration) *clientRequest {
-		return &clientRequest{
+		q := &clientRequest{
 			id: newID(), method: http.MethodPost, host: host, path: "/watch/list", deadline: budget, key: tenantKey, body: []byte("{}"),
 			header: map[string]string{},
 		}
+		if prompts {
+			q.header["Model"], q.header["Token-Usage"], q.header["Prompt-Prefix"] = "m", "1050,300", "5c1e07a2:800,"+q.id+":250"
+		}
+		return q
 	}
 	type stream struct {
 		q     *clientRequest
@@ -82,6 +94,9 @@
 		}
 		left := budget - time.Since(st.begun)
 		again := request(left)
+		if prompts {
+			again.header["Prompt-Prefix"] = st.q.header["Prompt-Prefix"]
+		}
 		again.header["Resumes"], again.header["Last-Event-Id"] = st.q.id, strconv.Itoa(st.a.lastEvent)
 		if !r.trouble {
 			// Without the disruption, the requester asks for the second half again.
--- a/review/standin3/runner.go
+++ b/review/standin3/runner.go
@@ -3,11 +3,13 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -26,13 +28,15 @@
 	sequence int
 	leaving  bool
 	runs     map[string]int
-	srv      *http.Server
+	// cached holds the parts of prompts that the runner has read, with their tokens.
+	cached map[string]int
+	srv    *http.Server
 }
 
 func newRunner(rec *record, id, service, version string, slots int, handle func(*runner, http.ResponseWriter, *http.Request, []byte)) *runner {
 	return &runner{
 		id: id, service: service, zone: "zone-a", version: version, slots: slots, born: time.Now().UnixMilli(), rec: rec, handle: handle,
-		state: "ready", runs: make(map[string]int),
+		state: "ready", runs: make(map[string]int), cached: make(map[string]int),
 	}
 }
 
@@ -98,8 +102,7 @@
 		}
 		return
 	case "/v1/kv-list":
-		w.Header().Set("Content-Type", "application/json")
-		_, _ = io.WriteString(w, `{"epoch":1,"next":1,"held":[]}`)
+		r.listCache(w)
 		return
 	}
 	id := req.Header.Get("Attempt-Id")
@@ -110,11 +113,30 @@
 	w.Header().Set("Attempt-Id", id)
 	r.mu.Lock()
 	r.runs[id]++
+	for _, part := range strings.Split(req.Header.Get("Prompt-Prefix"), ",") {
+		if name, tokens, ok := strings.Cut(part, ":"); ok {
+			r.cached[name], _ = strconv.Atoi(tokens)
+		}
+	}
 	r.mu.Unlock()
 	r.rec.add("runner %s runs %s", r.id, id)
 	r.handle(r, w, req, body)
 }
 
+// listCache writes the parts of prompts that the runner keeps.
+func (r *runner) listCache(w http.ResponseWriter) {
+	r.mu.Lock()
+	held := [][]any{}
+	for name, tokens := range r.cached {
+		held = append(held, []any{"", name, tokens, "m"})
+	}
+	r.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(map[string]any{"epoch": 1, "next": 1, "held": held}); err != nil {
+		r.rec.add("runner %s cannot list its cache: %v", r.id, err)
+	}
+}
+
 // seal returns the field by which a client knows the runner's answer.
 func seal(id string, body []byte) string {
 	sum := sha256.Sum256(append([]byte(id+"."), body...))
