--- a/review/standin3/case_era.go
+++ b/review/standin3/case_era.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"os"
+	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -13,10 +15,13 @@
 	const (
 		stable = 3 * time.Second
 		drain  = 2 * time.Second
+		// The leaving runner serves on for longer than drain, and ends then.
+		lingers  = 600 * time.Millisecond
+		workTime = 150 * time.Millisecond
 	)
 	handle := func(up *runner, w http.ResponseWriter, req *http.Request, _ []byte) {
 		id, body := req.Header.Get("Attempt-Id"), []byte("recorded")
-		time.Sleep(30 * time.Millisecond)
+		time.Sleep(workTime)
 		w.Header().Set("Response-Seal", seal(id, body))
 		_, _ = w.Write(body)
 	}
@@ -60,19 +65,32 @@
 	rev = second.drain(s)
 	acked := time.Now()
 	r.rec.add("runner %s reports draining; the store confirms at %d", second.id, rev)
+	time.AfterFunc(drain+lingers, func() {
+		r.rec.add("runner %s ends", second.id)
+		second.stop()
+	})
 	time.Sleep(drain + 500*time.Millisecond)
-	late := 0
+	var late, lost atomic.Int64
+	var wg sync.WaitGroup
 	for i := range 24 {
-		q := request()
-		sent := time.Now()
-		a := sendNew(routers[i%2].client, q)
-		at := "i-0001"
-		if second.ran(q.id) > 0 {
-			at = second.id
-			late++
-		}
-		r.rec.add("request %s, sent %.3f s after the confirmation: %v, run by %s", q.id, sent.Sub(acked).Seconds(), a, at)
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			q := request()
+			sent := time.Now()
+			a := sendNew(routers[i%2].client, q)
+			at := first.id
+			if second.ran(q.id) > 0 {
+				at = second.id
+				late.Add(1)
+				if a.status != http.StatusOK {
+					lost.Add(1)
+				}
+			}
+			r.rec.add("request %s, sent %.3f s after the confirmation: %v, run by %s", q.id, sent.Sub(acked).Seconds(), a, at)
+		}()
 	}
-	r.rec.add("%d requests reached the leaving runner", late)
-	return late == 0
+	wg.Wait()
+	r.rec.add("%d requests reached the leaving runner, %d of them got no answer of it", late.Load(), lost.Load())
+	return late.Load() == 0
 }
