fix(upstream): an answer that breaks off is filled up with the answer to another request

What callers saw: a success with the upstream's seal and the right length, of which a part was the head and body of an answer to an earlier request on the connection, of another team too.

Cause: the check for another answer within a body took one only for what it is if it bore the id of the same request. A connection carries many requests, and an upstream may answer each of them once more, late.

With the request's own id the same cut is broken off, with the id of the request before it passes.

Why this works: a connection remembers the newest 256 requests that it has carried, as hashes. A head within a body that names one of them in a field breaks the answer off, and the request is retried where it may be. A head that is cut by the end of the body is completed first, from what has arrived, or after a whole status line from what comes within 20 ms.

Tests, which failed before: TestCutAnswerIsFilledWithAnotherRequestsAnswer, TestCutStreamIsFilledWithAnotherRequestsAnswer (11 cases and subtests fail on the code before).

--- a/router/internal/direct/cut_test.go
+++ b/router/internal/direct/cut_test.go
@@ -68,3 +68,66 @@
 		}
 	}
 }
+
+// otherAnswers are the late second answers that follow an answer to r2 on its connection.
+var otherAnswers = map[string]string{
+	"to the same request":                    "HTTP/1.1 200 OK\r\nSeal: abc\r\nId: r2\r\nContent-Length: 9000\r\n\r\n" + strings.Repeat("once more", 1000),
+	"to the request before":                  "HTTP/1.1 200 OK\r\nSeal: abc\r\nId: r1\r\nContent-Length: 9000\r\n\r\n" + strings.Repeat("of others", 1000),
+	"to the request before, a failure":       "HTTP/1.1 500 Failed\r\nId: r1\r\nContent-Length: 9000\r\n\r\n" + strings.Repeat("of others", 1000),
+	"to the request before, lines end early": "HTTP/1.1 200 OK\nId: r1\nContent-Length: 9000\n\n" + strings.Repeat("of others", 1000),
+}
+
+// TestCutAnswerIsFilledWithAnotherRequestsAnswer guards against an answer that breaks off and whose rest is the late second answer to an
+// earlier request on the connection.
+func TestCutAnswerIsFilledWithAnotherRequestsAnswer(t *testing.T) {
+	body := strings.Repeat("the whole body ", 8)
+	framings := map[string]string{
+		"length": fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body),
+		"chunks": fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n%x\r\n%s\r\n0\r\n\r\n", 9, body[:9], len(body)-9, body[9:]),
+	}
+	for framing, rest := range framings {
+		for name, other := range otherAnswers {
+			for _, delay := range []time.Duration{0, 2 * time.Millisecond} {
+				t.Run(fmt.Sprintf("%s, %s, after %v", framing, name, delay), func(t *testing.T) {
+					t.Parallel()
+					whole := "HTTP/1.1 200 OK\r\nSeal: abc\r\nId: r2\r\n" + rest
+					for cut := 1; cut < len(whole); cut++ {
+						b := newFixture(t, handlers{respond(200, "first"), func(conn net.Conn, _ *http.Request) bool {
+							_, _ = conn.Write([]byte(whole[:cut]))
+							time.Sleep(delay)
+							_, _ = conn.Write([]byte(other))
+							return true
+						}}, handlers{respond(200, "other")})
+						_, _ = b.do(idempotent, "r1")
+						res, sink := b.do(idempotent, "r2")
+						got := sink.body.String()
+						if res.Outcome == peer.OutcomeDone && got != "other" && got != body {
+							qt.Check(t, got, qt.Equals, body, qt.Commentf("cut at %d of %q", cut, whole))
+						}
+					}
+				})
+			}
+		}
+	}
+}
+
+// TestCutStreamIsFilledWithAnotherRequestsAnswer guards against events of an earlier request, or the head of their answer, in a stream that
+// breaks off.
+func TestCutStreamIsFilledWithAnotherRequestsAnswer(t *testing.T) {
+	events := "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+	for _, cut := range []int{0, 3, 9, 14, 15, 20, len(events) - 1} {
+		t.Run(fmt.Sprint(cut), func(t *testing.T) {
+			b := newFixture(t, handlers{respond(200, "first"), func(conn net.Conn, _ *http.Request) bool {
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: r2\r\n\r\n%s", events[:cut])
+				time.Sleep(2 * time.Millisecond)
+				_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nId: r1\r\n\r\nid: 1\ndata: of others\n\nid: 2\ndata: of others\n\n"))
+				return false
+			}}, handlers{respond(200, "other")})
+			_, _ = b.do(idempotent, "r1")
+			res, sink := b.do(stream, "r2")
+			got := sink.body.String()
+			qt.Check(t, strings.Contains(got, "HTTP/1.1") || strings.Contains(got, "of others"), qt.IsFalse, qt.Commentf("%q", got))
+			qt.Check(t, res.Outcome == peer.OutcomeDone && got != "other", qt.IsFalse, qt.Commentf("%q", got))
+		})
+	}
+}
--- a/router/internal/upstream/conn.go
+++ b/router/internal/upstream/conn.go
@@ -66,6 +66,8 @@
 	Answer call.Answer
 	conn   *headReader
 	reader *bufio.Reader
+	// requests are those of the connection, this one included.
+	requests *requestIDs
 }
 
 // Drain discards the rest of the body, and reports whether it has ended, so that the connection can carry another request. It
@@ -130,6 +132,26 @@
 	return n, err
 }
 
+// empty reports whether neither bytes nor the end of the connection wait to be read.
+func (r *headReader) empty() bool {
+	tcp, ok := r.Conn.(*net.TCPConn)
+	if !ok {
+		return true
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	empty := false
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		empty = errors.Is(err, unix.EAGAIN)
+		return true
+	})
+	return err == nil && empty
+}
+
 // Conn is one connection to an instance.
 type Conn struct {
 	Instance members.Instance
@@ -139,6 +161,7 @@
 	dialect   Dialect
 	used      bool
 	write     *bodyWrite
+	requests  requestIDs
 	idleSince time.Time
 	idleTime  time.Duration
 	// checked reports that the connection was checked for surplus bytes since it became idle.
@@ -181,27 +204,7 @@
 func (c *Conn) Close() { _ = c.conn.Close() }
 
 // nothingReceived reports whether nothing has arrived on an idle connection: neither its end nor bytes without a request.
-func (c *Conn) nothingReceived() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	tcp, ok := c.conn.Conn.(*net.TCPConn)
-	if !ok {
-		return true
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return false
-	}
-	empty := false
-	err = raw.Read(func(fd uintptr) bool {
-		var one [1]byte
-		_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		empty = errors.Is(err, unix.EAGAIN)
-		return true
-	})
-	return err == nil && empty
-}
+func (c *Conn) nothingReceived() bool { return c.reader.Buffered() == 0 && c.conn.empty() }
 
 // receivedSurplus reports whether bytes have arrived on a connection that has become idle since the last call. An upstream that
 // sends more than its response may not stop before the connection closes.
@@ -217,6 +220,7 @@
 func (c *Conn) Do(r *Request) (*Response, error) {
 	reused := c.used
 	c.used = true
+	c.requests.add(r.ID)
 	head, err := encode(r)
 	if err != nil {
 		return nil, &NotSentError{Cause: err}
@@ -233,7 +237,7 @@
 		// An upstream that cannot read a request refuses it without an id. A success without one is not an upstream's answer.
 		if answer.ID == r.ID || (answer.ID == "" && !reused && res.StatusCode >= http.StatusBadRequest) {
 			c.setIdleTime(answer.IdleTime)
-			return &Response{Response: res, Answer: answer, conn: c.conn, reader: c.reader}, nil
+			return &Response{Response: res, Answer: answer, conn: c.conn, reader: c.reader, requests: &c.requests}, nil
 		}
 		if err := skipResponse(res); err != nil {
 			return nil, errors.CombineErrors(&MismatchedResponseError{Want: r.ID, Got: answer.ID}, err)
--- a/router/internal/upstream/embedded.go
+++ b/router/internal/upstream/embedded.go
@@ -3,15 +3,18 @@
 import (
 	"bytes"
 	"fmt"
+	"hash/maphash"
 	"net/http"
 	"regexp"
 	"slices"
+	"time"
 
 	"rattantrack.dev/core/call"
 )
 
 // EmbeddedAnswerError reports an answer that broke off on a connection that stayed open, and whose rest is the beginning of another one.
 type EmbeddedAnswerError struct {
+	// ID is the id of the request whose answer broke off.
 	ID call.ID
 }
 
@@ -19,31 +22,136 @@
 	return fmt.Sprintf("another answer begins within the answer to request %q", e.ID)
 }
 
-// statusLineBytes is the length of what statusLine matches.
-const statusLineBytes = len("HTTP/1.1 200 ")
+const (
+	// statusLineBytes is the length of what statusLine matches.
+	statusLineBytes = len("HTTP/1.1 200 ")
+	// maxEmbeddedHeadBytes bounds how much of a part is held back because it may be the head of another answer.
+	maxEmbeddedHeadBytes = 4 << 10
+	// embeddedHeadTimeout bounds the wait for the rest of a head whose beginning fills up an answer.
+	embeddedHeadTimeout = 20 * time.Millisecond
+	// maxRequestIDs bounds the requests of a connection whose late answers are recognised.
+	maxRequestIDs = 256
+)
 
 var (
 	protocolName = []byte("HTTP/1.")
 	statusLine   = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9] `)
+	// statusLinePrefix matches a text that ends within what statusLine matches.
+	statusLinePrefix = regexp.MustCompile(`H(T(T(P(/(1(\.([01]( ([1-5]([0-9]([0-9])?)?)?)?)?)?)?)?)?)?)?$`)
+	requestIDSeed    = maphash.MakeSeed()
 )
 
-// CheckBody returns an error if another answer to the same request begins within a part of the body. The part must be as the upstream wrote
-// it, without the framing: the other answer may fill a chunk or the declared length, and go on after it.
-func (r *Response) CheckBody(part []byte) error {
+// requestIDs are the newest requests that a connection has carried, as hashes. An upstream may answer each of them once more.
+type requestIDs struct {
+	hashes []uint64
+	// oldest is the index of the oldest one once there are maxRequestIDs.
+	oldest int
+}
+
+func (s *requestIDs) add(id call.ID) {
+	h := maphash.String(requestIDSeed, string(id))
+	if len(s.hashes) < maxRequestIDs {
+		s.hashes = append(s.hashes, h)
+		return
+	}
+	s.hashes[s.oldest] = h
+	s.oldest = (s.oldest + 1) % maxRequestIDs
+}
+
+func (s *requestIDs) contains(id []byte) bool {
+	return len(id) > 0 && slices.Contains(s.hashes, maphash.Bytes(requestIDSeed, id))
+}
+
+// CheckBody returns an error if another answer to a request of the connection begins within a body, or within an event of it. The body must
+// be as the upstream wrote it, without the framing: the other answer may fill a chunk or the declared length, and go on after it.
+func (r *Response) CheckBody(body []byte) error {
+	unfinished, err := r.findAnswer(body, r.buffered())
+	if err != nil || unfinished < 0 {
+		return err
+	}
+	// The rest of the head may be on its way. Without a whole status line only what has arrived counts, since any text may end like this.
+	wait := statusLine.Match(body[unfinished:])
+	for len(r.buffered()) < r.reader.Size() && r.receiveMore(wait) {
+		unfinished, err = r.findAnswer(body, r.buffered())
+		if err != nil || unfinished < 0 {
+			return err
+		}
+		wait = true
+	}
+	return nil
+}
+
+// buffered returns the bytes that have been read and follow the body.
+func (r *Response) buffered() []byte {
+	// What is buffered can be read without an error.
+	b, _ := r.reader.Peek(r.reader.Buffered())
+	return b
+}
+
+// receiveMore reads more of what follows the body, and reports whether there was some. It waits for embeddedHeadTimeout, or not at all.
+func (r *Response) receiveMore(wait bool) bool {
+	if !wait && r.conn.empty() {
+		return false
+	}
+	if r.conn.SetReadDeadline(time.Now().Add(embeddedHeadTimeout)) != nil {
+		return false
+	}
+	_, err := r.reader.Peek(r.reader.Buffered() + 1)
+	return r.conn.SetReadDeadline(time.Time{}) == nil && err == nil
+}
+
+// findAnswer returns an error if another answer to a request of the connection begins within a part. Otherwise it returns where a head
+// of at most maxEmbeddedHeadBytes begins that does not end within the part and what follows, or -1.
+func (r *Response) findAnswer(part, following []byte) (unfinished int, err error) {
 	end := part[max(0, len(part)-statusLineBytes):]
 	if r.Answer.ID == "" || (!bytes.Contains(part, protocolName) && !bytes.ContainsRune(end, 'H')) {
-		return nil
+		return -1, nil
 	}
-	following, err := r.reader.Peek(r.reader.Buffered())
-	if err != nil {
-		return err
+	text := part
+	if len(following) > 0 {
+		text = slices.Concat(part, following)
+	}
+	unfinished = -1
+	for _, at := range statusLine.FindAllIndex(text, -1) {
+		if at[0] >= len(part) {
+			break
+		}
+		rest := text[at[1]:]
+		named, ended := r.headNamesRequest(rest)
+		if named || bytes.Contains(rest, []byte(r.Answer.ID)) {
+			return -1, &EmbeddedAnswerError{ID: r.Answer.ID}
+		}
+		if !ended && unfinished < 0 && len(text)-at[0] <= maxEmbeddedHeadBytes {
+			unfinished = at[0]
+		}
+	}
+	if unfinished >= 0 {
+		return unfinished, nil
 	}
-	text := slices.Concat(part, following)
-	at := statusLine.FindIndex(text)
-	if at == nil || at[0] >= len(part) || !bytes.Contains(text[at[1]:], []byte(r.Answer.ID)) {
-		return nil
+	lineBegin := max(0, len(text)-statusLineBytes)
+	if at := statusLinePrefix.FindIndex(text[lineBegin:]); at != nil && lineBegin+at[0] < len(part) {
+		return lineBegin + at[0], nil
+	}
+	return -1, nil
+}
+
+// headNamesRequest reports whether a field of a head has the id of a request of the connection, and whether the head ends within the text,
+// which begins within the status line.
+func (r *Response) headNamesRequest(text []byte) (named, ended bool) {
+	for first := true; ; first = false {
+		line, rest, ok := bytes.Cut(text, []byte("\n"))
+		if !ok {
+			return false, false
+		}
+		line = bytes.TrimSpace(line)
+		if len(line) == 0 && !first {
+			return false, true
+		}
+		if _, value, ok := bytes.Cut(line, []byte(":")); ok && !first && r.requests.contains(bytes.TrimSpace(value)) {
+			return true, false
+		}
+		text = rest
 	}
-	return &EmbeddedAnswerError{ID: r.Answer.ID}
 }
 
 // embedsHead reports whether another head begins within a head.
