fix(direct): long answers are checked for another answer in their first part only

What callers saw: an answer of more than 256 KiB that broke off late was filled up with the second answer on its connection, and looked complete. The same held for a shorter body for which the request got no more memory.

Cause: such a body is passed on in parts, and only the first one went through the check for an embedded answer.

Why this works: each part is checked before it is passed on. What may be the beginning of a head is held back until the rest has come, so that a head that is split between two reads is found too, and the end of the body is checked like that of a short one. The client's connection then ends before the declared length.

--- a/router/internal/direct/body.go
+++ b/router/internal/direct/body.go
@@ -53,8 +53,13 @@
 	ctx context.Context, inst members.Instance, res *upstream.Response, timer *stallTimer,
 ) (attempt.Ending, bool) {
 	body, whole, err := ex.readBounded(res.Body, maxBufferedBytes)
-	if err == nil {
+	passable := len(body)
+	switch {
+	case err != nil:
+	case whole:
 		err = res.CheckBody(body)
+	default:
+		passable, err = res.CheckPart(body)
 	}
 	if err != nil {
 		return ex.interrupted(ctx, inst, err), false
@@ -69,27 +74,43 @@
 	if timer.stop() {
 		return ex.interrupted(ctx, inst, net.ErrClosed), false
 	}
-	if err := ex.relay.beginBody(res, body); err != nil {
+	if err := ex.relay.beginBody(res, body[:passable]); err != nil {
 		return attempt.ClientGone, false
 	}
-	return ex.relayRest(ctx, inst, res)
+	return ex.relayRest(ctx, inst, res, body[passable:])
 }
 
-// relayRest relays the part of a body that has not been buffered.
-func (ex *exchange) relayRest(ctx context.Context, inst members.Instance, res *upstream.Response) (attempt.Ending, bool) {
-	buf := make([]byte, 32<<10)
+// restBufferBytes is the size of the buffer for a body that is relayed in parts.
+const restBufferBytes = 32 << 10
+
+// relayRest relays the part of a body that has not been buffered, after the end of the buffered part, which has been held back.
+func (ex *exchange) relayRest(
+	ctx context.Context, inst members.Instance, res *upstream.Response, heldBack []byte,
+) (attempt.Ending, bool) {
+	buf := make([]byte, restBufferBytes)
+	held := copy(buf, heldBack)
 	for {
-		n, err := res.Body.Read(buf)
-		if n > 0 {
-			if err := ex.relay.sink.Write(buf[:n], false); err != nil {
+		n, err := res.Body.Read(buf[held:])
+		part := buf[:held+n]
+		ended := errors.Is(err, io.EOF)
+		passable := len(part)
+		switch {
+		case ended:
+			err = res.CheckBody(part)
+		case err == nil:
+			passable, err = res.CheckPart(part)
+		}
+		if err != nil {
+			return ex.interrupted(ctx, inst, err), false
+		}
+		if passable > 0 {
+			if err := ex.relay.sink.Write(part[:passable], false); err != nil {
 				return attempt.ClientGone, false
 			}
 		}
-		if errors.Is(err, io.EOF) {
+		if ended {
 			return attempt.Complete, true
 		}
-		if err != nil {
-			return ex.interrupted(ctx, inst, err), false
-		}
+		held = copy(buf, part[passable:])
 	}
 }
--- a/router/internal/direct/cut_test.go
+++ b/router/internal/direct/cut_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -131,3 +133,62 @@
 		})
 	}
 }
+
+// TestCutLargeAnswerIsTakenForWhole guards against an answer that is too long to be read completely first, breaks off late, and is filled up
+// by another answer on its connection.
+func TestCutLargeAnswerIsTakenForWhole(t *testing.T) {
+	body := strings.Repeat("the whole body. ", (maxBufferedBytes+(80<<10))/16)
+	cuts := []int{1000, maxBufferedBytes - 7, maxBufferedBytes, maxBufferedBytes + 1, len(body) - 9000, len(body) - 150, len(body) - 40, len(body) - 13}
+	for name, other := range otherAnswers {
+		for _, cut := range cuts {
+			// The head of the other answer may come in two reads.
+			for _, split := range []int{0, 1, 9, 15, 30} {
+				t.Run(fmt.Sprintf("%s, cut at %d, in parts of %d", name, cut, split), func(t *testing.T) {
+					t.Parallel()
+					b := newFixture(t, handlers{respond(200, "first"), func(conn net.Conn, _ *http.Request) bool {
+						_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nSeal: abc\r\nId: r2\r\nContent-Length: %d\r\n\r\n%s", len(body), body[:cut])
+						time.Sleep(2 * time.Millisecond)
+						_, _ = conn.Write([]byte(other[:split]))
+						if split > 0 {
+							time.Sleep(2 * time.Millisecond)
+						}
+						for range 1 + (len(body)-cut)/len(other) {
+							_, _ = conn.Write([]byte(other[split:]))
+						}
+						return true
+					}}, handlers{respond(200, "other")})
+					_, _ = b.do(idempotent, "r1")
+					res, sink := b.do(idempotent, "r2")
+					got := sink.body.String()
+					if res.Outcome == peer.OutcomeDone && got != "other" && got != body {
+						t.Errorf("%d bytes are taken for the whole answer of %d; from the cut on %q", len(got), len(body), got[cut:min(cut+80, len(got))])
+					}
+					qt.Check(t, strings.Contains(got, "of others"), qt.IsFalse)
+				})
+			}
+		}
+	}
+}
+
+// TestLargeAnswerThatQuotesHeadsIsCut guards against whole answers that count as broken off since they contain the head of an answer that is
+// not one to a request of the connection.
+func TestLargeAnswerThatQuotesHeadsIsCut(t *testing.T) {
+	quotes := map[string]string{
+		"status lines":  "HTTP/1.1 200 OK\r\nand HTTP/1.1 404 Not Found\r\n",
+		"a head":        "HTTP/1.1 200 OK\r\nId: r9\r\nContent-Length: 3\r\n\r\n",
+		"its beginning": "HTTP/1.1 2",
+	}
+	for _, name := range slices.Sorted(maps.Keys(quotes)) {
+		for _, size := range []int{1 << 10, maxBufferedBytes - 10, maxBufferedBytes + 5, maxBufferedBytes + (40 << 10)} {
+			t.Run(fmt.Sprintf("%s, %d bytes", name, size), func(t *testing.T) {
+				t.Parallel()
+				body := strings.Repeat(strings.Repeat("text ", 100)+quotes[name], size/500) + quotes[name]
+				b := newFixture(t, handlers{respond(200, "first"), respond(200, body)})
+				_, _ = b.do(idempotent, "r1")
+				res, sink := b.do(idempotent, "r2")
+				qt.Check(t, res.Outcome, qt.Equals, peer.OutcomeDone)
+				qt.Check(t, sink.body.String() == body, qt.IsTrue, qt.Commentf("%d bytes of %d", sink.body.Len(), len(body)))
+			})
+		}
+	}
+}
--- a/router/internal/upstream/embedded.go
+++ b/router/internal/upstream/embedded.go
@@ -81,6 +81,19 @@
 	return nil
 }
 
+// CheckPart checks a part of a body that goes on. It returns how much of the part can be passed on: the rest may be the beginning of another
+// answer's head, and must be checked again with the bytes that follow.
+func (r *Response) CheckPart(part []byte) (int, error) {
+	unfinished, err := r.findAnswer(part, nil)
+	if err != nil {
+		return 0, err
+	}
+	if unfinished < 0 {
+		return len(part), nil
+	}
+	return unfinished, nil
+}
+
 // buffered returns the bytes that have been read and follow the body.
 func (r *Response) buffered() []byte {
 	// What is buffered can be read without an error.
