fix(shutdown): a stopping router begins long streams after its notice time and cuts them

What callers saw: a stream that was sent 3.15 s after a router's SIGTERM, on a connection of the notice time, was passed on and cut 7.6 s after the signal, with no fault anywhere.

Cause: whether a request is still begun was decided by twice the mean run time of its service. A stream of many times the mean passes that and does not end in time.

Its usual streams last 0.9 s and this one 6 s; short streams at the same moment are answered.

Why this works: a request that is complete only after the notice time is begun if its deadline comes before the end of the process, which is certain, and otherwise refused at once as not run. Other routers serve then, so the client loses a short retry. Within the notice time the estimate goes on to decide.

--- a/core/shutdown/tracker.go
+++ b/core/shutdown/tracker.go
@@ -15,17 +15,28 @@
 
 func (*EndedError) Error() string { return "the process stops" }
 
+// stop holds the times of a stop.
+type stop struct {
+	noticeEnd, end clock.Instant
+}
+
 // Tracker knows when a process ends. The zero value is for a process that does not stop.
 type Tracker struct {
-	end atomic.Int64
+	stop atomic.Pointer[stop]
 }
 
-// Begin records that the process stops, and when it ends the requests that are open then.
-func (t *Tracker) Begin(end clock.Instant) { t.end.Store(int64(end)) }
+// Begin records that the process stops. Clients have noticed it by noticeEnd; the requests that are open at end are ended then.
+func (t *Tracker) Begin(noticeEnd, end clock.Instant) {
+	t.stop.Store(&stop{noticeEnd: noticeEnd, end: end})
+}
 
-// Fits reports whether a request that is about to be sent can be expected to end before the process does. A request gets its final answer
-// at its deadline; until then it runs for about runTime.
-func (t *Tracker) Fits(now, deadline clock.Instant, runTime time.Duration) bool {
-	end := clock.Instant(t.end.Load())
-	return end == 0 || !end.Before(deadline) || !end.Before(now.Add(runMargin*runTime))
+// Fits reports whether a request that is about to be sent ends before the process does. A request gets its final answer at its deadline at
+// the latest, and runs for about runTime. One that was received after the end of the notice must be sure to end in time, since few
+// requests come then, and other processes serve them.
+func (t *Tracker) Fits(now, received, deadline clock.Instant, runTime time.Duration) bool {
+	s := t.stop.Load()
+	if s == nil || !s.end.Before(deadline) {
+		return true
+	}
+	return !s.noticeEnd.Before(received) && !s.end.Before(now.Add(runMargin*runTime))
 }
--- a/router/internal/client/server.go
+++ b/router/internal/client/server.go
@@ -146,7 +146,8 @@
 	case <-ctx.Done():
 	}
 	answerTime := min(maxAnswerTime, s.DrainTime/2)
-	s.Shutdown.Begin(s.Clock.Now().Add(s.NoticeTime + s.DrainTime - answerTime))
+	noticeEnd := s.Clock.Now().Add(s.NoticeTime)
+	s.Shutdown.Begin(noticeEnd, noticeEnd.Add(s.DrainTime-answerTime))
 	s.stopping.Store(true)
 	due := time.Now().Add(s.NoticeTime)
 	// Idle connections stay open during NoticeTime, since a client may be about to send a request on one of them.
--- a/router/internal/direct/dispatch.go
+++ b/router/internal/direct/dispatch.go
@@ -127,7 +127,9 @@
 type exchange struct {
 	*Request
 	dispatcher *Dispatcher
-	tried      triedUpstreams
+	// received is when the whole request had come.
+	received clock.Instant
+	tried    triedUpstreams
 	// stalled reports that the stall timer ended the last attempt, after the retry budget had allowed another one.
 	stalled bool
 	// waiter keeps the request's place in the queue while it is placed again, nil before it has waited.
@@ -155,7 +157,7 @@
 	d.Budget.RecordRequest(now, r.Service)
 	d.recordMalformed(now, r.Malformed, "request", r.ID)
 	d.Demand.Record(now, r.Service, r.Rank, r.RouteConfig.Objective)
-	ex := &exchange{Request: r, dispatcher: d, relay: relay{sink: sink, lastEvent: r.LastEvent}}
+	ex := &exchange{Request: r, dispatcher: d, received: now, relay: relay{sink: sink, lastEvent: r.LastEvent}}
 	ex.run(ctx)
 	ex.res.HeadSent = ex.relay.headSent
 	ex.res.Events = ex.relay.events
@@ -241,7 +243,7 @@
 			ex.giveUp(ctx, code, left)
 			return members.Instance{}, false
 		}
-		if !ex.dispatcher.Shutdown.Fits(now, ex.Deadline, ex.dispatcher.runTime(ex.Request)) {
+		if !ex.dispatcher.Shutdown.Fits(now, ex.received, ex.Deadline, ex.dispatcher.runTime(ex.Request)) {
 			ex.giveUp(ctx, CodeStopping, stoppingRetryAfter)
 			return members.Instance{}, false
 		}
