fix(quarantine): a router that starts does not learn which blocks have survived

What callers saw: after a prompt block had crashed engines, each router that was restarted refused nearly all sound requests that share another block with the crashing ones, for up to five minutes.

Cause: routers told each other of survivals only while these did not outweigh the crashes at the router that knew them. A busy block is clearly sound there within a second, so that nobody told a router that had started, or that had none of these requests. It judged by the crashes alone.

Why this works: the survivals of each trait whose crashes count are told, however clear the decision is at the sender.

The replayed load gained routers that restart in turn; it merged a router's evidence under different names and into itself, which counted survivals several times.

--- a/core/quarantine/decide.go
+++ b/core/quarantine/decide.go
@@ -70,14 +70,6 @@
 	return n
 }
 
-// trait returns what the finding is about.
-func (f *Finding) trait() trait {
-	if f.Digest != 0 {
-		return trait{repeat: true, id: uint64(f.Digest)}
-	}
-	return trait{id: uint64(f.Block)}
-}
-
 // crash is a crash with the instant at which it became known.
 type crash struct {
 	at       clock.Instant
@@ -172,21 +164,20 @@
 
 // decide returns the traits that explain the crashes, which must be sorted by time, and marks the crashes that they explain. The
 // trait that explains them best is found first. Its crashes then count against no other one, since a block that all prompts of
-// a service share is in the prompts of many victims. It also returns the traits whose survivals could change the decision. Traits that
-// are not common cannot be found.
+// a service share is in the prompts of many victims. It also returns the traits whose survivals the decision depends on, at this router or at
+// one that has seen none of them. Traits that are not common cannot be found.
 func decide(crashes []*crash, isCommon func(trait) bool, survivals func(trait) int) (findings []Finding, open []trait) {
 	for _, c := range crashes {
 		c.explained = false
 	}
 	for len(findings) < maxFindings {
 		var found []*candidate
-		open = open[:0]
 		for _, c := range candidates(crashes, isCommon, survivals) {
 			if c.margin() >= minStrength {
 				found = append(found, c)
 			}
-			// Survivals are of use until they clearly outweigh the crashes.
-			if c.strength > minStrength/2 && c.survivals <= c.strength {
+			// A router that has not seen the survivals needs them, however clear the decision is here.
+			if len(findings) == 0 && c.strength > minStrength/2 {
 				open = append(open, c.trait)
 			}
 		}
@@ -203,9 +194,6 @@
 			c.explained = c.explained || c.has(best.trait)
 		}
 	}
-	for i := range findings {
-		open = append(open, findings[i].trait())
-	}
 	return findings, open
 }
 
--- a/core/quarantine/tracker.go
+++ b/core/quarantine/tracker.go
@@ -73,7 +73,7 @@
 	// own counts the survivals that this router has seen, by trait; others those of the other routers.
 	own    *simplelru.LRU[trait, *seen]
 	others map[trait]map[inflight.RouterID]uint16
-	// suspected counts the suspects with a trait. open holds the traits whose survivals could change the decision.
+	// suspected counts the suspects with a trait. open holds the traits whose survivals the decision depends on.
 	suspected map[trait]int
 	open      []trait
 	findings  []Finding
@@ -268,8 +268,12 @@
 // reportSurvivals marks the survivals of the traits that have become open as changed, so that the other routers are told of them.
 // t.mu is held.
 func (t *Tracker) reportSurvivals(before []trait) {
+	known := make(map[trait]bool, len(before))
+	for _, tr := range before {
+		known[tr] = true
+	}
 	for _, open := range t.open {
-		if s, ok := t.ownSurvivals(open); ok && !slices.Contains(before, open) {
+		if s, ok := t.ownSurvivals(open); ok && !known[open] {
 			t.change++
 			s.changed = t.change
 		}
--- a/core/quarantine/tracker_test.go
+++ b/core/quarantine/tracker_test.go
@@ -230,6 +230,8 @@
 	exchange time.Duration
 	// restart is when all routers lose what they know, 0 for never.
 	restart time.Duration
+	// rolling is when the routers begin to restart in turn, each rollingGap after the one before, 0 for never.
+	rolling time.Duration
 	// crashing returns the n-th crashing request.
 	crashing func(n int) Request
 }
@@ -253,6 +255,7 @@
 	crashAfter  = 70 * time.Millisecond
 	downTime    = 3500 * time.Millisecond
 	beginning   = 500 * time.Millisecond
+	rollingGap  = 500 * time.Millisecond
 )
 
 type chat struct {
@@ -268,8 +271,9 @@
 	trackers := make([]Tracker, l.routers)
 	sent := make([]Change, l.routers)
 	type delivery struct {
-		at clock.Instant
-		e  Evidence
+		at   clock.Instant
+		from int
+		e    Evidence
 	}
 	var inTransit []delivery
 	engines := make([][]*chat, l.engines)
@@ -288,6 +292,17 @@
 			restarted = now
 			trackers, sent, inTransit = make([]Tracker, l.routers), make([]Change, l.routers), nil
 		}
+		if l.rolling > 0 {
+			// A router that has started requests all evidence from some others, which may have started before it.
+			since := now.Sub(at(0).Add(l.rolling))
+			if i := int(since / rollingGap); since >= 0 && since%rollingGap == 0 && i < l.routers {
+				trackers[i], sent[i] = Tracker{}, 0
+				for j := 1; j <= min(3, l.routers-1); j++ {
+					from := (i + j) % l.routers
+					trackers[i].Merge(now, inflight.RouterID(fmt.Sprint("r", from)), trackers[from].All(now))
+				}
+			}
+		}
 		arrive := func(req Request, crashing bool) {
 			// No two requests are alike.
 			req.Digest = call.RequestDigest(r.Uint64())
@@ -355,17 +370,19 @@
 			e, last := trackers[i].Since(now, sent[i])
 			sent[i] = last
 			if len(e.Crashes) > 0 || len(e.Survivals) > 0 {
-				inTransit = append(inTransit, delivery{at: now.Add(time.Duration(r.Float64() * float64(l.exchange))), e: e})
+				inTransit = append(inTransit, delivery{at: now.Add(time.Duration(r.Float64() * float64(l.exchange))), from: i, e: e})
 			}
 		}
 		var left []delivery
-		for i, d := range inTransit {
+		for _, d := range inTransit {
 			if d.at > now {
 				left = append(left, d)
 				continue
 			}
 			for j := range trackers {
-				trackers[j].Merge(now, inflight.RouterID(fmt.Sprint("r", i)), d.e)
+				if j != d.from {
+					trackers[j].Merge(now, inflight.RouterID(fmt.Sprint("r", d.from)), d.e)
+				}
 			}
 		}
 		inTransit = left
@@ -386,6 +403,8 @@
 		"4 routers, rare": {routers: 4, engines: 18, perSecond: 130, crashingPerSecond: 1, exchange: 100 * time.Millisecond},
 		"4 routers that restart": {routers: 4, engines: 18, perSecond: 130, crashingPerSecond: 1, exchange: 100 * time.Millisecond,
 			restart: 7 * time.Second},
+		"4 routers that restart in turn": {routers: 4, engines: 18, perSecond: 130, crashingPerSecond: 5, exchange: 100 * time.Millisecond,
+			rolling: 6 * time.Second},
 		"4 routers":         {routers: 4, engines: 18, perSecond: 130, crashingPerSecond: 5, exchange: 100 * time.Millisecond},
 		"103 routers":       {routers: 103, engines: 160, perSecond: 500, crashingPerSecond: 10, exchange: time.Second},
 		"103 routers, rare": {routers: 103, engines: 160, perSecond: 500, crashingPerSecond: 2, exchange: time.Second},
@@ -421,3 +440,66 @@
 		c.Check(out.refused, qt.Equals, 0, qt.Commentf("seed %d: %+v", seed, out))
 	}
 }
+
+// TestStartedRouterSuspectsWhatOthersHaveCleared guards against a router that learns of crashes, but not of the requests that survived, and
+// that refuses every request with a block that all prompts of a team share.
+func TestStartedRouterSuspectsWhatOthersHaveCleared(t *testing.T) {
+	const bad = 0xbad
+	routers := func() (list []*Tracker) {
+		for range 4 {
+			list = append(list, &Tracker{})
+		}
+		return list
+	}
+	tell := func(fleet []*Tracker, now clock.Instant) {
+		for i, from := range fleet {
+			e, _ := from.Since(now, 0)
+			for _, to := range fleet {
+				if to != from {
+					to.Merge(now, inflight.RouterID(fmt.Sprint(i)), e)
+				}
+			}
+		}
+	}
+	tests := []struct {
+		name string
+		// survive returns the router that sees the n-th of the sound requests answered, 1 s before the crashes and while they last.
+		survive func(n int) int
+	}{
+		{"seen by all", func(n int) int { return n % 4 }},
+		{"seen by one", func(int) int { return 0 }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			fleet := routers()
+			for n := range 16 {
+				fleet[tt.survive(n)].RecordSurvival(at(50*n), prompt(1, call.PromptBlockID(100+n)))
+			}
+			for i := range 6 {
+				now := at(1000 + 200*i)
+				fleet[i%4].RecordCrash(now, instance(i), prompt(1, bad), Strong)
+				tell(fleet, now.Add(50*time.Millisecond))
+			}
+			now := at(10_000)
+			tell(fleet, now)
+			// All are restarted in turn. Each asks the others, of which some have started before it, and sees no request meanwhile.
+			for i := range fleet {
+				started := &Tracker{}
+				for j, from := range fleet {
+					if j != i {
+						started.Merge(now, inflight.RouterID(fmt.Sprint(j)), from.All(now))
+					}
+				}
+				fleet[i] = started
+				now = now.Add(5 * time.Second)
+				_, _, quarantined := started.Quarantined(now, prompt(1, 300))
+				c.Check(quarantined, qt.IsFalse, qt.Commentf("sound request at router %d", i))
+				_, _, quarantined = started.Quarantined(now, prompt(1, bad))
+				c.Check(quarantined, qt.IsTrue, qt.Commentf("crashing request at router %d", i))
+				_, _, quarantined = started.Quarantined(now, prompt(1, bad, 7))
+				c.Check(quarantined, qt.IsTrue, qt.Commentf("crashing request at router %d", i))
+			}
+		})
+	}
+}
