fix(quarantine): a crashing block behind 32 others is never found

What callers saw: requests of long chats, in which the block that crashes engines follows 36 others, reached engines without an end; each crash also lost the sound streams there.

Cause: only the first 32 blocks of a suspected prompt were remembered. The bound was to limit memory, but it limited one prompt instead of the sum.

Why this works: up to 4,096 blocks of a prompt are remembered, more than a header of 16 KiB holds. The blocks of one crash and of all crashes are bounded instead, below the sum of before. Lookups in sets replace searches in lists, so that long prompts do not cost their square. Log lines and dumps name 32 blocks of a finding at most.

--- a/core/quarantine/decide.go
+++ b/core/quarantine/decide.go
@@ -49,21 +49,47 @@
 
 // matches reports whether a request is the one of the finding, has all of its blocks or, after several crashes, so many of the suspected ones
 // that letting it pass could not narrow the suspicion much.
-func (f *Finding) matches(r Request) bool {
+func (f *Finding) matches(r Request, blocks blockSet) bool {
 	if f.Digest != 0 {
 		return r.Digest == f.Digest
 	}
-	if count(f.Blocks, r) == len(f.Blocks) {
+	if blocks.count(f.Blocks) == len(f.Blocks) {
 		return true
 	}
-	return f.Crashes >= minNarrowing && narrowingParts*count(f.Suspected, r) > len(f.Suspected)
+	return f.Crashes >= minNarrowing && narrowingParts*blocks.count(f.Suspected) > len(f.Suspected)
 }
 
-// count returns how many of the blocks a request has.
-func count(blocks []call.PromptBlockID, r Request) int {
+// blockSet is a set of blocks. A prompt may have thousands.
+type blockSet map[call.PromptBlockID]struct{}
+
+// blockSet returns the blocks of a request.
+func (r *Request) blockSet() blockSet {
+	set := make(blockSet, len(r.Blocks))
+	for _, b := range r.Blocks {
+		set[b.ID] = struct{}{}
+	}
+	return set
+}
+
+// blockSet returns the blocks of a suspect.
+func (s *Suspect) blockSet() blockSet {
+	set := make(blockSet, len(s.Blocks))
+	for _, id := range s.Blocks {
+		set[id] = struct{}{}
+	}
+	return set
+}
+
+func (s blockSet) has(id call.PromptBlockID) bool {
+	_, ok := s[id]
+	return ok
+}
+
+// count returns how many of a list of blocks are in the set.
+func (s blockSet) count(list []call.PromptBlockID) int {
 	n := 0
-	for _, id := range blocks {
-		if slices.ContainsFunc(r.Blocks, func(b call.PromptBlock) bool { return b.ID == id }) {
+	for _, id := range list {
+		if s.has(id) {
 			n++
 		}
 	}
@@ -110,6 +136,15 @@
 	return slices.ContainsFunc(c.suspects, func(s Suspect) bool { return s.has(t) })
 }
 
+// blocks returns the number of blocks of all suspects.
+func (c *crash) blocks() int {
+	n := 0
+	for i := range c.suspects {
+		n += len(c.suspects[i].Blocks)
+	}
+	return n
+}
+
 // commonBlocks returns the blocks that the suspects with a trait have in common with blocks, or with each other if blocks is nil.
 func (c *crash) commonBlocks(t trait, blocks []call.PromptBlockID) []call.PromptBlockID {
 	for _, s := range c.suspects {
@@ -118,7 +153,8 @@
 		case blocks == nil:
 			blocks = slices.Clone(s.Blocks)
 		default:
-			blocks = slices.DeleteFunc(blocks, func(id call.PromptBlockID) bool { return !slices.Contains(s.Blocks, id) })
+			held := s.blockSet()
+			blocks = slices.DeleteFunc(blocks, func(id call.PromptBlockID) bool { return !held.has(id) })
 		}
 	}
 	return blocks
--- a/core/quarantine/exchange.go
+++ b/core/quarantine/exchange.go
@@ -72,6 +72,9 @@
 				t.suspect(now, s)
 			}
 		}
+		if t.blocks > 2*maxTotalBlocks {
+			t.expire(now)
+		}
 	}
 	for _, s := range e.Survivals {
 		t.mergeSurvivals(from, trait{id: uint64(s.Block)}, s.Count)
--- a/core/quarantine/tracker.go
+++ b/core/quarantine/tracker.go
@@ -19,10 +19,14 @@
 const (
 	// unexplainedTime is how long a crash is remembered that nothing explains.
 	unexplainedTime = time.Minute
-	// maxCrashes bounds the remembered crashes, maxSuspects the requests of one crash, maxBlocks the blocks of one prompt.
+	// maxCrashes bounds the remembered crashes, maxSuspects the requests of one crash.
 	maxCrashes  = 256
 	maxSuspects = 64
-	maxBlocks   = 32
+	// maxBlocks bounds the remembered blocks of one prompt, maxCrashBlocks those of the suspects of one crash, and maxTotalBlocks those of
+	// all crashes. Most prompts have few blocks, but any of a long chat's may be the one that crashes upstreams.
+	maxBlocks      = 4096
+	maxCrashBlocks = 8192
+	maxTotalBlocks = 128 << 10
 	// maxSeen bounds the blocks and digests whose survivals this router counts.
 	maxSeen = 8192
 	// minSuspects is the number of suspects with a trait from which on it can matter. Most digests are in one suspect only.
@@ -76,6 +80,8 @@
 	// suspected counts the suspects with a trait. open holds the traits whose survivals the decision depends on.
 	suspected map[trait]int
 	open      []trait
+	// blocks is the number of blocks of all suspects, and of those that others have replaced since the last decision.
+	blocks    int
 	findings  []Finding
 	undecided bool
 	// expiry is when the next crash expires.
@@ -169,8 +175,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.decide(now)
+	if len(t.findings) == 0 {
+		return Finding{}, 0, false
+	}
+	blocks := req.blockSet()
 	for i := range t.findings {
-		if until := t.findings[i].Until.Sub(now); t.findings[i].matches(req) && (!quarantined || until > left) {
+		if until := t.findings[i].Until.Sub(now); t.findings[i].matches(req, blocks) && (!quarantined || until > left) {
 			f, left, quarantined = t.findings[i], until, true
 		}
 	}
@@ -219,7 +229,8 @@
 			s.count = 0
 		}
 	}
-	if len(t.crashes) > maxCrashes {
+	t.blocks += len(suspect.Blocks)
+	if len(t.crashes) > maxCrashes || t.blocks > maxTotalBlocks {
 		t.undecided = true
 	}
 }
@@ -288,10 +299,10 @@
 	return unexplainedTime
 }
 
-// expire drops the crashes that have expired and, above maxCrashes, the oldest, those without an explanation first. Survivals are
-// dropped with the crashes that their traits are suspected of. t.mu is held.
+// expire drops the crashes that have expired and, above maxCrashes or maxTotalBlocks, the oldest, those without an explanation first.
+// Survivals are dropped with the crashes that their traits are suspected of. t.mu is held.
 func (t *Tracker) expire(now clock.Instant) {
-	t.expiry = 0
+	t.expiry, t.blocks = 0, 0
 	for p, r := range t.crashes {
 		at := r.at.Add(lifetime(&r.crash))
 		if at <= now {
@@ -301,8 +312,9 @@
 		if t.expiry == 0 || at < t.expiry {
 			t.expiry = at
 		}
+		t.blocks += r.blocks()
 	}
-	for len(t.crashes) > maxCrashes {
+	for len(t.crashes) > maxCrashes || t.blocks > maxTotalBlocks {
 		var oldest process
 		var first *record
 		for p, r := range t.crashes {
@@ -311,6 +323,7 @@
 			}
 		}
 		delete(t.crashes, oldest)
+		t.blocks -= first.blocks()
 	}
 	clear(t.suspected)
 	for _, r := range t.crashes {
@@ -351,7 +364,7 @@
 	})
 }
 
-// addSuspect adds a request unless it is listed, in place of the oldest if the list is full, and reports whether the list has changed.
+// addSuspect adds a request unless it is listed, in place of the oldest ones if the list is full, and reports whether the list has changed.
 func addSuspect(list []Suspect, s Suspect) ([]Suspect, bool) {
 	for i := range list {
 		if list[i].Digest != s.Digest || !slices.Equal(list[i].Blocks, s.Blocks) {
@@ -363,7 +376,12 @@
 		list[i].Strength = s.Strength
 		return list, true
 	}
-	if len(list) >= maxSuspects {
+	blocks := len(s.Blocks)
+	for i := range list {
+		blocks += len(list[i].Blocks)
+	}
+	for len(list) >= maxSuspects || (len(list) > 0 && blocks > maxCrashBlocks) {
+		blocks -= len(list[0].Blocks)
 		list = slices.Delete(list, 0, 1)
 	}
 	return append(list, s), true
--- a/router/internal/app/suspects.go
+++ b/router/internal/app/suspects.go
@@ -1,6 +1,7 @@
 package app
 
 import (
+	"fmt"
 	"strings"
 
 	"rattantrack.dev/core/call"
@@ -60,11 +61,17 @@
 	d.log.Warn(subject+" quarantined", append(fields, "left_ms", f.Until.Sub(clock.Boot{}.Now()).Milliseconds())...)
 }
 
+// maxListedBlocks bounds the blocks in a log line or in a dump; a prompt may have thousands.
+const maxListedBlocks = 32
+
 // joinBlocks returns the ids of blocks, separated by commas.
 func joinBlocks(blocks []call.PromptBlockID) string {
-	ids := make([]string, len(blocks))
-	for i, b := range blocks {
-		ids[i] = b.String()
+	var ids []string
+	for _, b := range blocks[:min(len(blocks), maxListedBlocks)] {
+		ids = append(ids, b.String())
+	}
+	if more := len(blocks) - len(ids); more > 0 {
+		ids = append(ids, fmt.Sprintf("and %d more", more))
 	}
 	return strings.Join(ids, ",")
 }
