fix(origins): one cache that cannot be read refuses all streams of other versions

What callers saw: after the loss of all routers, while two versions served and one engine of the older one failed everything but health checks, all streams of the newer one were refused with 503 origin_unknown, though its engines had listed their prompts.

Cause: the lists of caches tell where a stream began only if each engine of another version has listed. An engine that was tried and fails counted like one that has not been read yet, so that it objected to every stream of other versions.

The log now has caches_unreadable and own_tokens.

Why this works: a router records a read that failed since the last loss. Such an engine no longer objects where a list shows generated tokens, since these went to the client; a prompt alone may be left from an attempt that brought nothing. An engine that was not read yet objects as before. A failed read is repeated after 3 s.

TestEngineThatFailedOnceStaysUnread, TestFailedReadIsTakenForEmptyList.

--- a/core/affinity/listing.go
+++ b/core/affinity/listing.go
@@ -39,11 +39,39 @@
 // readings is what an index knows of the caches that have been read.
 type readings struct {
 	read map[settings.UpstreamID]Listed
+	// failed holds the processes whose caches this router could not read. Others are not told, since a failed read may be due to the router
+	// that tried it.
+	failed map[settings.UpstreamID]failedRead
 	// evicted reports that a block was evicted for want of room since evictedAt was last set, 0 for never.
 	evicted   bool
 	evictedAt clock.Instant
 }
 
+// failedRead is a read of a cache that failed.
+type failedRead struct {
+	incarnation members.Incarnation
+	at          clock.Instant
+}
+
+// RecordFailedRead records that the cache of an upstream could not be read.
+func (ix *Index) RecordFailedRead(now clock.Instant, inst members.Instance) {
+	ix.mu.Lock()
+	defer ix.mu.Unlock()
+	if ix.readings.failed == nil {
+		ix.readings.failed = make(map[settings.UpstreamID]failedRead)
+	}
+	ix.readings.failed[inst.ID] = failedRead{incarnation: inst.Incarnation, at: now}
+}
+
+// FailedReadAge returns how long ago this router last failed to read the cache of a process, false if not within readingTime.
+func (ix *Index) FailedReadAge(now clock.Instant, id settings.UpstreamID, incarnation members.Incarnation) (time.Duration, bool) {
+	ix.mu.Lock()
+	defer ix.mu.Unlock()
+	f, ok := ix.readings.failed[id]
+	age := now.Sub(f.at)
+	return age, ok && f.incarnation == incarnation && age < readingTime
+}
+
 // RecordListing records the blocks that an upstream has listed as cached.
 func (ix *Index) RecordListing(now clock.Instant, blocks []call.PromptBlock, inst members.Instance) {
 	ix.mu.Lock()
@@ -162,4 +190,9 @@
 			delete(ix.readings.read, id)
 		}
 	}
+	for id, f := range ix.readings.failed {
+		if now.Sub(f.at) >= readingTime {
+			delete(ix.readings.failed, id)
+		}
+	}
 }
--- a/core/affinity/listing_test.go
+++ b/core/affinity/listing_test.go
@@ -60,6 +60,28 @@
 	}
 }
 
+// TestFailedReadIsTakenForEmptyList guards against a cache that counts as read although its list never came, and against one that counts as
+// unreadable for another process, for longer than a list holds, or at routers that have not tried.
+func TestFailedReadIsTakenForEmptyList(t *testing.T) {
+	c := qt.New(t)
+	now := clock.Instant(time.Hour)
+	var reader, other Index
+	reader.RecordFailedRead(now, engine("a", "v1"))
+	other.Merge(now, exchanged(c, reader.TakeUpdates(now)))
+	failed := func(ix *Index, now clock.Instant, incarnation members.Incarnation) bool {
+		_, ok := ix.FailedReadAge(now, "a", incarnation)
+		return ok
+	}
+	c.Assert(wasRead(&reader, now, "a", 7), qt.IsFalse)
+	c.Assert(failed(&reader, now, 7), qt.IsTrue)
+	c.Assert(failed(&reader, now, 8), qt.IsFalse)
+	c.Assert(failed(&other, now, 7), qt.IsFalse)
+	c.Assert(failed(&reader, now.Add(readingTime-1), 7), qt.IsTrue)
+	c.Assert(failed(&reader, now.Add(readingTime), 7), qt.IsFalse)
+	reader.TakeUpdates(now.Add(readingTime))
+	c.Assert(reader.readings.failed, qt.HasLen, 0)
+}
+
 // TestListingOutlivesItsEngine guards against a stream that seems to have begun at the only engine that is left of those that had its
 // prompt.
 func TestListingOutlivesItsEngine(t *testing.T) {
--- a/core/origin/decide.go
+++ b/core/origin/decide.go
@@ -25,6 +25,8 @@
 	// lost router may have begun after an older list.
 	HasListed bool
 	ListAge   time.Duration
+	// Unreadable reports that the instance could not be read since then. Unless its process has ended, its cache may hold any stream.
+	Unreadable bool
 }
 
 // Listing is the statement of an instance, which may have ended since, that it has a stream's own block cached.
@@ -124,24 +126,26 @@
 // pageTokens is the unit in which engines keep tokens; what does not fill a unit is not listed.
 const pageTokens = 16
 
-// cachingVersion returns the version whose instances alone have a stream's own prompt block cached, the whole of it. No instance of
-// another version may be left out, since a request that was sent to two versions is listed by both.
+// cachingVersion returns the version whose instances alone have a stream's own prompt block cached, the whole of it. Each instance of another
+// version must have been read, since a request that was sent to two versions is listed by both. Where one cannot be read, a list must show that
+// tokens have been generated: these went to the client, while a prompt alone may be that of an attempt which brought nothing.
 func cachingVersion(k *Knowledge) (Origin, bool) {
 	if !k.ListingsComplete || len(k.Listings) == 0 || k.Listings[0].Origin.Version == "" {
 		return Origin{}, false
 	}
-	o, whole := k.Listings[0].Origin, false
+	o, whole, generated := k.Listings[0].Origin, false, false
 	for _, l := range k.Listings {
 		if l.Origin != o {
 			return Origin{}, false
 		}
 		whole = whole || l.Tokens > k.Own-pageTokens
+		generated = generated || l.Tokens > k.Own
 	}
 	if !slices.ContainsFunc(k.Versions, func(s Seen) bool { return s.Version == o.Version }) {
 		return Origin{}, false
 	}
 	for _, e := range k.Engines {
-		if e.Origin != o && !e.HasListed {
+		if e.Origin != o && !e.HasListed && !(e.Unreadable && generated) {
 			return Origin{}, false
 		}
 	}
--- a/core/origin/origin_test.go
+++ b/core/origin/origin_test.go
@@ -82,6 +82,25 @@
 		{"nobody", func(k *Knowledge) { k.Listings = nil }, Origin{}},
 		{"listings were dropped", func(k *Knowledge) { k.ListingsComplete = false }, Origin{}},
 		{"an engine of another version has not listed its cache", func(k *Knowledge) { k.Engines[0].HasListed = false }, Origin{}},
+		{"an engine of another version cannot be read", func(k *Knowledge) {
+			k.Engines[0] = Engine{Origin: v1, Unreadable: true}
+		}, v2},
+		{"no engine of another version can be read", func(k *Knowledge) {
+			k.Engines = append(k.Engines[1:], Engine{Origin: v1, Unreadable: true}, Engine{Origin: v1, Unreadable: true})
+		}, v2},
+		{"one cannot be read, and nothing was generated behind the prompt", func(k *Knowledge) {
+			k.Engines[0], k.Listings[0].Tokens = Engine{Origin: v1, Unreadable: true}, 50
+		}, Origin{}},
+		{"one cannot be read, and another one has the prompt too", func(k *Knowledge) {
+			k.Engines = append(k.Engines, Engine{Origin: v1, Unreadable: true})
+			k.Listings = append(k.Listings, Listing{Origin: v1, Tokens: 20})
+		}, Origin{}},
+		{"one cannot be read, and another one has not been read yet", func(k *Knowledge) {
+			k.Engines = append(k.Engines, Engine{Origin: v1, Unreadable: true}, Engine{Origin: v1})
+		}, Origin{}},
+		{"one could not be read at first", func(k *Knowledge) {
+			k.Engines[0].Unreadable, k.Listings[0].Tokens = true, 50
+		}, v2},
 		{"an engine of the version has not listed its cache", func(k *Knowledge) { k.Engines[1].HasListed = false }, v2},
 		{"the router is cut off", func(k *Knowledge) { k.Contact.Whole = false }, Origin{}},
 		{"engines that name no version", func(k *Knowledge) { k.Listings[0].Origin.Version = "" }, Origin{}},
--- a/router/internal/engines/demand.go
+++ b/router/internal/engines/demand.go
@@ -16,9 +16,10 @@
 const (
 	// demandTime is how long a demand lasts.
 	demandTime = 2 * time.Second
-	// rereadTime is the time within which a process is read at most once on demand, also if it did not respond. After a loss of routers
-	// it is read once more.
+	// rereadTime is the time within which a process is read at most once on demand, retryTime that after a read that failed. After a loss
+	// of routers it is read once more.
 	rereadTime = 15 * time.Second
+	retryTime  = 3 * time.Second
 )
 
 // process identifies a process of an engine.
@@ -27,6 +28,11 @@
 	incarnation members.Incarnation
 }
 
+// reading is a read of a process on demand, which is not repeated for the same loss before until.
+type reading struct {
+	at, until clock.Instant
+}
+
 // demand asks for the lists of a service's engines.
 type demand struct {
 	// since is when the demand came. Lists that were read at the time after, or before, do not meet it.
@@ -37,9 +43,9 @@
 type demands struct {
 	mu       sync.Mutex
 	services map[settings.ServiceName]demand
-	// readAt is when each process was last read on demand.
-	readAt map[process]clock.Instant
-	wake   chan struct{}
+	// readings holds the latest read of each process.
+	readings map[process]reading
+	wake     chan struct{}
 }
 
 func (d *demands) channel() chan struct{} {
@@ -85,25 +91,34 @@
 	return list
 }
 
-// begin reserves the read of a process. It returns false if the process was read within rereadTime and after the given time.
+// begin reserves the read of a process. It returns false if the process was read after the given time and is not to be read again yet.
 func (d *demands) begin(now clock.Instant, p process, after clock.Instant) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for other, at := range d.readAt {
-		if now.Sub(at) >= rereadTime {
-			delete(d.readAt, other)
+	for other, r := range d.readings {
+		if now >= r.until {
+			delete(d.readings, other)
 		}
 	}
-	if at, ok := d.readAt[p]; ok && at > after {
+	if r, ok := d.readings[p]; ok && r.at > after {
 		return false
 	}
-	if d.readAt == nil {
-		d.readAt = make(map[process]clock.Instant)
+	if d.readings == nil {
+		d.readings = make(map[process]reading)
 	}
-	d.readAt[p] = now
+	d.readings[p] = reading{at: now, until: now.Add(rereadTime)}
 	return true
 }
 
+// failed lets a process be read again soon.
+func (d *demands) failed(now clock.Instant, p process) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if r, ok := d.readings[p]; ok {
+		d.readings[p] = reading{at: r.at, until: now.Add(retryTime)}
+	}
+}
+
 // Demand asks for lists of the caches of a service's engines that are read after a time, because streams have come that nobody can place.
 // Most routers were lost, and the others have passed on where prompts are cached, without what the engines have listed since.
 func (w *Warmup) Demand(name settings.ServiceName, after clock.Instant) {
@@ -178,14 +193,17 @@
 			return
 		}
 		r.pending = r.pending[1:]
-		if !w.demand.begin(now, process{inst.ID, inst.Incarnation}, r.after) {
+		p := process{inst.ID, inst.Incarnation}
+		if !w.demand.begin(now, p, r.after) {
 			<-slots
 			continue
 		}
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			w.read(ctx, inst)
+			if !w.read(ctx, inst) {
+				w.demand.failed(w.Clock.Now(), p)
+			}
 			<-slots
 		}()
 	}
--- a/router/internal/engines/warmup.go
+++ b/router/internal/engines/warmup.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
 	"github.com/uber-go/tally/v4"
 
 	"rattantrack.dev/core/affinity"
@@ -257,15 +258,19 @@
 	w.reportUntil = w.Clock.Now().Add(reportTime)
 }
 
-// read reads the cache of one engine.
-func (w *Warmup) read(ctx context.Context, inst members.Instance) {
+// read reads the cache of one engine, and reports whether that listed it.
+func (w *Warmup) read(ctx context.Context, inst members.Instance) bool {
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
 	w.Scope.Counter("inventory_questions").Inc(1)
 	blocks, err := w.Cache.CachedBlocks(ctx, inst)
 	if err != nil {
 		w.Log.Warn("cannot query the cache of an engine", "upstream", inst.ID, "error", err)
-		return
+		if !errors.Is(ctx.Err(), context.Canceled) {
+			w.Affinity.RecordFailedRead(w.Clock.Now(), inst)
+		}
+		return false
 	}
 	w.Affinity.RecordListing(w.Clock.Now(), blocks, inst)
+	return true
 }
--- a/router/internal/engines/warmup_test.go
+++ b/router/internal/engines/warmup_test.go
@@ -215,3 +215,38 @@
 		c.Assert(min(age, other) < clock.Boot{}.Now().Sub(lost), qt.IsTrue)
 	}
 }
+
+// TestEngineThatFailedOnceStaysUnread guards against a cache that is not read again for as long as one that has been listed, and whose failure
+// nobody knows of.
+func TestEngineThatFailedOnceStaysUnread(t *testing.T) {
+	c := qt.New(t)
+	cache := &fakeCache{queries: make(map[settings.UpstreamID]int), err: errors.New("down")}
+	w := newWarmup("a", cache, &fakeRouters{entriesReceived: true})
+	w.Members.Apply(1, []members.Change{{ID: "e1", Revision: 2, Instance: members.Instance{ID: "e1", Service: "letters", Incarnation: 5}}})
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = w.Run(ctx, func() {}) })
+	t.Cleanup(func() { cancel(); wg.Wait() })
+	// until demands caches until ok holds, and returns whether it did in time.
+	until := func(limit time.Duration, ok func() bool) bool {
+		for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(pollInterval) {
+			if ok() {
+				return true
+			}
+			w.Demand("letters", 0)
+		}
+		return false
+	}
+	c.Assert(until(demandTime, func() bool {
+		_, failed := w.Affinity.FailedReadAge(clock.Boot{}.Now(), "e1", 5)
+		return failed
+	}), qt.IsTrue)
+	c.Assert(wasRead(w, "e1"), qt.IsFalse)
+	cache.mu.Lock()
+	cache.err = nil
+	cache.mu.Unlock()
+	c.Assert(until(retryTime+2*demandTime, func() bool { return wasRead(w, "e1") }), qt.IsTrue)
+	cache.mu.Lock()
+	defer cache.mu.Unlock()
+	c.Assert(cache.queries["e1"] <= 3, qt.IsTrue, qt.Commentf("%d queries", cache.queries["e1"]))
+}
--- a/router/internal/origins/find.go
+++ b/router/internal/origins/find.go
@@ -68,7 +68,8 @@
 		s.Log.Warn("origin of a stream unknown", "first_attempt", q.FirstAttempt, "service", q.Service, "asked", k.Contact.Asked,
 			"replies", k.Contact.Replies, "versions", versionsOf(k.Versions), "complete", k.Complete, "whole", k.Contact.Whole,
 			"refreshed", k.Contact.Refreshed, "fresh", k.Contact.Current(),
-			"router_lost_ms_ago", s.Clock.Now().Sub(s.lastLoss()).Milliseconds(), "cached_at", cachedAt(k.Listings), "caches_unread", unread(k.Engines), "oldest_list_ms", oldestList(k.Engines).Milliseconds(),
+			"router_lost_ms_ago", s.Clock.Now().Sub(s.lastLoss()).Milliseconds(), "cached_at", cachedAt(k.Listings), "own_tokens", k.Own,
+			"caches_unread", unread(k.Engines), "caches_unreadable", unreadable(k.Engines), "oldest_list_ms", oldestList(k.Engines).Milliseconds(),
 			"listings_complete", k.ListingsComplete)
 	}
 	return o, verdict
@@ -104,6 +105,17 @@
 	return n
 }
 
+// unreadable returns the number of instances that have not listed their caches and could not be read.
+func unreadable(engines []origin.Engine) int {
+	n := 0
+	for _, e := range engines {
+		if !e.HasListed && e.Unreadable {
+			n++
+		}
+	}
+	return n
+}
+
 // oldestList returns the age of the oldest list among those of the instances.
 func oldestList(engines []origin.Engine) time.Duration {
 	var oldest time.Duration
@@ -132,7 +144,10 @@
 	after := s.listsAfter(now)
 	for _, p := range s.history.Processes(q.Service) {
 		age, ok := s.Caches.ReadAge(now, p.ID, p.Incarnation)
-		k.Engines = append(k.Engines, origin.Engine{Origin: p.Origin, HasListed: ok && now.Add(-age) > after, ListAge: age})
+		failedAge, failed := s.Caches.FailedReadAge(now, p.ID, p.Incarnation)
+		k.Engines = append(k.Engines, origin.Engine{
+			Origin: p.Origin, HasListed: ok && now.Add(-age) > after, ListAge: age, Unreadable: failed && now.Add(-failedAge) > after,
+		})
 	}
 }
 
--- a/router/internal/origins/service.go
+++ b/router/internal/origins/service.go
@@ -60,6 +60,8 @@
 	Listed(now clock.Instant, block call.PromptBlockID) ([]affinity.Listed, bool)
 	// ReadAge returns how long ago the cache of a process was read, false if its list no longer tells what the cache lacks.
 	ReadAge(now clock.Instant, id settings.UpstreamID, incarnation members.Incarnation) (time.Duration, bool)
+	// FailedReadAge returns how long ago this router failed to read the cache of a process, false if not lately.
+	FailedReadAge(now clock.Instant, id settings.UpstreamID, incarnation members.Incarnation) (time.Duration, bool)
 }
 
 // Clock returns the current instant.
--- a/router/internal/origins/service_test.go
+++ b/router/internal/origins/service_test.go
@@ -441,6 +441,17 @@
 	_, verdict = find(call.PromptBlock{ID: 9, Tokens: 50})
 	c.Assert(verdict, qt.Equals, origin.Unknown)
 	c.Assert(demanded, qt.Equals, 1, qt.Commentf("all lists are there"))
+	// Another instance of that version cannot be read. Streams go on where a list shows that tokens have been generated.
+	failing := members.Instance{ID: "e", Service: "letters", Version: "v2", Incarnation: 3}
+	n.service.Apply([]members.Event{{ID: "e", Kind: members.EventAdded, Instance: failing}})
+	index.RecordFailedRead(clock.Boot{}.Now(), failing)
+	version, verdict = find(own)
+	c.Assert(verdict, qt.Equals, origin.Cached)
+	c.Assert(version, qt.Equals, members.Version("v1"))
+	for _, block := range []call.PromptBlock{{ID: 7, Tokens: 90}, {ID: 9, Tokens: 50}} {
+		_, verdict = find(block)
+		c.Assert(verdict, qt.Equals, origin.Unknown)
+	}
 	// The engine of the other version that had the prompt too has left.
 	d := engine("d", "v2", call.PromptBlock{ID: 7, Tokens: 50})
 	index.Forget(d.ID)
@@ -597,6 +608,20 @@
 		_, verdict := find(n)
 		c.Assert(verdict, qt.Equals, origin.Unknown)
 	})
+	t.Run("the other version's cache could not be read before", func(t *testing.T) {
+		c := qt.New(t)
+		n, index, engines := start(t, "v1", "v2")
+		index.RecordFailedRead(clock.Boot{}.Now(), engines[1])
+		time.Sleep(recentList)
+		n.lostAt.Store(int64(clock.Boot{}.Now()))
+		index.RecordListing(clock.Boot{}.Now(), []call.PromptBlock{{ID: own.ID, Tokens: 90}}, engines[0])
+		_, verdict := find(n)
+		c.Assert(verdict, qt.Equals, origin.Unknown)
+		index.RecordFailedRead(clock.Boot{}.Now(), engines[1])
+		version, verdict := find(n)
+		c.Assert(verdict, qt.Equals, origin.Cached)
+		c.Assert(version, qt.Equals, members.Version("v1"))
+	})
 	t.Run("routers are lost again and again", func(t *testing.T) {
 		c := qt.New(t)
 		n, _, _ := start(t, "v1")
