--- a/core/quarantine/decide.go
+++ b/core/quarantine/decide.go
@@ -62,6 +62,7 @@
 	matchesAll
 )
 
+// match returns how a request with the given blocks fits the finding.
 func (f *Finding) match(r Request, blocks blockSet) match {
 	switch {
 	case f.Digest != 0 && r.Digest == f.Digest, f.Digest == 0 && blocks.count(f.Blocks) == len(f.Blocks):
