fix(upstream): the check of a body takes time with the square of its status lines

What callers would see: an answer that contains many status lines, such as a log, is held up, and broken off once its attempt counts as stalled.

Cause: for each status line in a text the rest of it was searched for the ids of requests.

Why this works: the text is read once, line by line, and each line belongs to one head at most.

Test: the case "nothing but status lines" of that test failed before.

--- a/router/internal/direct/cut_test.go
+++ b/router/internal/direct/cut_test.go
@@ -177,12 +177,19 @@
 		"status lines":  "HTTP/1.1 200 OK\r\nand HTTP/1.1 404 Not Found\r\n",
 		"a head":        "HTTP/1.1 200 OK\r\nId: r9\r\nContent-Length: 3\r\n\r\n",
 		"its beginning": "HTTP/1.1 2",
+		// The time for it must not grow with the square of the length.
+		"nothing but status lines": "HTTP/1.1 200 OK\n",
 	}
 	for _, name := range slices.Sorted(maps.Keys(quotes)) {
 		for _, size := range []int{1 << 10, maxBufferedBytes - 10, maxBufferedBytes + 5, maxBufferedBytes + (40 << 10)} {
 			t.Run(fmt.Sprintf("%s, %d bytes", name, size), func(t *testing.T) {
 				t.Parallel()
-				body := strings.Repeat(strings.Repeat("text ", 100)+quotes[name], size/500) + quotes[name]
+				between := strings.Repeat("text ", 100)
+				if name == "nothing but status lines" {
+					between = ""
+				}
+				part := between + quotes[name]
+				body := strings.Repeat(part, size/len(part)+1)
 				b := newFixture(t, handlers{respond(200, "first"), respond(200, body)})
 				_, _ = b.do(idempotent, "r1")
 				res, sink := b.do(idempotent, "r2")
--- a/router/internal/upstream/embedded.go
+++ b/router/internal/upstream/embedded.go
@@ -114,7 +114,8 @@
 }
 
 // findAnswer returns an error if another answer to a request of the connection begins within a part. Otherwise it returns where a head
-// of at most maxEmbeddedHeadBytes begins that does not end within the part and what follows, or -1.
+// of at most maxEmbeddedHeadBytes begins that does not end within the part and what follows, or -1. It reads the text once, since that may
+// consist of status lines.
 func (r *Response) findAnswer(part, following []byte) (unfinished int, err error) {
 	end := part[max(0, len(part)-statusLineBytes):]
 	if r.Answer.ID == "" || (!bytes.Contains(part, protocolName) && !bytes.ContainsRune(end, 'H')) {
@@ -124,23 +125,15 @@
 	if len(following) > 0 {
 		text = slices.Concat(part, following)
 	}
-	unfinished = -1
-	for _, at := range statusLine.FindAllIndex(text, -1) {
-		if at[0] >= len(part) {
-			break
-		}
-		rest := text[at[1]:]
-		named, ended := r.headNamesRequest(rest)
-		if named || bytes.Contains(rest, []byte(r.Answer.ID)) {
+	if at := statusLine.FindIndex(text); at != nil && at[0] < len(part) {
+		head := headScan{requests: r.requests, begin: -1}
+		if bytes.Contains(text[at[1]:], []byte(r.Answer.ID)) || head.names(text, at[0], len(part)) {
 			return -1, &EmbeddedAnswerError{ID: r.Answer.ID}
 		}
-		if !ended && unfinished < 0 && len(text)-at[0] <= maxEmbeddedHeadBytes {
-			unfinished = at[0]
+		if head.begin >= 0 {
+			return head.begin, nil
 		}
 	}
-	if unfinished >= 0 {
-		return unfinished, nil
-	}
 	lineBegin := max(0, len(text)-statusLineBytes)
 	if at := statusLinePrefix.FindIndex(text[lineBegin:]); at != nil && lineBegin+at[0] < len(part) {
 		return lineBegin + at[0], nil
@@ -148,23 +141,55 @@
 	return -1, nil
 }
 
-// headNamesRequest reports whether a field of a head has the id of a request of the connection, and whether the head ends within the text,
-// which begins within the status line.
-func (r *Response) headNamesRequest(text []byte) (named, ended bool) {
-	for first := true; ; first = false {
-		line, rest, ok := bytes.Cut(text, []byte("\n"))
-		if !ok {
-			return false, false
-		}
-		line = bytes.TrimSpace(line)
-		if len(line) == 0 && !first {
-			return false, true
+// headScan looks for heads in a text, line by line.
+type headScan struct {
+	requests *requestIDs
+	// begin is where the head begins that the present line belongs to, -1 outside of one.
+	begin int
+}
+
+// names reports whether a field of a head that begins in text[from:limit] has the id of a request. Otherwise begin is where a head begins
+// that does not end within the text, the first one that is not too long.
+func (s *headScan) names(text []byte, from, limit int) bool {
+	for from < len(text) && (s.begin >= 0 || from < limit) {
+		length := bytes.IndexByte(text[from:], '\n') + 1
+		ended := length > 0
+		if !ended {
+			length = len(text) - from
 		}
-		if _, value, ok := bytes.Cut(line, []byte(":")); ok && !first && r.requests.contains(bytes.TrimSpace(value)) {
-			return true, false
+		line := text[from : from+length]
+		tooLong := s.begin >= 0 && len(text)-s.begin > maxEmbeddedHeadBytes
+		if at := findStatusLine(line); at >= 0 && from+at < limit {
+			if s.begin < 0 || tooLong {
+				s.begin = from + at
+			}
+		} else if s.begin >= 0 && ended {
+			line = bytes.TrimSpace(line)
+			if _, value, ok := bytes.Cut(line, []byte(":")); ok && s.requests.contains(bytes.TrimSpace(value)) {
+				return true
+			}
+			if len(line) == 0 {
+				s.begin = -1
+			}
 		}
-		text = rest
+		from += length
+	}
+	if s.begin >= 0 && len(text)-s.begin > maxEmbeddedHeadBytes {
+		s.begin = -1
+	}
+	return false
+}
+
+// findStatusLine returns where a status line begins within a line, or -1.
+func findStatusLine(line []byte) int {
+	if !bytes.Contains(line, protocolName) {
+		return -1
+	}
+	at := statusLine.FindIndex(line)
+	if at == nil {
+		return -1
 	}
+	return at[0]
 }
 
 // embedsHead reports whether another head begins within a head.
