fix(upstream): status lines are found without a regular expression

Why this works: a status line has a fixed form, which is compared byte by byte after the protocol's name has been found. One function tells a whole status line from one that the end of the text cuts.

--- a/router/internal/upstream/embedded.go
+++ b/router/internal/upstream/embedded.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"hash/maphash"
 	"net/http"
-	"regexp"
 	"slices"
 	"time"
 
@@ -23,7 +22,7 @@
 }
 
 const (
-	// statusLineBytes is the length of what statusLine matches.
+	// statusLineBytes is the length of a status line up to its reason.
 	statusLineBytes = len("HTTP/1.1 200 ")
 	// maxEmbeddedHeadBytes bounds how much of a part is held back because it may be the head of another answer.
 	maxEmbeddedHeadBytes = 4 << 10
@@ -34,13 +33,56 @@
 )
 
 var (
-	protocolName = []byte("HTTP/1.")
-	statusLine   = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9] `)
-	// statusLinePrefix matches a text that ends within what statusLine matches.
-	statusLinePrefix = regexp.MustCompile(`H(T(T(P(/(1(\.([01]( ([1-5]([0-9]([0-9])?)?)?)?)?)?)?)?)?)?)?$`)
-	requestIDSeed    = maphash.MakeSeed()
+	protocolName  = []byte("HTTP/1.")
+	requestIDSeed = maphash.MakeSeed()
 )
 
+// statusLinePrefix returns how many bytes at the beginning of a text are those of a status line, up to statusLineBytes.
+func statusLinePrefix(text []byte) int {
+	for i, c := range text[:min(len(text), statusLineBytes)] {
+		ok := false
+		switch {
+		case i < len(protocolName):
+			ok = c == protocolName[i]
+		case i == len("HTTP/1."):
+			ok = c == '0' || c == '1'
+		case i == len("HTTP/1.1"), i == len("HTTP/1.1 200"):
+			ok = c == ' '
+		case i == len("HTTP/1.1 "):
+			ok = '1' <= c && c <= '5'
+		default:
+			ok = '0' <= c && c <= '9'
+		}
+		if !ok {
+			return i
+		}
+	}
+	return min(len(text), statusLineBytes)
+}
+
+// indexStatusLine returns where the first status line begins within a text, or -1.
+func indexStatusLine(text []byte) int {
+	for from := 0; ; from++ {
+		i := bytes.Index(text[from:], protocolName)
+		if i < 0 {
+			return -1
+		}
+		if from += i; statusLinePrefix(text[from:]) == statusLineBytes {
+			return from
+		}
+	}
+}
+
+// indexCutStatusLine returns where a status line begins that does not end within the text, or -1.
+func indexCutStatusLine(text []byte) int {
+	for i := max(0, len(text)-statusLineBytes+1); i < len(text); i++ {
+		if statusLinePrefix(text[i:]) == len(text)-i {
+			return i
+		}
+	}
+	return -1
+}
+
 // requestIDs are the newest requests that a connection has carried, as hashes. An upstream may answer each of them once more.
 type requestIDs struct {
 	hashes []uint64
@@ -70,7 +112,7 @@
 		return err
 	}
 	// The rest of the head may be on its way. Without a whole status line only what has arrived counts, since any text may end like this.
-	wait := statusLine.Match(body[unfinished:])
+	wait := indexStatusLine(body[unfinished:]) >= 0
 	for len(r.buffered()) < r.reader.Size() && r.receiveMore(wait) {
 		unfinished, err = r.findAnswer(body, r.buffered())
 		if err != nil || unfinished < 0 {
@@ -125,18 +167,17 @@
 	if len(following) > 0 {
 		text = slices.Concat(part, following)
 	}
-	if at := statusLine.FindIndex(text); at != nil && at[0] < len(part) {
+	if at := indexStatusLine(text); at >= 0 && at < len(part) {
 		head := headScan{requests: r.requests, begin: -1}
-		if bytes.Contains(text[at[1]:], []byte(r.Answer.ID)) || head.names(text, at[0], len(part)) {
+		if bytes.Contains(text[at+statusLineBytes:], []byte(r.Answer.ID)) || head.names(text, at, len(part)) {
 			return -1, &EmbeddedAnswerError{ID: r.Answer.ID}
 		}
 		if head.begin >= 0 {
 			return head.begin, nil
 		}
 	}
-	lineBegin := max(0, len(text)-statusLineBytes)
-	if at := statusLinePrefix.FindIndex(text[lineBegin:]); at != nil && lineBegin+at[0] < len(part) {
-		return lineBegin + at[0], nil
+	if at := indexCutStatusLine(text); at >= 0 && at < len(part) {
+		return at, nil
 	}
 	return -1, nil
 }
@@ -159,7 +200,7 @@
 		}
 		line := text[from : from+length]
 		tooLong := s.begin >= 0 && len(text)-s.begin > maxEmbeddedHeadBytes
-		if at := findStatusLine(line); at >= 0 && from+at < limit {
+		if at := indexStatusLine(line); at >= 0 && from+at < limit {
 			if s.begin < 0 || tooLong {
 				s.begin = from + at
 			}
@@ -180,26 +221,14 @@
 	return false
 }
 
-// findStatusLine returns where a status line begins within a line, or -1.
-func findStatusLine(line []byte) int {
-	if !bytes.Contains(line, protocolName) {
-		return -1
-	}
-	at := statusLine.FindIndex(line)
-	if at == nil {
-		return -1
-	}
-	return at[0]
-}
-
 // embedsHead reports whether another head begins within a head.
 func embedsHead(res *http.Response) bool {
-	if statusLine.MatchString(res.Status + " ") {
+	if indexStatusLine([]byte(res.Status+" ")) >= 0 {
 		return true
 	}
 	for _, values := range res.Header {
 		for _, v := range values {
-			if statusLine.MatchString(v + " ") {
+			if indexStatusLine([]byte(v+" ")) >= 0 {
 				return true
 			}
 		}
