fix(direct): an empty stream counts as a survival of its prompt

Cause: an engine that ends may close the answers that it owes in good order, with 200 and no event. Each complete answer below 400 cleared the blocks of its prompt, so that such an answer outweighed a crash.

Why this works: a stream whose attempt has brought no event says nothing about its prompt. Answers that are not streams count as before.

Test: TestEmptyStreamClearsItsPrompt failed before, with a length, with chunks and late.

--- a/router/internal/direct/crash.go
+++ b/router/internal/direct/crash.go
@@ -9,6 +9,7 @@
 
 	"rattantrack.dev/core/members"
 	"rattantrack.dev/core/quarantine"
+	"rattantrack.dev/core/settings"
 )
 
 // beginningTime is how long after its head an answer counts as just begun. A prompt that crashes engines does so within the first
@@ -39,6 +40,12 @@
 	ex.dispatcher.Quarantine.RecordCrash(now, inst, ex.suspect(), strength)
 }
 
+// isEmptyStream reports whether the last attempt was to bring events and brought none. It shows nothing of the prompt: an engine that ends may
+// close the answers that it owes in good order.
+func (ex *exchange) isEmptyStream() bool {
+	return ex.RouteConfig.Kind == settings.RouteStream && ex.relay.events == ex.eventsBefore
+}
+
 // recordProgress records that the upstream has survived the beginning of its answer, once an attempt.
 func (ex *exchange) recordProgress(complete bool) {
 	if ex.survived {
--- a/router/internal/direct/dispatch.go
+++ b/router/internal/direct/dispatch.go
@@ -351,7 +351,9 @@
 			"avoided_ms", avoidTime.Milliseconds())
 	case attempt.Complete:
 		ex.dispatcher.Outliers.RecordResult(now, inst.ID, inst.Service, false)
-		ex.recordProgress(ex.res.Status < http.StatusBadRequest)
+		if !ex.isEmptyStream() {
+			ex.recordProgress(ex.res.Status < http.StatusBadRequest)
+		}
 	case attempt.Failed, attempt.Lost, attempt.Cut:
 		if ctx.Err() == nil && ex.dispatcher.Outliers.RecordResult(now, inst.ID, inst.Service, true) {
 			ex.dispatcher.Log.Warn("upstream ejected", "request", ex.ID, "upstream", inst.ID, "ending", ending)
--- a/router/internal/direct/dispatch_test.go
+++ b/router/internal/direct/dispatch_test.go
@@ -433,6 +433,39 @@
 	c.Assert(sink.status, qt.Equals, 0)
 }
 
+// TestEmptyStreamClearsItsPrompt guards against engines that end while they have not begun to answer, and close the answers that they owe in
+// good order without an event: these requests have not survived.
+func TestEmptyStreamClearsItsPrompt(t *testing.T) {
+	empty := map[string]func(net.Conn, *http.Request) bool{
+		"length": respond(200, ""),
+		"chunks": streamEvents(0, true),
+		"late": func(conn net.Conn, req *http.Request) bool {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n", req.Header.Get("Id"))
+			time.Sleep(beginningTime + 50*time.Millisecond)
+			_, _ = io.WriteString(conn, "0\r\n\r\n")
+			return true
+		},
+	}
+	bad := quarantine.Request{Blocks: []call.PromptBlock{{ID: 0xbad}}}
+	for name, answer := range empty {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			b := newFixture(t, handlers{answer})
+			for i := range 3 {
+				b.Quarantine.RecordCrash(b.Clock.Now(), members.Instance{ID: settings.UpstreamID(fmt.Sprint("gone", i))}, bad, quarantine.Strong)
+				if i < 2 {
+					res, _ := b.doPrompt(stream, fmt.Sprint("r", i), 0xbad, call.PromptBlockID(i))
+					c.Assert(res.Outcome, qt.Equals, peer.OutcomeDone)
+				}
+				time.Sleep(120 * time.Millisecond)
+			}
+			_, _, quarantined := b.Quarantine.Quarantined(b.Clock.Now(), bad)
+			c.Assert(quarantined, qt.IsTrue)
+		})
+	}
+}
+
 // TestRejectionSaysNothingAboutThePrompt guards against a response that rejects a request clearing the prompt blocks of crashes.
 func TestRejectionSaysNothingAboutThePrompt(t *testing.T) {
 	c := qt.New(t)
