--- a/router/internal/direct/cut_test.go
+++ b/router/internal/direct/cut_test.go
@@ -13,6 +13,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"rattantrack.dev/core/peer"
+	"rattantrack.dev/core/settings"
 )
 
 // endings of a connection on which an answer has been cut.
@@ -79,6 +80,16 @@
 	"to the request before, lines end early": "HTTP/1.1 200 OK\nId: r1\nContent-Length: 9000\n\n" + strings.Repeat("of others", 1000),
 }
 
+// doSecond sends r1 and then r2 to an upstream, which answers r2 with a handler, and returns the result and the body of r2. A retry goes to an
+// upstream that answers "other".
+func doSecond(t *testing.T, route settings.Route, second func(net.Conn, *http.Request) bool) (Result, string) {
+	t.Helper()
+	b := newFixture(t, handlers{respond(200, "first"), second}, handlers{respond(200, "other")})
+	_, _ = b.do(idempotent, "r1")
+	res, sink := b.do(route, "r2")
+	return res, sink.body.String()
+}
+
 // TestCutAnswerIsFilledWithAnotherRequestsAnswer guards against an answer that breaks off and whose rest is the late second answer to an
 // earlier request on the connection.
 func TestCutAnswerIsFilledWithAnotherRequestsAnswer(t *testing.T) {
@@ -94,15 +105,12 @@
 					t.Parallel()
 					whole := "HTTP/1.1 200 OK\r\nSeal: abc\r\nId: r2\r\n" + rest
 					for cut := 1; cut < len(whole); cut++ {
-						b := newFixture(t, handlers{respond(200, "first"), func(conn net.Conn, _ *http.Request) bool {
+						res, got := doSecond(t, idempotent, func(conn net.Conn, _ *http.Request) bool {
 							_, _ = conn.Write([]byte(whole[:cut]))
 							time.Sleep(delay)
 							_, _ = conn.Write([]byte(other))
 							return true
-						}}, handlers{respond(200, "other")})
-						_, _ = b.do(idempotent, "r1")
-						res, sink := b.do(idempotent, "r2")
-						got := sink.body.String()
+						})
 						if res.Outcome == peer.OutcomeDone && got != "other" && got != body {
 							qt.Check(t, got, qt.Equals, body, qt.Commentf("cut at %d of %q", cut, whole))
 						}
@@ -119,15 +127,12 @@
 	events := "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
 	for _, cut := range []int{0, 3, 9, 14, 15, 20, len(events) - 1} {
 		t.Run(fmt.Sprint(cut), func(t *testing.T) {
-			b := newFixture(t, handlers{respond(200, "first"), func(conn net.Conn, _ *http.Request) bool {
+			res, got := doSecond(t, stream, func(conn net.Conn, _ *http.Request) bool {
 				_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: r2\r\n\r\n%s", events[:cut])
 				time.Sleep(2 * time.Millisecond)
 				_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nId: r1\r\n\r\nid: 1\ndata: of others\n\nid: 2\ndata: of others\n\n"))
 				return false
-			}}, handlers{respond(200, "other")})
-			_, _ = b.do(idempotent, "r1")
-			res, sink := b.do(stream, "r2")
-			got := sink.body.String()
+			})
 			qt.Check(t, strings.Contains(got, "HTTP/1.1") || strings.Contains(got, "of others"), qt.IsFalse, qt.Commentf("%q", got))
 			qt.Check(t, res.Outcome == peer.OutcomeDone && got != "other", qt.IsFalse, qt.Commentf("%q", got))
 		})
@@ -145,7 +150,7 @@
 			for _, split := range []int{0, 1, 9, 15, 30} {
 				t.Run(fmt.Sprintf("%s, cut at %d, in parts of %d", name, cut, split), func(t *testing.T) {
 					t.Parallel()
-					b := newFixture(t, handlers{respond(200, "first"), func(conn net.Conn, _ *http.Request) bool {
+					res, got := doSecond(t, idempotent, func(conn net.Conn, _ *http.Request) bool {
 						_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nSeal: abc\r\nId: r2\r\nContent-Length: %d\r\n\r\n%s", len(body), body[:cut])
 						time.Sleep(2 * time.Millisecond)
 						_, _ = conn.Write([]byte(other[:split]))
@@ -156,10 +161,7 @@
 							_, _ = conn.Write([]byte(other[split:]))
 						}
 						return true
-					}}, handlers{respond(200, "other")})
-					_, _ = b.do(idempotent, "r1")
-					res, sink := b.do(idempotent, "r2")
-					got := sink.body.String()
+					})
 					if res.Outcome == peer.OutcomeDone && got != "other" && got != body {
 						t.Errorf("%d bytes are taken for the whole answer of %d; from the cut on %q", len(got), len(body), got[cut:min(cut+80, len(got))])
 					}
@@ -190,11 +192,9 @@
 				}
 				part := between + quotes[name]
 				body := strings.Repeat(part, size/len(part)+1)
-				b := newFixture(t, handlers{respond(200, "first"), respond(200, body)})
-				_, _ = b.do(idempotent, "r1")
-				res, sink := b.do(idempotent, "r2")
+				res, got := doSecond(t, idempotent, respond(200, body))
 				qt.Check(t, res.Outcome, qt.Equals, peer.OutcomeDone)
-				qt.Check(t, sink.body.String() == body, qt.IsTrue, qt.Commentf("%d bytes of %d", sink.body.Len(), len(body)))
+				qt.Check(t, got == body, qt.IsTrue, qt.Commentf("%d bytes of %d", len(got), len(body)))
 			})
 		}
 	}
--- a/router/internal/upstream/embedded.go
+++ b/router/internal/upstream/embedded.go
@@ -1,11 +1,8 @@
 package upstream
 
 import (
-	"bytes"
 	"fmt"
-	"hash/maphash"
 	"net/http"
-	"slices"
 	"time"
 
 	"rattantrack.dev/core/call"
@@ -21,88 +18,8 @@
 	return fmt.Sprintf("another answer begins within the answer to request %q", e.ID)
 }
 
-const (
-	// statusLineBytes is the length of a status line up to its reason.
-	statusLineBytes = len("HTTP/1.1 200 ")
-	// maxEmbeddedHeadBytes bounds how much of a part is held back because it may be the head of another answer.
-	maxEmbeddedHeadBytes = 4 << 10
-	// embeddedHeadTimeout bounds the wait for the rest of a head whose beginning fills up an answer.
-	embeddedHeadTimeout = 20 * time.Millisecond
-	// maxRequestIDs bounds the requests of a connection whose late answers are recognised.
-	maxRequestIDs = 256
-)
-
-var (
-	protocolName  = []byte("HTTP/1.")
-	requestIDSeed = maphash.MakeSeed()
-)
-
-// statusLinePrefix returns how many bytes at the beginning of a text are those of a status line, up to statusLineBytes.
-func statusLinePrefix(text []byte) int {
-	for i, c := range text[:min(len(text), statusLineBytes)] {
-		ok := false
-		switch {
-		case i < len(protocolName):
-			ok = c == protocolName[i]
-		case i == len("HTTP/1."):
-			ok = c == '0' || c == '1'
-		case i == len("HTTP/1.1"), i == len("HTTP/1.1 200"):
-			ok = c == ' '
-		case i == len("HTTP/1.1 "):
-			ok = '1' <= c && c <= '5'
-		default:
-			ok = '0' <= c && c <= '9'
-		}
-		if !ok {
-			return i
-		}
-	}
-	return min(len(text), statusLineBytes)
-}
-
-// indexStatusLine returns where the first status line begins within a text, or -1.
-func indexStatusLine(text []byte) int {
-	for from := 0; ; from++ {
-		i := bytes.Index(text[from:], protocolName)
-		if i < 0 {
-			return -1
-		}
-		if from += i; statusLinePrefix(text[from:]) == statusLineBytes {
-			return from
-		}
-	}
-}
-
-// indexCutStatusLine returns where a status line begins that does not end within the text, or -1.
-func indexCutStatusLine(text []byte) int {
-	for i := max(0, len(text)-statusLineBytes+1); i < len(text); i++ {
-		if statusLinePrefix(text[i:]) == len(text)-i {
-			return i
-		}
-	}
-	return -1
-}
-
-// requestIDs are the newest requests that a connection has carried, as hashes. An upstream may answer each of them once more.
-type requestIDs struct {
-	hashes []uint64
-	// oldest is the index of the oldest one once there are maxRequestIDs.
-	oldest int
-}
-
-func (s *requestIDs) add(id call.ID) {
-	h := maphash.String(requestIDSeed, string(id))
-	if len(s.hashes) < maxRequestIDs {
-		s.hashes = append(s.hashes, h)
-		return
-	}
-	s.hashes[s.oldest] = h
-	s.oldest = (s.oldest + 1) % maxRequestIDs
-}
-
-func (s *requestIDs) contains(id []byte) bool {
-	return len(id) > 0 && slices.Contains(s.hashes, maphash.Bytes(requestIDSeed, id))
-}
+// embeddedHeadTimeout bounds the wait for the rest of a head whose beginning fills up an answer.
+const embeddedHeadTimeout = 20 * time.Millisecond
 
 // CheckBody returns an error if another answer to a request of the connection begins within a body, or within an event of it. The body must
 // be as the upstream wrote it, without the framing: the other answer may fill a chunk or the declared length, and go on after it.
@@ -155,70 +72,12 @@
 	return r.conn.SetReadDeadline(time.Time{}) == nil && err == nil
 }
 
-// findAnswer returns an error if another answer to a request of the connection begins within a part. Otherwise it returns where a head
-// of at most maxEmbeddedHeadBytes begins that does not end within the part and what follows, or -1. It reads the text once, since that may
-// consist of status lines.
 func (r *Response) findAnswer(part, following []byte) (unfinished int, err error) {
-	end := part[max(0, len(part)-statusLineBytes):]
-	if r.Answer.ID == "" || (!bytes.Contains(part, protocolName) && !bytes.ContainsRune(end, 'H')) {
-		return -1, nil
-	}
-	text := part
-	if len(following) > 0 {
-		text = slices.Concat(part, following)
-	}
-	if at := indexStatusLine(text); at >= 0 && at < len(part) {
-		head := headScan{requests: r.requests, begin: -1}
-		if bytes.Contains(text[at+statusLineBytes:], []byte(r.Answer.ID)) || head.names(text, at, len(part)) {
-			return -1, &EmbeddedAnswerError{ID: r.Answer.ID}
-		}
-		if head.begin >= 0 {
-			return head.begin, nil
-		}
+	unfinished, found := findAnswer(part, following, r.Answer.ID, r.requests)
+	if found {
+		return -1, &EmbeddedAnswerError{ID: r.Answer.ID}
 	}
-	if at := indexCutStatusLine(text); at >= 0 && at < len(part) {
-		return at, nil
-	}
-	return -1, nil
-}
-
-// headScan looks for heads in a text, line by line.
-type headScan struct {
-	requests *requestIDs
-	// begin is where the head begins that the present line belongs to, -1 outside of one.
-	begin int
-}
-
-// names reports whether a field of a head that begins in text[from:limit] has the id of a request. Otherwise begin is where a head begins
-// that does not end within the text, the first one that is not too long.
-func (s *headScan) names(text []byte, from, limit int) bool {
-	for from < len(text) && (s.begin >= 0 || from < limit) {
-		length := bytes.IndexByte(text[from:], '\n') + 1
-		ended := length > 0
-		if !ended {
-			length = len(text) - from
-		}
-		line := text[from : from+length]
-		tooLong := s.begin >= 0 && len(text)-s.begin > maxEmbeddedHeadBytes
-		if at := indexStatusLine(line); at >= 0 && from+at < limit {
-			if s.begin < 0 || tooLong {
-				s.begin = from + at
-			}
-		} else if s.begin >= 0 && ended {
-			line = bytes.TrimSpace(line)
-			if _, value, ok := bytes.Cut(line, []byte(":")); ok && s.requests.contains(bytes.TrimSpace(value)) {
-				return true
-			}
-			if len(line) == 0 {
-				s.begin = -1
-			}
-		}
-		from += length
-	}
-	if s.begin >= 0 && len(text)-s.begin > maxEmbeddedHeadBytes {
-		s.begin = -1
-	}
-	return false
+	return unfinished, nil
 }
 
 // embedsHead reports whether another head begins within a head.
