test(quarantine): the replay of repeats merges a router's evidence into itself

The two replayed loads of the package had the same exchange between routers written twice. That of the repeats merged what a router had sent into the router itself, under a name of its own, so that its survivals counted twice there, which happens at no router.

Both now use one type, transit. All checks and bounds are unchanged.

--- a/core/quarantine/load_test.go
+++ b/core/quarantine/load_test.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -10,7 +9,6 @@
 
 	"rattantrack.dev/core/call"
 	"rattantrack.dev/core/clock"
-	"rattantrack.dev/core/inflight"
 	"rattantrack.dev/core/members"
 )
 
@@ -63,13 +61,7 @@
 func (l load) run(seed uint64, length time.Duration) outcome {
 	r := rand.New(rand.NewPCG(seed, 1))
 	trackers := make([]Tracker, l.routers)
-	sent := make([]Change, l.routers)
-	type delivery struct {
-		at   clock.Instant
-		from int
-		e    Evidence
-	}
-	var inTransit []delivery
+	links := newTransit(r, l.routers, l.exchange)
 	engines := make([][]*chat, l.engines)
 	upAt := make([]clock.Instant, l.engines)
 	incarnations := 0
@@ -84,16 +76,16 @@
 	for now := at(0); now < at(0).Add(length); now = now.Add(step) {
 		if l.restart > 0 && restarted == 0 && now >= at(0).Add(l.restart) {
 			restarted = now
-			trackers, sent, inTransit = make([]Tracker, l.routers), make([]Change, l.routers), nil
+			trackers, links = make([]Tracker, l.routers), newTransit(r, l.routers, l.exchange)
 		}
 		if l.rolling > 0 {
 			// A router that has started requests all evidence from some others, which may have started before it.
 			since := now.Sub(at(0).Add(l.rolling))
 			if i := int(since / rollingGap); since >= 0 && since%rollingGap == 0 && i < l.routers {
-				trackers[i], sent[i] = Tracker{}, 0
+				trackers[i], links.sent[i] = Tracker{}, 0
 				for j := 1; j <= min(3, l.routers-1); j++ {
 					from := (i + j) % l.routers
-					trackers[i].Merge(now, inflight.RouterID(fmt.Sprint("r", from)), trackers[from].All(now))
+					trackers[i].Merge(now, transitRouter(from), trackers[from].All(now))
 				}
 			}
 		}
@@ -160,26 +152,7 @@
 			incarnations++
 			processes[i] = instance(incarnations)
 		}
-		for i := range trackers {
-			e, last := trackers[i].Since(now, sent[i])
-			sent[i] = last
-			if len(e.Crashes) > 0 || len(e.Survivals) > 0 {
-				inTransit = append(inTransit, delivery{at: now.Add(time.Duration(r.Float64() * float64(l.exchange))), from: i, e: e})
-			}
-		}
-		var left []delivery
-		for _, d := range inTransit {
-			if d.at > now {
-				left = append(left, d)
-				continue
-			}
-			for j := range trackers {
-				if j != d.from {
-					trackers[j].Merge(now, inflight.RouterID(fmt.Sprint("r", d.from)), d.e)
-				}
-			}
-		}
-		inTransit = left
+		links.exchange(now, trackers)
 	}
 	return out
 }
--- a/core/quarantine/repeats_test.go
+++ b/core/quarantine/repeats_test.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -11,7 +10,6 @@
 
 	"rattantrack.dev/core/call"
 	"rattantrack.dev/core/clock"
-	"rattantrack.dev/core/inflight"
 	"rattantrack.dev/core/members"
 )
 
@@ -181,19 +179,13 @@
 func (l repeatLoad) run(seed uint64, length time.Duration) outcome {
 	r := rand.New(rand.NewPCG(seed, 2))
 	trackers := make([]Tracker, l.routers)
-	sent := make([]Change, l.routers)
+	links := newTransit(r, l.routers, l.exchange)
 	open := make([][]openRequest, l.upstreams)
 	upAt := make([]clock.Instant, l.upstreams)
 	processes := make([]members.Instance, l.upstreams)
 	for i := range processes {
 		processes[i] = instance(i)
 	}
-	type delivery struct {
-		at   clock.Instant
-		from int
-		e    Evidence
-	}
-	var inTransit []delivery
 	var returning []openRequest
 	var out outcome
 	var third clock.Instant
@@ -274,23 +266,7 @@
 				}
 			}
 		}
-		for i := range trackers {
-			e, last := trackers[i].Since(now, sent[i])
-			if sent[i] = last; !e.Empty() {
-				inTransit = append(inTransit, delivery{at: now.Add(time.Duration(r.Float64() * float64(l.exchange))), from: i, e: e})
-			}
-		}
-		var left []delivery
-		for _, d := range inTransit {
-			if d.at > now {
-				left = append(left, d)
-				continue
-			}
-			for j := range trackers {
-				trackers[j].Merge(now, inflight.RouterID(fmt.Sprint("r", d.from)), d.e)
-			}
-		}
-		inTransit = left
+		links.exchange(now, trackers)
 	}
 	return out
 }
