test(origins): a router that has not noticed a loss yet is asked at once

Cause, in the test: it stops a router and asks the others at once. One that has not noticed the loss still asks the stopped router and gets 4 of 5 replies; it asks once more after 40 ms, but takes up losses each 50 ms only. Then it reads the directory, as it should, and the test's directory cannot be read.

The test now asks when the loss has been noticed, as the same file does after its other changes.

--- a/router/internal/origins/service_test.go
+++ b/router/internal/origins/service_test.go
@@ -533,6 +533,8 @@
 	time.Sleep(5 * flushInterval)
 	c.Check(f.holdersOf("s", nodes[0]), qt.Equals, 0)
 	nodes[0].stop()
+	// A router that asks before it has noticed the loss reads the directory, which cannot be read here.
+	time.Sleep(3 * reviewInterval)
 	for _, n := range nodes[1:] {
 		version, verdict := n.find("s")
 		c.Check(verdict, qt.Equals, origin.OnlyVersion)
