--- a/core/quarantine/tracker_test.go
+++ b/core/quarantine/tracker_test.go
@@ -175,8 +175,8 @@
 	blocks := 0
 	for _, r := range tracker.crashes {
 		c.Assert(len(r.suspects) <= maxSuspects, qt.IsTrue)
-		c.Assert(0 <= maxCrashBlocks, qt.IsTrue)
-		blocks += 0
+		c.Assert(r.blocks() <= maxCrashBlocks, qt.IsTrue)
+		blocks += r.blocks()
 	}
 	c.Assert(blocks <= maxTotalBlocks, qt.IsTrue)
 	c.Assert(len(tracker.suspected) <= maxTotalBlocks+maxCrashes*maxSuspects, qt.IsTrue)
